--- /dev/null
+++ b/include/cedarpoint/claims/claim_table.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cedarpoint/claims/claim.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace cedarpoint {
+
+/// Part of a failure domain's replicated state: who holds each key. All replicas apply the same
+/// commands in the same order, so time comes with the command (wall time, ms).
+class claim_table {
+public:
+    /// A key is remembered for this long after its claim; callers must not repeat it later.
+    static constexpr std::uint64_t window_ms = 24ULL * 3600 * 1000;
+
+    struct record {
+        request_id holder;
+        claim_outcome outcome = claim_outcome::running;
+        std::uint64_t claimed_ms = 0;
+    };
+
+    /// The same holder asking again gets the same grant: its first answer may have been lost.
+    claim_verdict begin(const claim_key& key, const request_id& holder, std::uint64_t now_ms);
+    /// Only the holder can end a claim, and only once.
+    void finish(const claim_key& key, const request_id& holder, claim_outcome outcome);
+
+    [[nodiscard]] const std::map<claim_key, record>& records() const { return records_; }
+    void restore(const claim_key& key, record it);
+
+private:
+    void forget_old(std::uint64_t now_ms);
+
+    std::map<claim_key, record> records_;
+    std::deque<std::pair<std::uint64_t, claim_key>> by_age_;
+    std::uint64_t latest_ms_ = 0; ///< never goes back, whatever a proposer's clock says
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/include/cedarpoint/config/json_reader.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "cedarpoint/config/fault.h"
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cedarpoint {
+
+/// Parses JSON with comments; refuses double keys and more than `max_json_depth` levels.
+std::optional<nlohmann::json> parse_json(std::string_view text, faults& out);
+
+inline constexpr int max_json_depth = 64;
+
+/// The values that an integer key accepts, both ends included.
+struct int_range {
+    std::int64_t low = 0;
+    std::int64_t high = std::numeric_limits<std::int64_t>::max();
+};
+
+/// Reads one JSON object key by key and notes every fault instead of stopping at the first.
+/// The caller asks for each key it knows, then calls `finish`, which reports the unknown ones.
+class json_reader {
+public:
+    json_reader(const nlohmann::json& value, std::string path, faults& out);
+
+    std::string string(const char* key);
+    std::string string_or(const char* key, std::string fallback);
+    std::int64_t integer(const char* key, int_range range);
+    std::int64_t integer_or(const char* key, std::int64_t fallback, int_range range);
+    double number_or(const char* key, double fallback, double low, double high);
+    bool boolean_or(const char* key, bool fallback);
+    std::vector<std::string> strings_or_none(const char* key);
+
+    /// Calls `visit` with a reader for each object in the array under `key`; absent is empty.
+    void each(const char* key, const std::function<void(json_reader&)>& visit);
+    /// Calls `visit` with a reader for the object under `key`, if it is there.
+    void object(const char* key, const std::function<void(json_reader&)>& visit);
+
+    void fail(const char* key, std::string text);
+    void finish();
+    [[nodiscard]] bool has(const char* key) const;
+    [[nodiscard]] const std::string& path() const { return path_; }
+
+private:
+    const nlohmann::json* find(const char* key, bool required);
+
+    const nlohmann::json& value_;
+    std::string path_;
+    faults& out_;
+    std::set<std::string, std::less<>> known_;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "cedarpoint/core/ids.h"
+#include "cedarpoint/core/time.h"
+#include "control.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cedarpoint {
+
+/// A voter or learner of one log. A daemon with a disk keeps its id; one without takes a new id at
+/// each start, because it has forgotten what it promised.
+using member_id = id<struct member_tag>;
+
+/// Times of one log. Any two daemons' clocks may run apart by `drift` over an election timeout.
+struct raft_options {
+    duration election_timeout = milliseconds{1000}; ///< the shortest; up to twice this at random
+    duration heartbeat = milliseconds{200};
+    duration drift = milliseconds{100};
+    std::size_t max_batch_entries = 256;
+    duration snapshot_interval = seconds{1}; ///< between two sendings to the same follower
+};
+
+/// What a log's folder gave back at start.
+struct raft_state {
+    wire::hard_state hard;
+    wire::log_snapshot snapshot; ///< index 0: none
+    std::vector<wire::log_entry> entries;
+    [[nodiscard]] bool is_fresh() const
+    {
+        return hard.term() == 0 && snapshot.index() == 0 && entries.empty();
+    }
+};
+
+/// A message and whom it is for.
+struct raft_envelope {
+    member_id to;
+    wire::raft_message message;
+};
+
+/// What is to be done after a call, in this order: make `batch` and `install` durable, send, apply.
+struct raft_output {
+    wire::storage_batch batch;
+    bool has_batch = false;
+    std::optional<wire::log_snapshot> install; ///< replaces the log and the state machine
+    std::vector<raft_envelope> messages;
+    std::vector<wire::log_entry> committed;
+};
+
+/// One member of one replicated log: elections with pre-vote, replication, snapshots, membership
+/// changes one at a time, leader lease and grants to followers. No I/O; time is an argument.
+/// After each call the owner takes `take_output` and carries it out.
+class raft_node {
+public:
+    enum class role { follower, pre_candidate, candidate, leader };
+
+    /// `bootstrap` is the membership of a log that has never been written anywhere.
+    raft_node(instant now, member_id self, const wire::membership& bootstrap, raft_state state,
+              raft_options options, std::uint64_t seed);
+
+    void tick(instant now);
+    void receive(instant now, const member_id& from, const wire::raft_message& message);
+    /// Appends a command; its index, or empty if this is not the leader.
+    std::optional<std::uint64_t> propose(instant now, std::string command);
+    /// Adds, promotes or removes one member. False while an earlier change is not committed.
+    bool change_membership(instant now, const member_id& member, bool present, bool voter);
+    /// The state machine's state at `index`, which has been applied: older entries can go.
+    void compact(std::uint64_t index, std::string state);
+    [[nodiscard]] raft_output take_output();
+
+    [[nodiscard]] role at() const { return role_; }
+    [[nodiscard]] bool is_leader() const { return role_ == role::leader; }
+    /// The leader that this member last heard; empty if none lately.
+    [[nodiscard]] const member_id& leader() const { return leader_; }
+    [[nodiscard]] std::uint64_t term() const { return hard_.term(); }
+    [[nodiscard]] std::uint64_t commit() const { return commit_; }
+    [[nodiscard]] std::uint64_t last_index() const;
+    [[nodiscard]] std::uint64_t first_index() const { return snapshot_.index() + 1; }
+    /// True while no other leader can exist: reads here are current, and orders may be given.
+    /// Needs an entry of its own term committed.
+    [[nodiscard]] bool holds_lease(instant now) const;
+    /// The latest moment, by this member's clock, of which it knows that the state that it has
+    /// applied was the leader's. What rests on that state may be used until this plus the grant
+    /// time.
+    [[nodiscard]] std::optional<instant> granted_at(instant now) const;
+    [[nodiscard]] const wire::membership& members() const { return members_; }
+    [[nodiscard]] bool is_voter(const member_id& it) const;
+    [[nodiscard]] std::uint64_t match_of(const member_id& it) const;
+    [[nodiscard]] std::optional<instant> heard_from(const member_id& it) const;
+    [[nodiscard]] const wire::log_snapshot& snapshot() const { return snapshot_; }
+    /// Everything durable that is not in the snapshot.
+    [[nodiscard]] wire::storage_batch rest() const;
+
+private:
+    struct progress {
+        std::uint64_t next = 1;
+        std::uint64_t match = 0;
+        std::optional<instant> acked; ///< our clock at the sending of the latest answered message
+        std::int64_t follower_stamp = 0;
+        std::optional<instant> snapshot_sent;
+    };
+
+    void become_follower(instant now, std::uint64_t term, const member_id& leader);
+    void start_pre_vote(instant now);
+    void start_election(instant now);
+    void become_leader(instant now);
+    void arm_election(instant now);
+    void count_vote(instant now, const member_id& from);
+
+    void on_append(instant now, const member_id& from, const wire::raft_message& in);
+    void on_append_reply(instant now, const member_id& from, const wire::raft_message& in);
+    void on_vote(instant now, const member_id& from, const wire::raft_message& in);
+    void on_pre_vote(instant now, const member_id& from, const wire::raft_message& in);
+    void on_vote_reply(instant now, const member_id& from, const wire::raft_message& in);
+    void on_install(instant now, const member_id& from, const wire::raft_message& in);
+    void reply_append(instant now, const member_id& to, const wire::raft_message& in, bool ok);
+    void note_grant(instant now, const wire::raft_message& in);
+
+    void send(const member_id& to, wire::raft_message message);
+    void send_append(instant now, const member_id& to);
+    void send_snapshot(instant now, const member_id& to, progress& it);
+    void broadcast_append(instant now);
+    void broadcast_vote(wire::raft_message::kind_t kind, std::uint64_t term);
+    void append_entry(wire::log_entry entry);
+    void truncate_from(std::uint64_t index);
+    void advance_commit(std::uint64_t to);
+    void advance_leader_commit();
+    void save_hard_state();
+    void refresh_members();
+    [[nodiscard]] bool may_vote(instant now) const;
+    [[nodiscard]] bool is_up_to_date(const wire::raft_message& in) const;
+    [[nodiscard]] std::uint64_t last_term() const;
+    [[nodiscard]] std::optional<std::uint64_t> term_at(std::uint64_t index) const;
+    [[nodiscard]] std::size_t quorum() const;
+    [[nodiscard]] instant lease_basis(instant now) const;
+    [[nodiscard]] const wire::log_entry& entry_at(std::uint64_t index) const;
+
+    member_id self_;
+    raft_options options_;
+    std::mt19937_64 random_;
+
+    wire::hard_state hard_;
+    wire::log_snapshot snapshot_;
+    std::deque<wire::log_entry> log_;
+    wire::membership members_;
+    std::uint64_t members_index_ = 0;
+    wire::membership bootstrap_;
+
+    role role_ = role::follower;
+    member_id leader_;
+    std::uint64_t commit_ = 0;
+    std::uint64_t term_start_ = 0; ///< leader: index of the first entry of its term
+    std::set<member_id> votes_;
+    std::map<member_id, progress> progress_;
+    instant election_at_;
+    instant heartbeat_at_;
+    instant lead_since_;
+    std::optional<instant> leader_heard_;
+    instant started_;
+    instant no_vote_until_; ///< a restarted voter may have upheld a lease just before
+    std::optional<instant> granted_;
+    std::uint64_t granted_commit_ = 0;
+
+    raft_output out_;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/include/cedarpoint/consensus/replicated_log.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "cedarpoint/consensus/raft_node.h"
+#include "cedarpoint/core/reason.h"
+#include "cedarpoint/storage/log_store.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cedarpoint {
+
+/// The state machine behind a log.
+class replicated_state {
+public:
+    replicated_state() = default;
+    replicated_state(const replicated_state&) = delete;
+    replicated_state& operator=(const replicated_state&) = delete;
+    virtual ~replicated_state() = default;
+
+    /// Applies one command; what it returns goes to whoever proposed it here.
+    virtual std::string apply(const std::string& command) = 0;
+    [[nodiscard]] virtual std::string save() const = 0;
+    virtual bool restore(const std::string& bytes) = 0;
+};
+
+/// One log of one daemon: consensus, its folder and its state machine, kept in step. What is
+/// durable is made so before anything is sent or applied.
+class replicated_log {
+public:
+    /// Called with the answer once the command is applied; empty if its fate is unknown.
+    using answer_handler = std::function<void(std::optional<std::string>)>;
+    using sender = std::function<void(const member_id&, const wire::raft_message&)>;
+
+    struct options {
+        member_id self;
+        wire::membership bootstrap;
+        raft_options raft;
+        std::uint64_t seed = 1;
+        std::uint64_t snapshot_bytes = 4 << 20;  ///< of log, before a snapshot is taken
+        std::uint64_t snapshot_entries = 20'000; ///< the same without a disk
+    };
+
+    /// Without a folder nothing outlives the process. Empty with `why` if the folder is damaged.
+    static std::unique_ptr<replicated_log> open(instant now, options options, file_system* files,
+                                                const std::string& folder, replicated_state& state,
+                                                sender send, reason& why);
+
+    void tick(instant now);
+    void receive(instant now, const member_id& from, const wire::raft_message& message);
+    /// False if this is not the leader; then `done` is not called.
+    bool propose(instant now, std::string command, answer_handler done);
+    bool change_membership(instant now, const member_id& member, bool present, bool voter);
+
+    [[nodiscard]] const raft_node& raft() const { return raft_; }
+    /// Set once the disk has failed: nothing is done from then on. The process should end.
+    [[nodiscard]] const std::optional<reason>& failure() const { return failure_; }
+    [[nodiscard]] std::uint64_t applied() const { return applied_; }
+
+private:
+    struct pending {
+        std::uint64_t term = 0;
+        answer_handler done;
+    };
+
+    replicated_log(instant now, options options, raft_state loaded,
+                   std::unique_ptr<log_store> store, replicated_state& state, sender send);
+    void carry_out();
+    bool persist(const raft_output& out);
+    bool rewrite(const wire::log_snapshot& snapshot);
+    void apply(const wire::log_entry& entry);
+    void drop_pending(std::uint64_t below_term);
+    void compact_if_grown();
+
+    options options_;
+    raft_node raft_;
+    std::unique_ptr<log_store> store_;
+    replicated_state& state_;
+    sender send_;
+    std::map<std::uint64_t, pending> pending_;
+    std::uint64_t applied_ = 0;
+    std::optional<reason> failure_;
+    bool busy_ = false;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/include/cedarpoint/core/hash.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace cedarpoint {
+
+/// XXH3, 64 bits: the same on every machine and at every start. Not for secrets.
+std::uint64_t hash_of(std::string_view bytes);
+
+} // namespace cedarpoint
--- /dev/null
+++ b/include/cedarpoint/core/ids.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace cedarpoint {
+
+/// A name of one kind of thing. Ids of different kinds do not compare or convert.
+template <class Tag>
+class id {
+public:
+    id() = default;
+    explicit id(std::string value) : value_{std::move(value)} {}
+
+    [[nodiscard]] const std::string& str() const { return value_; }
+    [[nodiscard]] bool empty() const { return value_.empty(); }
+
+    friend auto operator<=>(const id&, const id&) = default;
+
+private:
+    std::string value_;
+};
+
+using node_id = id<struct node_tag>;                     ///< one machine
+using runner_id = id<struct runner_tag>;                 ///< one engine or service process
+using group_id = id<struct group_tag>;                   ///< one replica: "pool/0"
+using pool_id = id<struct pool_tag>;                     ///< a replica group declaration
+using service_id = id<struct service_tag>;               ///< a plain service
+using model_id = id<struct model_tag>;                   ///< a model's name
+using client_account_id = id<struct client_account_tag>; ///< one customer
+using failure_domain_id = id<struct failure_domain_tag>; ///< one zone
+using fabric_domain_id = id<struct fabric_domain_tag>;   ///< nodes with one fast fabric
+using daemon_id = id<struct daemon_tag>;                 ///< one cedarpoint process
+using session_id = id<struct session_tag>;               ///< a caller's conversation
+using request_id = id<struct request_tag>;               ///< one call
+using change_id = id<struct change_tag>;                 ///< one operator's change
+
+} // namespace cedarpoint
+
+template <class Tag>
+struct std::hash<cedarpoint::id<Tag>> {
+    std::size_t operator()(const cedarpoint::id<Tag>& it) const noexcept
+    {
+        return std::hash<std::string>{}(it.str());
+    }
+};
--- /dev/null
+++ b/include/cedarpoint/request/actions.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "cedarpoint/claims/claim.h"
+#include "cedarpoint/config/configuration.h"
+#include "cedarpoint/core/endpoint.h"
+#include "cedarpoint/core/ids.h"
+#include "cedarpoint/core/units.h"
+#include "cedarpoint/request/refusal.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cedarpoint {
+
+/// Send the request to a runner.
+struct start_attempt {
+    request_id request;
+    attempt_id attempt;
+    runner_id upstream;
+    endpoint address;
+    epoch assignment; ///< 0 for plain services
+    priority_class priority = priority_class::normal;
+    std::uint64_t resume_after = 0; ///< whole events that the caller has already
+};
+
+/// Stop a running attempt; its answer is no longer wanted.
+struct cancel_attempt {
+    attempt_id attempt;
+};
+
+/// Give the caller its final answer: this error. Once, and nothing after it.
+struct refuse {
+    request_id request;
+    refusal error;
+};
+
+/// Ask the account's home failure domain for the key; answer with `dispatcher::claim_answered`.
+struct ask_claim {
+    request_id request;
+    claim_key key;
+    failure_domain_id home;
+};
+
+/// Tell the home failure domain how a claimed request ended.
+struct end_claim {
+    request_id request;
+    claim_key key;
+    failure_domain_id home;
+    claim_outcome outcome = claim_outcome::may_have_run;
+};
+
+/// One routing decision, for the log and for `explain`.
+struct decision {
+    request_id request;
+    client_account_id account;
+    std::string step;       ///< "route", "queue", "refuse", "retry", "resume", "end" ...
+    std::string chosen;     ///< group or upstream; may be empty
+    std::string candidates; ///< "id:score" or "id:why out", blank between
+    std::string reason;
+};
+
+using action = std::variant<start_attempt, cancel_attempt, refuse, ask_claim, end_claim, decision>;
+using actions = std::vector<action>;
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/admission/account_limits.cpp
@@ -0,0 +1,69 @@
+#include "cedarpoint/admission/account_limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cedarpoint {
+namespace {
+
+constexpr double us_per_minute = 60e6;
+constexpr double burst_minutes = 1.0 / 6; ///< ten seconds' worth may start at once
+constexpr milliseconds in_flight_retry{1000};
+
+int share_of(int limit, double share)
+{
+    return std::max(1, static_cast<int>(std::ceil(limit * share)));
+}
+
+} // namespace
+
+void account_limits::refill(usage& it, instant now, double per_minute)
+{
+    const double most = std::max(1.0, per_minute * burst_minutes);
+    if (!it.started) {
+        it.started = true;
+        it.tokens = most;
+    }
+    else {
+        const auto gone = static_cast<double>((now - it.filled).count());
+        it.tokens = std::min(most, it.tokens + gone * per_minute / us_per_minute);
+    }
+    it.filled = now;
+}
+
+std::optional<refusal> account_limits::admit(instant now, const account_spec& account, double share)
+{
+    auto& it = usage_[account.id];
+    if (it.in_flight >= share_of(account.max_in_flight, share)) {
+        return refusal{error_code::too_many_in_flight, run_state::not_run,
+                       "the account has its most requests in flight", in_flight_retry};
+    }
+    if (account.requests_per_minute > 0) {
+        const double per_minute = account.requests_per_minute * share;
+        refill(it, now, per_minute);
+        if (it.tokens < 1) {
+            const auto wait =
+                static_cast<std::int64_t>((1 - it.tokens) * us_per_minute / per_minute / 1000);
+            return refusal{error_code::rate_limited, run_state::not_run,
+                           "the account is over its requests a minute", milliseconds{wait + 1}};
+        }
+        it.tokens -= 1;
+    }
+    ++it.in_flight;
+    return {};
+}
+
+void account_limits::release(const client_account_id& account)
+{
+    if (const auto it = usage_.find(account); it != usage_.end() && it->second.in_flight > 0) {
+        --it->second.in_flight;
+    }
+}
+
+int account_limits::in_flight(const client_account_id& account) const
+{
+    const auto it = usage_.find(account);
+    return it == usage_.end() ? 0 : it->second.in_flight;
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/admission/wait_queue.cpp
@@ -0,0 +1,117 @@
+#include "cedarpoint/admission/wait_queue.h"
+
+#include <algorithm>
+
+namespace cedarpoint {
+
+double wait_queue::lowest_virtual_time(const lanes& all) const
+{
+    double out = 0;
+    bool first = true;
+    for (const auto& [account, it] : all) {
+        if (!it.requests.empty() && (first || it.virtual_time < out)) {
+            out = it.virtual_time;
+            first = false;
+        }
+    }
+    return out;
+}
+
+bool wait_queue::push(const waiting& it)
+{
+    if (size_ >= max_length) {
+        return false;
+    }
+    const auto n = static_cast<std::size_t>(it.priority);
+    auto& own = by_class_[n][it.account];
+    if (own.requests.empty()) {
+        // An account that was idle starts level with the others: idling earns no credit.
+        own.virtual_time = std::max(own.virtual_time, clock_[n]);
+    }
+    own.requests.push_back(it);
+    ++size_;
+    return true;
+}
+
+std::optional<request_id> wait_queue::shed(priority_class priority)
+{
+    for (std::size_t n = classes; n-- > static_cast<std::size_t>(priority) + 1;) {
+        const waiting* newest = nullptr;
+        for (const auto& [account, it] : by_class_[n]) {
+            if (!it.requests.empty() &&
+                (newest == nullptr || it.requests.back().since > newest->since)) {
+                newest = &it.requests.back();
+            }
+        }
+        if (newest != nullptr) {
+            return newest->request;
+        }
+    }
+    return {};
+}
+
+std::optional<request_id> wait_queue::next(instant now) const
+{
+    const waiting* best = nullptr;
+    std::size_t best_class = classes;
+    double best_time = 0;
+    for (std::size_t n = 0; n < classes; ++n) {
+        for (const auto& [account, own] : by_class_[n]) {
+            if (own.requests.empty()) {
+                continue;
+            }
+            const auto& front = own.requests.front();
+            const bool promoted = n > 0 && now - front.since >= promote_after;
+            const std::size_t rank = promoted ? n - 1 : n;
+            if (rank < best_class || (rank == best_class && own.virtual_time < best_time)) {
+                best = &front;
+                best_class = rank;
+                best_time = own.virtual_time;
+            }
+        }
+    }
+    if (best == nullptr) {
+        return {};
+    }
+    return best->request;
+}
+
+void wait_queue::remove(const request_id& request, bool served)
+{
+    for (std::size_t n = 0; n < classes; ++n) {
+        for (auto& [account, own] : by_class_[n]) {
+            const auto it = std::find_if(own.requests.begin(), own.requests.end(),
+                                         [&](const waiting& e) { return e.request == request; });
+            if (it == own.requests.end()) {
+                continue;
+            }
+            if (served) {
+                own.virtual_time += 1.0 / it->weight;
+            }
+            own.requests.erase(it);
+            --size_;
+            clock_[n] = std::max(clock_[n], lowest_virtual_time(by_class_[n]));
+            return;
+        }
+    }
+}
+
+std::vector<request_id> wait_queue::expire(instant now)
+{
+    std::vector<request_id> out;
+    for (auto& all : by_class_) {
+        for (auto& [account, own] : all) {
+            const auto gone =
+                std::stable_partition(own.requests.begin(), own.requests.end(),
+                                      [&](const waiting& e) { return e.give_up > now; });
+            for (auto it = gone; it != own.requests.end(); ++it) {
+                out.push_back(it->request);
+            }
+            size_ -= static_cast<std::size_t>(own.requests.end() - gone);
+            own.requests.erase(gone, own.requests.end());
+        }
+    }
+    return out;
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,251 @@
+#include "cli/commands.h"
+
+#include "cedarpoint/config/configuration.h"
+#include "cedarpoint/config/json_reader.h"
+#include "cedarpoint/config/settings.h"
+#include "cli/exit_code.h"
+#include "cli/operator_client.h"
+#include "cli/status_view.h"
+#include "storage/posix_file_system.h"
+
+#include <QThread>
+
+#include <chrono>
+#include <fmt/format.h>
+
+namespace cedarpoint {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int ok_status = 200;
+constexpr int unavailable_status = 503;
+
+std::optional<std::string> read_file(const std::string& path)
+{
+    posix_file_system files;
+    reason why;
+    auto text = files.read(path, why);
+    if (!text) {
+        fmt::print(stderr, "{}\n",
+                   why.step.empty() ? "open " + path + ": there is no such file" : why.str());
+    }
+    return text;
+}
+
+void print_faults(const std::string& file, const faults& all)
+{
+    for (const auto& it : all) {
+        fmt::print(stderr, "{}: {}: {}\n", file, it.path.empty() ? "/" : it.path, it.text);
+    }
+}
+
+int report_unreachable(const reason& why)
+{
+    fmt::print(stderr, "{}\n", why.str());
+    return to_int(exit_code::unreachable);
+}
+
+int report_refused(const std::string& file, const operator_answer& it)
+{
+    if (it.body.is_object() && it.body.contains("faults")) {
+        for (const auto& one : it.body["faults"]) {
+            fmt::print(stderr, "{}: {}: {}\n", file, one.value("path", ""), one.value("text", ""));
+        }
+    }
+    else {
+        fmt::print(stderr, "refused: {}\n", it.body.dump());
+    }
+    return to_int(it.status == unavailable_status ? exit_code::unreachable : exit_code::refused);
+}
+
+/// Which kind of file it is shows in its keys: only settings name a callers' listener.
+bool looks_like_settings(const std::string& text)
+{
+    faults ignored;
+    const auto value = parse_json(text, ignored);
+    return value && value->is_object() && value->contains("callers");
+}
+
+/// The revision that a daemon has in force, if it answers.
+std::optional<std::uint64_t> revision_at(const endpoint& daemon)
+{
+    reason why;
+    const auto it = operator_client{daemon}.get("/v1/status", why);
+    if (!it || it->status != ok_status) {
+        return {};
+    }
+    return it->body.value("revision", std::uint64_t{0});
+}
+
+int wait_everywhere(std::vector<endpoint> daemons, std::uint64_t revision, int wait_seconds)
+{
+    using clock = std::chrono::steady_clock;
+    const auto until = clock::now() + std::chrono::seconds{wait_seconds};
+    constexpr unsigned long pause_ms = 100;
+    while (!daemons.empty()) {
+        std::erase_if(daemons,
+                      [&](const endpoint& it) { return revision_at(it).value_or(0) >= revision; });
+        if (daemons.empty() || clock::now() >= until) {
+            break;
+        }
+        QThread::msleep(pause_ms);
+    }
+    for (const auto& it : daemons) {
+        fmt::print(stderr, "not seen in force at {}\n", it.str());
+    }
+    if (daemons.empty()) {
+        fmt::print("revision {} is in force everywhere\n", revision);
+    }
+    return to_int(daemons.empty() ? exit_code::done : exit_code::not_everywhere);
+}
+
+} // namespace
+
+int run_check(const std::string& file)
+{
+    const auto text = read_file(file);
+    if (!text) {
+        return to_int(exit_code::bad_file);
+    }
+    faults found;
+    const bool is_settings = looks_like_settings(*text);
+    const bool fine = is_settings ? settings::parse(*text, found).has_value()
+                                  : configuration::parse(*text, found).has_value();
+    print_faults(file, found);
+    if (fine) {
+        fmt::print("{}: valid {}\n", file, is_settings ? "settings" : "declarative file");
+    }
+    return to_int(fine ? exit_code::done : exit_code::bad_file);
+}
+
+int run_apply(const endpoint& daemon, const std::string& file, int wait_seconds,
+              const std::vector<std::string>& others)
+{
+    const auto text = read_file(file);
+    if (!text) {
+        return to_int(exit_code::bad_file);
+    }
+    std::vector<endpoint> daemons{daemon};
+    for (const auto& name : others) {
+        const auto it = endpoint::parse(name);
+        if (!it) {
+            fmt::print(stderr, "--also {}: must be an IP number and port\n", name);
+            return to_int(exit_code::usage);
+        }
+        daemons.push_back(*it);
+    }
+    reason why;
+    const auto it = operator_client{daemon}.post("/v1/configuration", *text, why);
+    if (!it) {
+        return report_unreachable(why);
+    }
+    if (it->status != ok_status) {
+        return report_refused(file, *it);
+    }
+    const auto revision = it->body.value("revision", std::uint64_t{0});
+    fmt::print("accepted as revision {}\n", revision);
+    return wait_seconds > 0 ? wait_everywhere(std::move(daemons), revision, wait_seconds)
+                            : to_int(exit_code::done);
+}
+
+int run_plan(const endpoint& daemon, const std::string& file)
+{
+    const auto text = read_file(file);
+    if (!text) {
+        return to_int(exit_code::bad_file);
+    }
+    reason why;
+    const auto it = operator_client{daemon}.post("/v1/plan", *text, why);
+    if (!it) {
+        return report_unreachable(why);
+    }
+    if (it->status != ok_status) {
+        return report_refused(file, *it);
+    }
+    for (const auto& line : it->body["changes"]) {
+        fmt::print("{} {}\n", line.value("kind", ""), line.value("what", ""));
+    }
+    fmt::print("{} changes to revision {}\n", it->body["changes"].size(),
+               it->body.value("in_force", 0));
+    if (it->body.value("would_conflict", false)) {
+        fmt::print("the file is based on revision {}: applying it would be refused\n",
+                   it->body.value("based_on", 0));
+        return to_int(exit_code::refused);
+    }
+    return to_int(exit_code::done);
+}
+
+int run_status(const endpoint& daemon, bool as_json)
+{
+    reason why;
+    const auto it = operator_client{daemon}.get("/v1/status", why);
+    if (!it) {
+        return report_unreachable(why);
+    }
+    fmt::print("{}", as_json ? it->body.dump(2) + "\n" : show_status(it->body));
+    return to_int(exit_code::done);
+}
+
+int run_watch(const endpoint& daemon, int rounds)
+{
+    constexpr unsigned long pause_ms = 1000;
+    for (int n = 0; rounds == 0 || n < rounds; ++n) {
+        reason why;
+        const auto it = operator_client{daemon}.get("/v1/status", why);
+        if (!it) {
+            return report_unreachable(why);
+        }
+        fmt::print("\x1b[H\x1b[2J{}", show_status(it->body));
+        std::fflush(stdout);
+        QThread::msleep(pause_ms);
+    }
+    return to_int(exit_code::done);
+}
+
+int run_drain(const endpoint& daemon, const drain_request& what)
+{
+    reason why;
+    const json body{{"kind", what.kind}, {"id", what.id}, {"draining", what.draining}};
+    const auto it = operator_client{daemon}.post("/v1/drain", body.dump(), why);
+    if (!it) {
+        return report_unreachable(why);
+    }
+    if (it->status != ok_status) {
+        return report_refused(what.id, *it);
+    }
+    fmt::print("{} {} is {}\n", what.kind, what.id,
+               what.draining ? "draining" : "not draining any more");
+    return to_int(exit_code::done);
+}
+
+int run_stop(const endpoint& daemon)
+{
+    reason why;
+    const auto it = operator_client{daemon}.post("/v1/stop", "", why);
+    if (!it) {
+        return report_unreachable(why);
+    }
+    fmt::print("stopping\n");
+    return to_int(exit_code::done);
+}
+
+int run_explain(const endpoint& daemon, const std::string& request)
+{
+    reason why;
+    const auto it = operator_client{daemon}.get("/v1/explain/" + request, why);
+    if (!it) {
+        return report_unreachable(why);
+    }
+    if (it->status != ok_status) {
+        return report_refused(request, *it);
+    }
+    for (const auto& one : it->body["decisions"]) {
+        fmt::print("{} {:<7} chosen={} reason=\"{}\" candidates=[{}]\n",
+                   one.value("wall_ms", std::uint64_t{0}), one.value("step", ""),
+                   one.value("chosen", ""), one.value("reason", ""), one.value("candidates", ""));
+    }
+    return to_int(exit_code::done);
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/config/configuration_parser.cpp
@@ -0,0 +1,332 @@
+// Reads and checks the declarative file: shape first, then what refers to what.
+
+#include "cedarpoint/config/configuration.h"
+#include "cedarpoint/config/json_reader.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <set>
+
+namespace cedarpoint {
+namespace {
+
+constexpr int min_group_nodes = 4;
+constexpr int max_group_nodes = 32;
+constexpr std::size_t digest_digits = 64;
+
+endpoint read_address(json_reader& in)
+{
+    const auto text = in.string("address");
+    const auto it = endpoint::parse(text);
+    if (!it && !text.empty()) {
+        in.fail("address", "must be an IP number and port, such as 127.0.0.1:9000");
+    }
+    return it.value_or(endpoint{});
+}
+
+void read_topology(json_reader& in, configuration& out)
+{
+    for (auto& it : in.strings_or_none("failure_domains")) {
+        out.failure_domains.emplace_back(std::move(it));
+    }
+    in.each("fabric_domains", [&](json_reader& e) {
+        out.fabric_domains.push_back(
+            {fabric_domain_id{e.string("id")}, failure_domain_id{e.string("failure_domain")}});
+    });
+    in.each("nodes", [&](json_reader& e) {
+        out.nodes.push_back({node_id{e.string("id")}, fabric_domain_id{e.string("fabric_domain")},
+                             static_cast<int>(e.integer_or("accelerators", 8, {1, 64}))});
+    });
+    in.each("runners", [&](json_reader& e) {
+        out.runners.push_back({runner_id{e.string("id")}, node_id{e.string("node")},
+                               read_address(e), e.boolean_or("checks_epoch", true),
+                               static_cast<int>(e.integer_or("slots", 8, {1, 100000}))});
+    });
+}
+
+group_role read_role(json_reader& in)
+{
+    const auto text = in.string_or("role", "converged");
+    for (const auto it : {group_role::converged, group_role::prefill, group_role::decode}) {
+        if (name_of(it) == text) {
+            return it;
+        }
+    }
+    in.fail("role", "must be converged, prefill or decode");
+    return group_role::converged;
+}
+
+void read_models(json_reader& in, configuration& out)
+{
+    in.each("models", [&](json_reader& e) {
+        out.models.push_back({model_id{e.string("id")}, e.strings_or_none("versions"),
+                              e.strings_or_none("adapters")});
+    });
+    in.each("replica_groups", [&](json_reader& e) {
+        pool_spec it;
+        it.id = pool_id{e.string("id")};
+        it.model = model_id{e.string("model")};
+        it.version = e.string("version");
+        it.adapters = e.strings_or_none("adapters");
+        it.failure_domain = failure_domain_id{e.string("failure_domain")};
+        it.size = static_cast<int>(e.integer("size", {min_group_nodes, max_group_nodes}));
+        it.count = static_cast<int>(e.integer("count", {1, 10000}));
+        it.role = read_role(e);
+        out.pools.push_back(std::move(it));
+    });
+}
+
+void read_services(json_reader& in, configuration& out)
+{
+    in.each("services", [&](json_reader& e) {
+        service_spec it;
+        it.id = service_id{e.string("id")};
+        it.path_prefix = e.string("path_prefix");
+        if (!it.path_prefix.empty() && it.path_prefix.front() != '/') {
+            e.fail("path_prefix", "must begin with /");
+        }
+        if (it.path_prefix.starts_with("/v1/") || it.path_prefix == "/v1") {
+            e.fail("path_prefix", "/v1 belongs to the models");
+        }
+        e.each("upstreams", [&](json_reader& u) {
+            it.upstreams.push_back({runner_id{u.string("id")},
+                                    failure_domain_id{u.string("failure_domain")}, read_address(u),
+                                    static_cast<int>(u.integer_or("slots", 64, {1, 100000}))});
+        });
+        out.services.push_back(std::move(it));
+    });
+    in.each("routing_rules", [&](json_reader& e) {
+        route_spec it;
+        it.model = model_id{e.string("model")};
+        if (e.has("account")) {
+            it.account = client_account_id{e.string("account")};
+        }
+        else {
+            e.string_or("account", "");
+        }
+        for (auto& name : e.strings_or_none("replica_groups")) {
+            it.pools.emplace_back(std::move(name));
+        }
+        if (it.pools.empty()) {
+            e.fail("replica_groups", "must name at least one replica group");
+        }
+        out.routes.push_back(std::move(it));
+    });
+}
+
+std::vector<priority_class> read_priorities(json_reader& in)
+{
+    std::vector<priority_class> out;
+    for (const auto& name : in.strings_or_none("priorities")) {
+        const auto it = parse_priority(name);
+        if (!it) {
+            in.fail("priorities", "\"" + name + "\" is not alarm, normal or bulk");
+            continue;
+        }
+        out.push_back(*it);
+    }
+    if (out.empty()) {
+        out.push_back(priority_class::normal);
+    }
+    return out;
+}
+
+void read_accounts(json_reader& in, configuration& out)
+{
+    in.each("client_accounts", [&](json_reader& e) {
+        account_spec it;
+        it.id = client_account_id{e.string("id")};
+        it.key_sha256 = e.string("key_sha256");
+        const bool hex = std::all_of(it.key_sha256.begin(), it.key_sha256.end(), [](char c) {
+            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+        });
+        if (!it.key_sha256.empty() && (!hex || it.key_sha256.size() != digest_digits)) {
+            e.fail("key_sha256", "must be 64 lower-case hex digits: the SHA-256 of the key");
+        }
+        it.weight = static_cast<int>(e.integer_or("weight", 1, {1, 1000}));
+        it.home_failure_domain = failure_domain_id{e.string("home_failure_domain")};
+        it.priorities = read_priorities(e);
+        it.max_in_flight = static_cast<int>(e.integer_or("max_in_flight", 1000, {1, 1000000}));
+        it.requests_per_minute =
+            static_cast<int>(e.integer_or("requests_per_minute", 0, {0, 100000000}));
+        out.accounts.push_back(std::move(it));
+    });
+    in.object("objectives", [&](json_reader& e) {
+        out.objectives.group_downtime = e.number_or("group_downtime", 1, 0, 1e6);
+        out.objectives.stranded_accelerators = e.number_or("stranded_accelerators", 1, 0, 1e6);
+    });
+}
+
+/// Checks that ids are unique and that every reference meets its target.
+class reference_check {
+public:
+    reference_check(const configuration& config, faults& out) : config_{config}, out_{out} {}
+
+    void run()
+    {
+        check_unique();
+        check_topology();
+        check_models();
+        check_services();
+        check_accounts();
+    }
+
+private:
+    template <class T, class Project>
+    void unique(const char* list, const std::vector<T>& all, Project project)
+    {
+        std::set<std::string> seen;
+        for (std::size_t n = 0; n < all.size(); ++n) {
+            const auto name = project(all[n]);
+            if (!name.empty() && !seen.insert(name).second) {
+                add(list, n, "id", "\"" + name + "\" stands twice");
+            }
+        }
+    }
+
+    void add(const char* list, std::size_t n, const char* key, std::string text)
+    {
+        out_.push_back({fmt::format("/{}/{}/{}", list, n, key), std::move(text)});
+    }
+
+    void check_unique()
+    {
+        const auto by_id = [](const auto& e) { return e.id.str(); };
+        unique("failure_domains", config_.failure_domains, [](const auto& e) { return e.str(); });
+        unique("fabric_domains", config_.fabric_domains, by_id);
+        unique("nodes", config_.nodes, by_id);
+        unique("runners", config_.runners, by_id);
+        unique("runners", config_.runners, [](const auto& e) { return e.address.str(); });
+        unique("runners", config_.runners, [](const auto& e) { return e.node.str(); });
+        unique("models", config_.models, by_id);
+        unique("replica_groups", config_.pools, by_id);
+        unique("services", config_.services, by_id);
+        unique("services", config_.services, [](const auto& e) { return e.path_prefix; });
+        unique("client_accounts", config_.accounts, by_id);
+        unique("client_accounts", config_.accounts, [](const auto& e) { return e.key_sha256; });
+    }
+
+    void need_domain(const char* list, std::size_t n, const char* key, const failure_domain_id& id)
+    {
+        const auto& all = config_.failure_domains;
+        if (!id.empty() && std::find(all.begin(), all.end(), id) == all.end()) {
+            add(list, n, key, "\"" + id.str() + "\" is not a declared failure domain");
+        }
+    }
+
+    void check_topology()
+    {
+        for (std::size_t n = 0; n < config_.fabric_domains.size(); ++n) {
+            need_domain("fabric_domains", n, "failure_domain",
+                        config_.fabric_domains[n].failure_domain);
+        }
+        for (std::size_t n = 0; n < config_.nodes.size(); ++n) {
+            if (const auto& id = config_.nodes[n].fabric_domain;
+                !id.empty() && config_.find_fabric(id) == nullptr) {
+                add("nodes", n, "fabric_domain",
+                    "\"" + id.str() + "\" is not a declared fabric domain");
+            }
+        }
+        for (std::size_t n = 0; n < config_.runners.size(); ++n) {
+            if (const auto& id = config_.runners[n].node;
+                !id.empty() && config_.find_node(id) == nullptr) {
+                add("runners", n, "node", "\"" + id.str() + "\" is not a declared node");
+            }
+        }
+    }
+
+    void check_models()
+    {
+        for (std::size_t n = 0; n < config_.pools.size(); ++n) {
+            const auto& pool = config_.pools[n];
+            need_domain("replica_groups", n, "failure_domain", pool.failure_domain);
+            const auto it = std::find_if(config_.models.begin(), config_.models.end(),
+                                         [&](const model_spec& e) { return e.id == pool.model; });
+            if (it == config_.models.end()) {
+                add("replica_groups", n, "model",
+                    "\"" + pool.model.str() + "\" is not a declared model");
+                continue;
+            }
+            need_listed(n, "version", it->versions, pool.version);
+            for (const auto& name : pool.adapters) {
+                need_listed(n, "adapters", it->adapters, name);
+            }
+        }
+        for (std::size_t n = 0; n < config_.routes.size(); ++n) {
+            check_route(n, config_.routes[n]);
+        }
+    }
+
+    void need_listed(std::size_t n, const char* key, const std::vector<std::string>& all,
+                     const std::string& name)
+    {
+        if (!name.empty() && std::find(all.begin(), all.end(), name) == all.end()) {
+            add("replica_groups", n, key, "\"" + name + "\" is not declared for the model");
+        }
+    }
+
+    void check_route(std::size_t n, const route_spec& route)
+    {
+        for (const auto& id : route.pools) {
+            const auto* pool = config_.find_pool(id);
+            if (pool == nullptr) {
+                add("routing_rules", n, "replica_groups", "\"" + id.str() + "\" is not declared");
+            }
+            else if (pool->model != route.model) {
+                add("routing_rules", n, "replica_groups",
+                    "\"" + id.str() + "\" serves model \"" + pool->model.str() + "\"");
+            }
+        }
+        if (route.account && config_.find_account(*route.account) == nullptr) {
+            add("routing_rules", n, "account", "\"" + route.account->str() + "\" is not declared");
+        }
+    }
+
+    void check_services()
+    {
+        for (std::size_t n = 0; n < config_.services.size(); ++n) {
+            for (const auto& it : config_.services[n].upstreams) {
+                need_domain("services", n, "upstreams", it.failure_domain);
+            }
+        }
+    }
+
+    void check_accounts()
+    {
+        for (std::size_t n = 0; n < config_.accounts.size(); ++n) {
+            need_domain("client_accounts", n, "home_failure_domain",
+                        config_.accounts[n].home_failure_domain);
+        }
+    }
+
+    const configuration& config_;
+    faults& out_;
+};
+
+} // namespace
+
+std::optional<configuration> configuration::parse(std::string_view text, faults& out)
+{
+    const auto before = out.size();
+    const auto value = parse_json(text, out);
+    if (!value) {
+        return {};
+    }
+    configuration it;
+    json_reader in{*value, "", out};
+    it.based_on.value = static_cast<std::uint64_t>(in.integer("based_on", {}));
+    it.change = change_id{in.string("change_id")};
+    read_topology(in, it);
+    read_models(in, it);
+    read_services(in, it);
+    read_accounts(in, it);
+    in.finish();
+    reference_check{it, out}.run();
+    if (out.size() != before) {
+        return {};
+    }
+    return it;
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/config/json_reader.cpp
@@ -0,0 +1,235 @@
+#include "cedarpoint/config/json_reader.h"
+
+#include <fmt/format.h>
+
+namespace cedarpoint {
+namespace {
+
+using json = nlohmann::json;
+
+/// Builds a document while it watches for what the library lets pass: double keys and depth.
+class strict_handler {
+public:
+    explicit strict_handler(faults& out) : out_{out} {}
+
+    bool operator()(int depth, json::parse_event_t event, json& value)
+    {
+        if (depth > max_json_depth) {
+            report(fmt::format("more than {} levels", max_json_depth));
+            return false;
+        }
+        if (event == json::parse_event_t::object_start) {
+            keys_.emplace_back();
+        }
+        else if (event == json::parse_event_t::object_end) {
+            keys_.pop_back();
+        }
+        else if (event == json::parse_event_t::key &&
+                 !keys_.back().insert(value.get<std::string>()).second) {
+            report("key \"" + value.get<std::string>() + "\" stands twice");
+        }
+        return true;
+    }
+
+private:
+    void report(std::string text)
+    {
+        if (out_.empty()) {
+            out_.push_back({"", std::move(text)});
+        }
+    }
+
+    faults& out_;
+    std::vector<std::set<std::string>> keys_;
+};
+
+} // namespace
+
+std::optional<json> parse_json(std::string_view text, faults& out)
+{
+    faults found;
+    try {
+        strict_handler handler{found};
+        auto value = json::parse(
+            text,
+            [&](int depth, json::parse_event_t event, json& it) {
+                return handler(depth, event, it);
+            },
+            true, true);
+        if (found.empty()) {
+            return value;
+        }
+    }
+    catch (const json::exception& e) {
+        found.push_back({"", e.what()});
+    }
+    out.insert(out.end(), found.begin(), found.end());
+    return {};
+}
+
+json_reader::json_reader(const json& value, std::string path, faults& out)
+    : value_{value}, path_{std::move(path)}, out_{out}
+{
+    if (!value_.is_object()) {
+        out_.push_back({path_, "must be an object"});
+    }
+}
+
+bool json_reader::has(const char* key) const
+{
+    return value_.is_object() && value_.contains(key);
+}
+
+const json* json_reader::find(const char* key, bool required)
+{
+    known_.insert(key);
+    if (has(key)) {
+        return &value_[key];
+    }
+    if (required && value_.is_object()) {
+        fail(key, "is missing");
+    }
+    return nullptr;
+}
+
+void json_reader::fail(const char* key, std::string text)
+{
+    out_.push_back({path_ + "/" + key, std::move(text)});
+}
+
+std::string json_reader::string(const char* key)
+{
+    const auto* it = find(key, true);
+    if (it == nullptr) {
+        return {};
+    }
+    if (!it->is_string() || it->get_ref<const std::string&>().empty()) {
+        fail(key, "must be a string that is not empty");
+        return {};
+    }
+    return it->get<std::string>();
+}
+
+std::string json_reader::string_or(const char* key, std::string fallback)
+{
+    const auto* it = find(key, false);
+    if (it == nullptr) {
+        return fallback;
+    }
+    if (!it->is_string()) {
+        fail(key, "must be a string");
+        return fallback;
+    }
+    return it->get<std::string>();
+}
+
+std::int64_t json_reader::integer(const char* key, int_range range)
+{
+    const auto* it = find(key, true);
+    if (it == nullptr) {
+        return range.low;
+    }
+    const bool fits = it->is_number_integer() &&
+                      (!it->is_number_unsigned() ||
+                       it->get<std::uint64_t>() <= static_cast<std::uint64_t>(range.high)) &&
+                      it->get<std::int64_t>() >= range.low && it->get<std::int64_t>() <= range.high;
+    if (!fits) {
+        fail(key, fmt::format("must be a whole number from {} to {}", range.low, range.high));
+        return range.low;
+    }
+    return it->get<std::int64_t>();
+}
+
+std::int64_t json_reader::integer_or(const char* key, std::int64_t fallback, int_range range)
+{
+    return find(key, false) == nullptr ? fallback : integer(key, range);
+}
+
+double json_reader::number_or(const char* key, double fallback, double low, double high)
+{
+    const auto* it = find(key, false);
+    if (it == nullptr) {
+        return fallback;
+    }
+    if (!it->is_number() || it->get<double>() < low || it->get<double>() > high) {
+        fail(key, fmt::format("must be a number from {} to {}", low, high));
+        return fallback;
+    }
+    return it->get<double>();
+}
+
+bool json_reader::boolean_or(const char* key, bool fallback)
+{
+    const auto* it = find(key, false);
+    if (it == nullptr) {
+        return fallback;
+    }
+    if (!it->is_boolean()) {
+        fail(key, "must be true or false");
+        return fallback;
+    }
+    return it->get<bool>();
+}
+
+std::vector<std::string> json_reader::strings_or_none(const char* key)
+{
+    std::vector<std::string> out;
+    const auto* it = find(key, false);
+    if (it == nullptr) {
+        return out;
+    }
+    if (!it->is_array()) {
+        fail(key, "must be an array of strings");
+        return out;
+    }
+    for (const auto& element : *it) {
+        if (!element.is_string()) {
+            fail(key, "must be an array of strings");
+            return out;
+        }
+        out.push_back(element.get<std::string>());
+    }
+    return out;
+}
+
+void json_reader::each(const char* key, const std::function<void(json_reader&)>& visit)
+{
+    const auto* it = find(key, false);
+    if (it == nullptr) {
+        return;
+    }
+    if (!it->is_array()) {
+        fail(key, "must be an array of objects");
+        return;
+    }
+    for (std::size_t n = 0; n < it->size(); ++n) {
+        json_reader element{(*it)[n], fmt::format("{}/{}/{}", path_, key, n), out_};
+        visit(element);
+        element.finish();
+    }
+}
+
+void json_reader::object(const char* key, const std::function<void(json_reader&)>& visit)
+{
+    const auto* it = find(key, false);
+    if (it == nullptr) {
+        return;
+    }
+    json_reader element{*it, path_ + "/" + key, out_};
+    visit(element);
+    element.finish();
+}
+
+void json_reader::finish()
+{
+    if (!value_.is_object()) {
+        return;
+    }
+    for (const auto& [key, unused] : value_.items()) {
+        if (!known_.contains(key)) {
+            out_.push_back({path_ + "/" + key, "is not a known key"});
+        }
+    }
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/control/log_client.cpp
@@ -0,0 +1,92 @@
+#include "cedarpoint/control/log_client.h"
+
+namespace cedarpoint {
+
+void log_client::submit(instant now, const std::string& log, const wire::command& command,
+                        duration limit, answer_handler done)
+{
+    const auto id = ++last_call_;
+    calls_[id] = {log, command.SerializeAsString(), std::move(done), now + limit, now, 0, {}};
+    ask(now, id);
+}
+
+void log_client::ask(instant now, std::uint64_t id)
+{
+    auto& it = calls_.at(id);
+    it.next = now + ask_again;
+    const auto here = [this, id](std::optional<std::string> bytes) {
+        wire::command_answer answer;
+        if (bytes && answer.ParseFromString(*bytes)) {
+            end(id, std::move(answer));
+        }
+    };
+    if (hooks_.propose_here(now, it.log, it.command, here)) {
+        return;
+    }
+    const auto all = hooks_.daemons_of(it.log);
+    if (all.empty()) {
+        return;
+    }
+    const auto to = it.hint.empty() ? all[it.turn++ % all.size()] : std::exchange(it.hint, {});
+    wire::envelope out;
+    out.mutable_submit()->set_log(it.log);
+    out.mutable_submit()->set_call(id);
+    out.mutable_submit()->set_command(it.command);
+    hooks_.send(to, std::move(out));
+}
+
+void log_client::on_answer(instant now, const wire::submit_answer& in)
+{
+    const auto found = calls_.find(in.call());
+    if (found == calls_.end()) {
+        return;
+    }
+    if (!in.applied()) {
+        if (!in.leader().empty() && found->second.hint.empty()) {
+            found->second.hint = daemon_id{in.leader()};
+            ask(now, in.call());
+        }
+        return;
+    }
+    wire::command_answer answer;
+    if (answer.ParseFromString(in.answer())) {
+        end(in.call(), std::move(answer));
+    }
+}
+
+void log_client::tick(instant now)
+{
+    std::vector<std::uint64_t> late;
+    std::vector<std::uint64_t> due;
+    for (const auto& [id, it] : calls_) {
+        if (now >= it.give_up) {
+            late.push_back(id);
+        }
+        else if (now >= it.next) {
+            due.push_back(id);
+        }
+    }
+    for (const auto id : late) {
+        end(id, {});
+    }
+    for (const auto id : due) {
+        if (calls_.contains(id)) {
+            ask(now, id);
+        }
+    }
+}
+
+void log_client::end(std::uint64_t id, std::optional<wire::command_answer> answer)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    const auto done = std::move(found->second.done);
+    calls_.erase(found);
+    if (done) {
+        done(std::move(answer));
+    }
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/daemon/caller_gateway.cpp
@@ -0,0 +1,468 @@
+#include "daemon/caller_gateway.h"
+
+#include "io/clock.h"
+#include "io/log_line.h"
+
+#include <array>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace cedarpoint {
+namespace {
+
+constexpr std::size_t max_whole_answer = 16 << 20; ///< larger answers are passed on as they come
+constexpr const char* not_run_field =
+    "Cedarpoint-Not-Run"; ///< a runner's word that it took nothing
+constexpr const char* attempt_field = "X-Request-Id";
+
+constexpr std::array hop_by_hop{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+                                "TE",         "Trailer",    "Upgrade",          "Content-Length",
+                                "Expect"};
+
+bool is_hop_by_hop(std::string_view name)
+{
+    for (const auto* it : hop_by_hop) {
+        if (equal_ignoring_case(name, it)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Passed neither to runners nor from them: these are between the caller and cedarpoint.
+bool is_private(std::string_view name)
+{
+    constexpr std::string_view own = "cedarpoint-";
+    return equal_ignoring_case(name, "Authorization") || equal_ignoring_case(name, attempt_field) ||
+           equal_ignoring_case(name.substr(0, own.size()), own);
+}
+
+bool is_event_stream(const http_head& head)
+{
+    return head.status == 200 && head.fields.get("Content-Type").starts_with("text/event-stream");
+}
+
+std::string random_prefix()
+{
+    std::random_device seed;
+    return fmt::format("{:08x}", seed());
+}
+
+} // namespace
+
+caller_gateway::caller_gateway(const settings& own, dispatcher& core, decision_log& decisions,
+                               metrics& figures, hooks hooks)
+    : own_{own}, core_{core}, decisions_{decisions}, figures_{figures}, hooks_{std::move(hooks)},
+      listener_{own.limits,
+                [this](http_request request, std::shared_ptr<http_reply> reply) {
+                    on_request(std::move(request), std::move(reply));
+                }},
+      request_prefix_{own.id.str() + "-" + random_prefix()}
+{
+    listener_.on_refused = [this](error_code code) { figures_.count_refusal(code); };
+}
+
+caller_gateway::~caller_gateway()
+{
+    for (auto& [id, it] : attempts_) {
+        it.call->cancel();
+    }
+    for (auto& [id, it] : exchanges_) {
+        it.reply->on_gone = nullptr;
+        it.reply->on_drained = nullptr;
+    }
+}
+
+bool caller_gateway::start(const endpoint& at, reason& why)
+{
+    return listener_.start(at, why);
+}
+
+void caller_gateway::stop_listening()
+{
+    listener_.stop();
+}
+
+void caller_gateway::refuse_now(http_reply& reply, const refusal& error, const std::string& request)
+{
+    figures_.count_refusal(error.code);
+    if (reply.has_begun()) {
+        // The answer has begun: an event of its own is the only honest end.
+        reply.write("event: error\ndata: " + to_json(error, request) + "\n\n");
+        reply.finish();
+        return;
+    }
+    http_head head{describe(error.code).status, {}};
+    head.fields.add("Content-Type", "application/json");
+    head.fields.add(caller_header::request, request);
+    if (error.retry_after) {
+        constexpr std::int64_t ms = 1000;
+        head.fields.add("Retry-After", std::to_string((error.retry_after->count() + ms - 1) / ms));
+    }
+    reply.send(std::move(head), to_json(error, request));
+}
+
+void caller_gateway::on_request(http_request request, std::shared_ptr<http_reply> reply)
+{
+    figures_.count_request();
+    const request_id id{request_prefix_ + "-" + std::to_string(++last_request_)};
+    const auto path = request.target.substr(0, request.target.find('?'));
+    if (path == "/healthz" || path == "/readyz") {
+        const bool fine = path == "/healthz" || hooks_.is_ready();
+        http_head head{fine ? 200 : 503, {}};
+        head.fields.add("Content-Type", "text/plain");
+        reply->send(std::move(head), fine ? "ok\n" : "not ready\n");
+        return;
+    }
+    if (!hooks_.is_ready()) {
+        refuse_now(*reply,
+                   {error_code::shutting_down, run_state::not_run,
+                    "this daemon does not take requests now", milliseconds{1000}},
+                   id.str());
+        return;
+    }
+    if (path == "/v1/models") {
+        answer_models(request, *reply);
+        return;
+    }
+    refusal error;
+    auto facts = read_facts(steady_now(), request, id, error);
+    if (!facts) {
+        refuse_now(*reply, error, id.str());
+        return;
+    }
+    reply->on_gone = [this, id] {
+        perform(core_.caller_gone(steady_now(), id));
+        exchanges_.erase(id);
+    };
+    exchanges_[id] = {std::move(request), std::move(reply), facts->streamed, {}};
+    perform(core_.submit(steady_now(), std::move(*facts)));
+}
+
+void caller_gateway::answer_models(const http_request& request, http_reply& reply)
+{
+    constexpr std::string_view bearer = "Bearer ";
+    const auto authorization = request.fields.get("Authorization");
+    const auto* account = authorization.starts_with(bearer)
+                              ? core_.authenticate(sha256_hex(authorization.substr(bearer.size())))
+                              : nullptr;
+    if (account == nullptr) {
+        refuse_now(reply,
+                   {error_code::unauthorized, run_state::not_run, "no account has this key", {}},
+                   "");
+        return;
+    }
+    auto data = nlohmann::json::array();
+    std::string last;
+    for (const auto& it : core_.config()->routes) {
+        if ((!it.account || *it.account == account->id) && it.model.str() != last) {
+            last = it.model.str();
+            data.push_back({{"id", last}, {"object", "model"}, {"owned_by", "cedarpoint"}});
+        }
+    }
+    http_head head{200, {}};
+    head.fields.add("Content-Type", "application/json");
+    reply.send(std::move(head), nlohmann::json{{"object", "list"}, {"data", data}}.dump());
+}
+
+void caller_gateway::perform(const actions& all)
+{
+    for (const auto& it : all) {
+        std::visit(
+            [this](const auto& what) {
+                using type = std::decay_t<decltype(what)>;
+                if constexpr (std::is_same_v<type, start_attempt>) {
+                    do_start(what);
+                }
+                else if constexpr (std::is_same_v<type, cancel_attempt>) {
+                    do_cancel(what);
+                }
+                else if constexpr (std::is_same_v<type, refuse>) {
+                    do_refuse(what);
+                }
+                else if constexpr (std::is_same_v<type, ask_claim>) {
+                    hooks_.ask_claim_of(what);
+                }
+                else if constexpr (std::is_same_v<type, end_claim>) {
+                    hooks_.end_claim_of(what);
+                }
+                else {
+                    do_log(what);
+                }
+            },
+            it);
+    }
+}
+
+void caller_gateway::do_log(const decision& it)
+{
+    figures_.count_step(it.step);
+    decisions_.add(it);
+}
+
+void caller_gateway::do_refuse(const refuse& it)
+{
+    const auto found = exchanges_.find(it.request);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    const auto reply = found->second.reply;
+    exchanges_.erase(found);
+    reply->on_gone = nullptr;
+    reply->on_drained = nullptr;
+    refuse_now(*reply, it.error, it.request.str());
+}
+
+http_request caller_gateway::make_upstream_request(const start_attempt& it,
+                                                   const exchange& from) const
+{
+    http_request out{from.request.method, from.request.target, {}, from.request.body};
+    out.fields.add("Host", it.address.str());
+    for (const auto& [name, value] : from.request.fields.all()) {
+        if (!is_hop_by_hop(name) && !is_private(name) && !equal_ignoring_case(name, "Host")) {
+            out.fields.add(name, value);
+        }
+    }
+    out.fields.add(attempt_field, it.request.str() + "/" + std::to_string(it.attempt.value));
+    out.fields.add("X-Priority", std::string{name_of(it.priority)});
+    if (it.assignment.value > 0) {
+        out.fields.add("X-Epoch", std::to_string(it.assignment.value));
+    }
+    if (it.resume_after > 0) {
+        out.fields.add("X-Resume-After", std::to_string(it.resume_after));
+    }
+    return out;
+}
+
+void caller_gateway::do_start(const start_attempt& it)
+{
+    auto& from = exchanges_.at(it.request);
+    from.attempt = it.attempt;
+    const auto id = it.attempt;
+    upstream_call::handlers handlers;
+    handlers.on_sending = [this, id] { core_.attempt_sending(id); };
+    handlers.on_head = [this, id](const http_head& head) { on_head(id, head); };
+    handlers.on_body = [this, id](std::string bytes) { on_body(id, std::move(bytes)); };
+    handlers.on_end = [this, id](call_end how, const reason& why) { on_end(id, how, why); };
+    attempt made;
+    made.request = it.request;
+    made.upstream = it.upstream;
+    made.call = std::make_unique<upstream_call>(it.address, make_upstream_request(it, from),
+                                                call_options{}, std::move(handlers));
+    auto& kept = attempts_[id.value] = std::move(made);
+    from.reply->on_drained = [this, id] {
+        const auto found = attempts_.find(id.value);
+        if (found != attempts_.end()) {
+            const auto to = exchanges_.find(found->second.request);
+            if (to != exchanges_.end() &&
+                to->second.reply->buffered() < own_.limits.max_buffered_bytes / 2) {
+                found->second.call->resume();
+            }
+        }
+    };
+    kept.call->start();
+}
+
+void caller_gateway::do_cancel(const cancel_attempt& it)
+{
+    if (const auto found = attempts_.find(it.attempt.value); found != attempts_.end()) {
+        found->second.call->cancel();
+        retire(it.attempt);
+    }
+}
+
+void caller_gateway::retire(attempt_id id)
+{
+    // The call may be the one that is calling: it goes when it has returned.
+    auto node = attempts_.extract(id.value);
+    if (!node.empty()) {
+        node.mapped().call.release()->deleteLater();
+    }
+}
+
+void caller_gateway::on_head(attempt_id id, const http_head& head)
+{
+    auto& it = attempts_.at(id.value);
+    it.head = head;
+    const auto echoed = head.fields.get(attempt_field);
+    const auto own = it.request.str() + "/" + std::to_string(id.value);
+    if (!echoed.empty() && echoed != own) {
+        it.call->cancel();
+        on_end(id, call_end::cut, {"answer", it.upstream.str(), "it is another request's answer"});
+        return;
+    }
+    constexpr int first_server_error = 500;
+    if (head.fields.has(not_run_field)) {
+        it.call->cancel();
+        retire(id);
+        perform(core_.attempt_ended(steady_now(), id, attempt_end::refused));
+        return;
+    }
+    if (head.status >= first_server_error && core_.wants_server_error(id)) {
+        it.call->cancel();
+        retire(id);
+        perform(core_.attempt_ended(steady_now(), id, attempt_end::server_error));
+        return;
+    }
+    const auto& to = exchanges_.at(it.request);
+    if (to.streamed && is_event_stream(head)) {
+        it.events = std::make_unique<sse_splitter>();
+    }
+    else if (to.reply->has_begun()) {
+        it.call->cancel();
+        on_end(id, call_end::cut,
+               {"resume", it.upstream.str(), "the runner did not go on with the stream"});
+    }
+}
+
+void caller_gateway::begin_answer(attempt_id id, const attempt& it, exchange& to)
+{
+    if (to.reply->has_begun()) {
+        return;
+    }
+    core_.attempt_answering(id);
+    http_head head{it.head.status, {}};
+    for (const auto& [name, value] : it.head.fields.all()) {
+        if (!is_hop_by_hop(name) && !is_private(name)) {
+            head.fields.add(name, value);
+        }
+    }
+    head.fields.add(caller_header::request, it.request.str());
+    to.reply->begin(std::move(head));
+}
+
+void caller_gateway::on_body(attempt_id id, std::string bytes)
+{
+    auto& it = attempts_.at(id.value);
+    auto& to = exchanges_.at(it.request);
+    if (it.events != nullptr) {
+        relay_events(id, it, to, bytes);
+    }
+    else {
+        relay_plain(id, it, to, std::move(bytes));
+    }
+}
+
+void caller_gateway::relay_events(attempt_id id, attempt& it, exchange& to,
+                                  const std::string& bytes)
+{
+    std::string whole;
+    const bool fine = it.events->put(bytes, [&](std::string_view event) {
+        whole.append(event);
+        core_.attempt_event(id);
+        figures_.count_event();
+        it.finished = it.finished || is_done_event(event);
+    });
+    if (!whole.empty()) {
+        begin_answer(id, it, to);
+        to.reply->write(whole);
+        hold_back(it, to);
+    }
+    if (!fine) {
+        it.call->cancel();
+        on_end(id, call_end::cut, {"answer", it.upstream.str(), "an event is too large"});
+    }
+}
+
+void caller_gateway::relay_plain(attempt_id id, attempt& it, exchange& to, std::string bytes)
+{
+    if (!it.relaying) {
+        it.kept += bytes;
+        if (it.kept.size() <= max_whole_answer) {
+            return;
+        }
+        it.relaying = true;
+        bytes = std::exchange(it.kept, {});
+        begin_answer(id, it, to);
+    }
+    to.reply->write(bytes);
+    hold_back(it, to);
+}
+
+void caller_gateway::hold_back(attempt& it, const exchange& to)
+{
+    if (to.reply->buffered() > own_.limits.max_buffered_bytes) {
+        it.call->pause();
+    }
+}
+
+void caller_gateway::on_end(attempt_id id, call_end how, const reason& why)
+{
+    auto& it = attempts_.at(id.value);
+    const bool torn = it.events != nullptr && it.events->has_rest() && !it.finished;
+    const bool whole = (how == call_end::complete && !torn) || it.finished;
+    if (whole) {
+        finish(id, it);
+        return;
+    }
+    log_line("upstream_failed")
+        .with("request", it.request.str())
+        .with("upstream", it.upstream.str())
+        .with("step", why.step)
+        .with("peer", why.peer)
+        .with("reason", why.text)
+        .write();
+    if (it.relaying) {
+        // Part of a body without events is out: breaking the connection is how HTTP says "cut".
+        const auto request = it.request;
+        const auto reply = exchanges_.at(request).reply;
+        reply->on_gone = nullptr;
+        reply->abort();
+        exchanges_.erase(request);
+        retire(id);
+        perform(core_.caller_gone(steady_now(), request)); // nothing more can be told to it
+        return;
+    }
+    retire(id);
+    const auto end = how == call_end::unsent ? attempt_end::unsent : attempt_end::cut;
+    perform(core_.attempt_ended(steady_now(), id, end));
+}
+
+void caller_gateway::finish(attempt_id id, attempt& it)
+{
+    auto& to = exchanges_.at(it.request);
+    const auto reply = to.reply;
+    reply->on_gone = nullptr;
+    reply->on_drained = nullptr;
+    if (it.events != nullptr) {
+        begin_answer(id, it, to);
+        reply->finish();
+    }
+    else if (it.relaying) {
+        reply->finish();
+    }
+    else {
+        http_head head{it.head.status, {}};
+        for (const auto& [name, value] : it.head.fields.all()) {
+            if (!is_hop_by_hop(name) && !is_private(name)) {
+                head.fields.add(name, value);
+            }
+        }
+        head.fields.add(caller_header::request, it.request.str());
+        reply->send(std::move(head), it.kept);
+    }
+    it.call->cancel();
+    exchanges_.erase(it.request);
+    retire(id);
+    perform(core_.attempt_ended(steady_now(), id, attempt_end::complete));
+}
+
+void caller_gateway::cut_attempts(const std::function<bool(const runner_id&)>& is_gone)
+{
+    std::vector<std::uint64_t> gone;
+    for (const auto& [id, it] : attempts_) {
+        if (is_gone(it.upstream)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto id : gone) {
+        if (const auto found = attempts_.find(id); found != attempts_.end()) {
+            found->second.call->cancel();
+            on_end({id}, call_end::cut,
+                   {"watch", found->second.upstream.str(), "the runner is absent"});
+        }
+    }
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/daemon/caller_gateway.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "cedarpoint/request/dispatcher.h"
+#include "daemon/decision_log.h"
+#include "daemon/metrics.h"
+#include "daemon/request_reader.h"
+#include "daemon/sse_splitter.h"
+#include "io/http_listener.h"
+#include "io/upstream_call.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace cedarpoint {
+
+/// Joins callers' connections, the dispatcher and the calls to runners. Decides nothing itself.
+class caller_gateway {
+public:
+    struct hooks {
+        std::function<bool()> is_ready;
+        std::function<void(const ask_claim&)> ask_claim_of;
+        std::function<void(const end_claim&)> end_claim_of;
+    };
+
+    caller_gateway(const settings& own, dispatcher& core, decision_log& decisions, metrics& figures,
+                   hooks hooks);
+    ~caller_gateway();
+    caller_gateway(const caller_gateway&) = delete;
+    caller_gateway& operator=(const caller_gateway&) = delete;
+
+    bool start(const endpoint& at, reason& why);
+    /// No new connections; those open close after their answer.
+    void stop_listening();
+    void perform(const actions& all);
+    /// Ends the attempts on an upstream that is known to be gone, without waiting for its
+    /// connection.
+    void cut_attempts(const std::function<bool(const runner_id&)>& is_gone);
+    [[nodiscard]] std::size_t connections() const { return listener_.connections(); }
+    [[nodiscard]] endpoint address() const { return listener_.address(); }
+    [[nodiscard]] bool is_idle() const { return exchanges_.empty(); }
+
+private:
+    struct exchange {
+        http_request request;
+        std::shared_ptr<http_reply> reply;
+        bool streamed = false;
+        attempt_id attempt;
+    };
+    struct attempt {
+        request_id request;
+        runner_id upstream;
+        std::unique_ptr<upstream_call> call;
+        std::unique_ptr<sse_splitter> events; ///< set while whole events are relayed
+        http_head head;
+        std::string kept; ///< an answer that is sent only when it is whole
+        bool relaying = false;
+        bool finished = false; ///< the last event has been passed on
+    };
+
+    void on_request(http_request request, std::shared_ptr<http_reply> reply);
+    void answer_models(const http_request& request, http_reply& reply);
+    void refuse_now(http_reply& reply, const refusal& error, const std::string& request);
+    void do_start(const start_attempt& it);
+    void do_cancel(const cancel_attempt& it);
+    void do_refuse(const refuse& it);
+    void do_log(const decision& it);
+    void on_head(attempt_id id, const http_head& head);
+    void on_body(attempt_id id, std::string bytes);
+    void on_end(attempt_id id, call_end how, const reason& why);
+    void relay_events(attempt_id id, attempt& it, exchange& to, const std::string& bytes);
+    void relay_plain(attempt_id id, attempt& it, exchange& to, std::string bytes);
+    void begin_answer(attempt_id id, const attempt& it, exchange& to);
+    void hold_back(attempt& it, const exchange& to);
+    void finish(attempt_id id, attempt& it);
+    void retire(attempt_id id);
+    [[nodiscard]] http_request make_upstream_request(const start_attempt& it,
+                                                     const exchange& from) const;
+
+    const settings& own_;
+    dispatcher& core_;
+    decision_log& decisions_;
+    metrics& figures_;
+    hooks hooks_;
+    http_listener listener_;
+    std::unordered_map<request_id, exchange> exchanges_;
+    std::unordered_map<std::uint64_t, attempt> attempts_;
+    std::uint64_t last_request_ = 0;
+    std::string request_prefix_;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,260 @@
+#include "daemon/daemon.h"
+
+#include "io/clock.h"
+#include "io/log_line.h"
+
+#include <QCoreApplication>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace cedarpoint {
+namespace {
+
+constexpr int tick_ms = 20;
+constexpr duration view_interval = milliseconds{50};
+constexpr duration metrics_interval = seconds{1};
+constexpr int disk_failed_exit = 5;
+constexpr std::size_t key_digits = 40;
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    constexpr unsigned half = 32;
+    return (static_cast<std::uint64_t>(device()) << half) | device();
+}
+
+void log_group(const group_event& it)
+{
+    log_line("placement")
+        .with("group", it.group.str())
+        .with("state", it.state)
+        .with("epoch", it.assignment.value)
+        .with("nodes", it.nodes)
+        .with("reason", it.reason)
+        .write();
+}
+
+dispatch_options dispatch_options_of(const settings& own)
+{
+    dispatch_options out;
+    // The balancer spreads calls evenly, so each daemon holds an even share of each limit.
+    out.limit_share = own.peers.empty() ? 1.0 : 1.0 / static_cast<double>(own.peers.size());
+    return out;
+}
+
+} // namespace
+
+daemon::daemon(settings own)
+    : own_{std::move(own)}, dispatcher_{own_.failure_domain, dispatch_options_of(own_)}
+{
+}
+
+daemon::~daemon() = default;
+
+std::unique_ptr<daemon> daemon::start(settings own, reason& why)
+{
+    std::unique_ptr<daemon> out{new daemon{std::move(own)}};
+    if (!out->open(why)) {
+        return {};
+    }
+    return out;
+}
+
+bool daemon::open_mesh(reason& why)
+{
+    if (!own_.daemons) {
+        return true;
+    }
+    std::string secret;
+    if (!own_.curve_secret_file.empty()) {
+        const auto text = files_.read(own_.curve_secret_file, why);
+        if (!text || text->size() < key_digits) {
+            why = {"read key", own_.curve_secret_file, "needs a Z85 key of 40 characters"};
+            return false;
+        }
+        secret = text->substr(0, key_digits);
+    }
+    mesh_ = std::make_unique<mesh>(
+        [this](const wire::envelope& in) { control_->receive(steady_now(), in); });
+    return mesh_->start(own_, secret, why);
+}
+
+bool daemon::open(reason& why)
+{
+    control_hooks hooks;
+    hooks.send = [this](const daemon_id& to, const wire::envelope& it) {
+        if (mesh_ != nullptr) {
+            mesh_->send(to, it);
+        }
+    };
+    hooks.order = [this](const runner_order& it) { runners_->order(it); };
+    hooks.log = log_group;
+    hooks.wall_ms = wall_ms;
+    control_plane::options options;
+    options.own = own_;
+    options.seed = random_seed();
+    file_system* files = own_.data_folder.empty() ? nullptr : &files_;
+    runners_ =
+        std::make_unique<runner_client>([this](const runner_id& id, const runner_report& it) {
+            control_->on_report(steady_now(), id, it);
+        });
+    control_ = control_plane::open(steady_now(), std::move(options), files, std::move(hooks), why);
+    if (control_ == nullptr || !open_mesh(why)) {
+        return false;
+    }
+    caller_gateway::hooks gateway_hooks;
+    gateway_hooks.is_ready = [this] { return is_ready(); };
+    gateway_hooks.ask_claim_of = [this](const ask_claim& ask) {
+        control_->begin_claim(
+            steady_now(), ask, [this, request = ask.request](claim_verdict verdict) {
+                gateway_->perform(dispatcher_.claim_answered(steady_now(), request, verdict));
+            });
+    };
+    gateway_hooks.end_claim_of = [this](const end_claim& end) {
+        control_->finish_claim(steady_now(), end);
+    };
+    gateway_ = std::make_unique<caller_gateway>(own_, dispatcher_, decisions_, figures_,
+                                                std::move(gateway_hooks));
+    operators_ = std::make_unique<operator_api>(*this);
+    if (!gateway_->start(own_.callers, why) || !operators_->start(own_.operators, why)) {
+        return false;
+    }
+    QObject::connect(&timer_, &QTimer::timeout, [this] { tick(); });
+    timer_.start(tick_ms);
+    log_line("started")
+        .with("daemon", own_.id.str())
+        .with("failure_domain", own_.failure_domain.str())
+        .with("callers", callers().str())
+        .with("operators", operators().str())
+        .write();
+    tick();
+    return true;
+}
+
+bool daemon::is_ready() const
+{
+    return !stopping_ && control_->is_ready(steady_now()) &&
+           control_->domain().in_force().value > 0;
+}
+
+void daemon::tick()
+{
+    const auto now = steady_now();
+    if (mesh_ != nullptr) {
+        mesh_->drain();
+    }
+    control_->tick(now);
+    if (mesh_ != nullptr) {
+        mesh_->drain();
+    }
+    if (const auto failure = control_->failure()) {
+        log_line("disk_failed")
+            .with("step", failure->step)
+            .with("peer", failure->peer)
+            .with("reason", failure->text)
+            .write();
+        ended_ = true;
+        timer_.stop();
+        if (on_stopped) {
+            on_stopped(disk_failed_exit);
+        }
+        return;
+    }
+    if (now >= next_watch_) {
+        next_watch_ = now + own_.watch_interval;
+        runners_->look(control_->watched(now));
+    }
+    if (now >= next_view_) {
+        next_view_ = now + view_interval;
+        refresh_view();
+    }
+    gateway_->perform(dispatcher_.tick(now));
+    if (now >= next_metrics_) {
+        next_metrics_ = now + metrics_interval;
+        refresh_metrics();
+    }
+    check_stop();
+}
+
+void daemon::refresh_view()
+{
+    const auto now = steady_now();
+    const auto& state = control_->domain();
+    if (state.in_force() != view_revision_) {
+        view_revision_ = state.in_force();
+        dispatcher_.set_configuration(state.config());
+        log_line("in_force")
+            .with("revision", view_revision_.value)
+            .with("change", state.accepted().change_id())
+            .write();
+    }
+    auto targets = control_->targets(
+        now, [this](const runner_id& it) { return dispatcher_.in_flight_at(it); });
+    std::map<runner_id, bool> present;
+    for (const auto& it : targets) {
+        present[it.upstream] = it.present;
+    }
+    gateway_->perform(dispatcher_.set_targets(now, std::move(targets)));
+    gateway_->cut_attempts([&](const runner_id& it) {
+        const auto found = present.find(it);
+        return found != present.end() && !found->second;
+    });
+}
+
+void daemon::refresh_metrics()
+{
+    const auto now = steady_now();
+    const auto& state = control_->domain();
+    figures_.set_in_flight(static_cast<double>(dispatcher_.in_flight()));
+    figures_.set_queued(static_cast<double>(dispatcher_.queued()));
+    figures_.set_sessions(static_cast<double>(dispatcher_.sessions()));
+    figures_.set_connections(static_cast<double>(gateway_->connections()));
+    figures_.set_revision(static_cast<double>(state.in_force().value));
+    figures_.set_leader(control_->domain_log().raft().is_leader());
+    const auto grant = control_->granted_at(now);
+    constexpr double us = 1e6;
+    figures_.set_grant_age(grant ? static_cast<double>((now - *grant).count()) / us : -1);
+    std::map<std::string, int> by_state;
+    for (const auto& name : {"loading", "serving", "draining", "stopped", "lost"}) {
+        by_state[name] = 0;
+    }
+    for (const auto& [id, it] : state.groups().records()) {
+        ++by_state[std::string{name_of(it.state)}];
+    }
+    for (const auto& [name, n] : by_state) {
+        figures_.set_groups(name, n);
+    }
+    figures_.set_stranded(control_->stranded_accelerators(now));
+}
+
+void daemon::stop()
+{
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    stop_by_ = steady_now() + own_.stop_bound;
+    log_line("stopping").with("in_flight", dispatcher_.in_flight()).write();
+    gateway_->perform(dispatcher_.begin_stop(steady_now()));
+    gateway_->stop_listening();
+}
+
+void daemon::check_stop()
+{
+    if (!stopping_ || ended_) {
+        return;
+    }
+    const bool idle = dispatcher_.in_flight() == 0 && gateway_->connections() == 0;
+    if (!idle && steady_now() < stop_by_) {
+        return;
+    }
+    ended_ = true;
+    log_line("stopped").with("cut", dispatcher_.in_flight()).write();
+    if (on_stopped) {
+        on_stopped(0);
+    }
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "cedarpoint/control/control_plane.h"
+#include "cedarpoint/request/dispatcher.h"
+#include "daemon/caller_gateway.h"
+#include "daemon/decision_log.h"
+#include "daemon/metrics.h"
+#include "daemon/operator_api.h"
+#include "daemon/runner_client.h"
+#include "io/mesh.h"
+#include "storage/posix_file_system.h"
+
+#include <QTimer>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cedarpoint {
+
+/// One running process: the core with its sockets, files and timers.
+class daemon {
+public:
+    /// Empty with `why` if a listener or the data folder can't be had.
+    static std::unique_ptr<daemon> start(settings own, reason& why);
+    ~daemon();
+    daemon(const daemon&) = delete;
+    daemon& operator=(const daemon&) = delete;
+
+    /// A planned stop: refuse new work, finish what runs, then call `on_stopped`.
+    void stop();
+    std::function<void(int exit_code)> on_stopped;
+
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] bool is_stopping() const { return stopping_; }
+    [[nodiscard]] control_plane& control() { return *control_; }
+    [[nodiscard]] const dispatcher& requests() const { return dispatcher_; }
+    [[nodiscard]] const decision_log& decisions() const { return decisions_; }
+    [[nodiscard]] metrics& figures() { return figures_; }
+    [[nodiscard]] const settings& own() const { return own_; }
+    [[nodiscard]] endpoint callers() const { return gateway_->address(); }
+    [[nodiscard]] endpoint operators() const { return operators_->address(); }
+
+private:
+    explicit daemon(settings own);
+    bool open(reason& why);
+    bool open_mesh(reason& why);
+    void tick();
+    void refresh_view();
+    void refresh_metrics();
+    void check_stop();
+
+    settings own_;
+    posix_file_system files_;
+    metrics figures_;
+    decision_log decisions_;
+    dispatcher dispatcher_;
+    std::unique_ptr<mesh> mesh_;
+    std::unique_ptr<control_plane> control_;
+    std::unique_ptr<runner_client> runners_;
+    std::unique_ptr<caller_gateway> gateway_;
+    std::unique_ptr<operator_api> operators_;
+    QTimer timer_;
+    instant next_view_;
+    instant next_watch_;
+    instant next_metrics_;
+    instant stop_by_;
+    revision view_revision_;
+    bool stopping_ = false;
+    bool ended_ = false;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/daemon/operator_api.cpp
@@ -0,0 +1,266 @@
+#include "daemon/operator_api.h"
+
+#include "cedarpoint/config/json_reader.h"
+#include "cedarpoint/config/plan.h"
+#include "daemon/daemon.h"
+#include "daemon/status_report.h"
+#include "io/clock.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace cedarpoint {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int bad_request = 400;
+constexpr int not_found = 404;
+constexpr int bad_method = 405;
+constexpr int conflict = 409;
+constexpr int unprocessable = 422;
+constexpr int unavailable = 503;
+constexpr std::size_t max_operator_body = 32 << 20;
+constexpr std::size_t max_operator_connections = 256;
+
+caller_limits operator_limits()
+{
+    caller_limits out;
+    out.max_body_bytes = max_operator_body;
+    out.max_connections = max_operator_connections;
+    return out;
+}
+
+void answer(http_reply& reply, int status, const json& body)
+{
+    http_head head{status, {}};
+    head.fields.add("Content-Type", "application/json");
+    reply.send(std::move(head), body.dump(2, ' ', false, json::error_handler_t::replace) + "\n");
+}
+
+void answer_text(http_reply& reply, int status, const char* type, const std::string& body)
+{
+    http_head head{status, {}};
+    head.fields.add("Content-Type", type);
+    reply.send(std::move(head), body);
+}
+
+json to_json(const faults& all)
+{
+    auto out = json::array();
+    for (const auto& it : all) {
+        out.push_back({{"path", it.path}, {"text", it.text}});
+    }
+    return out;
+}
+
+void answer_change(http_reply& reply, const std::optional<wire::command_answer>& in)
+{
+    if (!in) {
+        answer(reply, unavailable,
+               {{"result", "unknown"},
+                {"text", "no answer from the root's voters in time; the change may still be "
+                         "accepted: apply the same file again"}});
+        return;
+    }
+    switch (static_cast<change_verdict>(in->change_verdict())) {
+    case change_verdict::accepted:
+        answer(reply, ok, {{"result", "accepted"}, {"revision", in->revision()}});
+        return;
+    case change_verdict::conflict:
+        answer(reply, conflict,
+               {{"result", "conflict"},
+                {"in_force", in->conflict_with()},
+                {"in_force_change", in->conflict_change()},
+                {"text", "based_on is not the revision in force"}});
+        return;
+    case change_verdict::reused_id:
+        answer(
+            reply, conflict,
+            {{"result", "reused_change_id"}, {"text", "this change_id was used for another file"}});
+        return;
+    default:
+        break;
+    }
+    faults found;
+    for (const auto& it : in->faults()) {
+        found.push_back({it.path(), it.text()});
+    }
+    answer(reply, unprocessable, {{"result", "refused"}, {"faults", to_json(found)}});
+}
+
+} // namespace
+
+struct operator_api::row {
+    const char* method;
+    const char* path; ///< a last '/' takes everything below
+    route function;
+};
+
+operator_api::operator_api(daemon& owner)
+    : owner_{owner}, listener_{operator_limits(),
+                               [this](const http_request& request, const reply_ptr& reply) {
+                                   on_request(request, reply);
+                               }}
+{
+}
+
+bool operator_api::start(const endpoint& at, reason& why)
+{
+    return listener_.start(at, why);
+}
+
+void operator_api::on_request(const http_request& request, const reply_ptr& reply)
+{
+    static constexpr std::array table{
+        row{"GET", "/metrics", &operator_api::get_metrics},
+        row{"GET", "/healthz", &operator_api::get_health},
+        row{"GET", "/readyz", &operator_api::get_readiness},
+        row{"GET", "/v1/status", &operator_api::get_status},
+        row{"GET", "/v1/configuration", &operator_api::get_configuration},
+        row{"GET", "/v1/explain/", &operator_api::get_explanation},
+        row{"POST", "/v1/configuration", &operator_api::post_configuration},
+        row{"POST", "/v1/plan", &operator_api::post_plan},
+        row{"POST", "/v1/drain", &operator_api::post_drain},
+        row{"POST", "/v1/stop", &operator_api::post_stop},
+    };
+    const auto path = request.target.substr(0, request.target.find('?'));
+    bool path_known = false;
+    for (const auto& it : table) {
+        const std::string_view own{it.path};
+        const bool matches =
+            own.back() == '/' ? path.size() > own.size() && path.starts_with(own) : path == own;
+        path_known = path_known || matches;
+        if (matches && request.method == it.method) {
+            (this->*it.function)(request, reply);
+            return;
+        }
+    }
+    answer(*reply, path_known ? bad_method : not_found,
+           {{"text", path_known ? "not with this method" : "no such path"}});
+}
+
+void operator_api::get_metrics(const http_request& /*request*/, const reply_ptr& reply)
+{
+    answer_text(*reply, ok, "text/plain; version=0.0.4", owner_.figures().text());
+}
+
+void operator_api::get_health(const http_request& /*request*/, const reply_ptr& reply)
+{
+    answer_text(*reply, ok, "text/plain", "ok\n");
+}
+
+void operator_api::get_readiness(const http_request& /*request*/, const reply_ptr& reply)
+{
+    const bool ready = owner_.is_ready();
+    answer_text(*reply, ready ? ok : unavailable, "text/plain", ready ? "ready\n" : "not ready\n");
+}
+
+void operator_api::get_status(const http_request& /*request*/, const reply_ptr& reply)
+{
+    answer(*reply, ok, make_status(owner_, steady_now()));
+}
+
+void operator_api::get_configuration(const http_request& /*request*/, const reply_ptr& reply)
+{
+    const auto& it = owner_.control().domain().accepted();
+    answer(*reply, ok,
+           {{"revision", it.revision()}, {"change_id", it.change_id()}, {"text", it.text()}});
+}
+
+void operator_api::get_explanation(const http_request& request, const reply_ptr& reply)
+{
+    constexpr std::string_view before = "/v1/explain/";
+    const request_id id{request.target.substr(before.size())};
+    auto steps = json::array();
+    for (const auto& it : owner_.decisions().of(id)) {
+        steps.push_back({{"wall_ms", it.wall_ms},
+                         {"step", it.what.step},
+                         {"account", it.what.account.str()},
+                         {"chosen", it.what.chosen},
+                         {"candidates", it.what.candidates},
+                         {"reason", it.what.reason}});
+    }
+    if (steps.empty()) {
+        answer(*reply, not_found, {{"text", "this daemon keeps no decisions on that request"}});
+        return;
+    }
+    answer(*reply, ok, {{"request", id.str()}, {"decisions", steps}});
+}
+
+void operator_api::post_configuration(const http_request& request, const reply_ptr& reply)
+{
+    faults found;
+    const auto config = configuration::parse(request.body, found);
+    if (!config) {
+        answer(*reply, unprocessable, {{"result", "refused"}, {"faults", to_json(found)}});
+        return;
+    }
+    wire::config_change change;
+    change.set_based_on(config->based_on.value);
+    change.set_change_id(config->change.str());
+    change.set_text(request.body);
+    owner_.control().submit_configuration(steady_now(), std::move(change),
+                                          [reply](const auto& it) { answer_change(*reply, it); });
+}
+
+void operator_api::post_plan(const http_request& request, const reply_ptr& reply)
+{
+    faults found;
+    const auto config = configuration::parse(request.body, found);
+    if (!config) {
+        answer(*reply, unprocessable, {{"result", "refused"}, {"faults", to_json(found)}});
+        return;
+    }
+    const auto& state = owner_.control().domain();
+    auto lines = json::array();
+    for (const auto& it : plan_change(*state.config(), *config)) {
+        lines.push_back({{"kind", it.kind}, {"what", it.what}});
+    }
+    answer(*reply, ok,
+           {{"in_force", state.in_force().value},
+            {"based_on", config->based_on.value},
+            {"would_conflict", config->based_on != state.in_force()},
+            {"changes", lines}});
+}
+
+void operator_api::post_drain(const http_request& request, const reply_ptr& reply)
+{
+    faults found;
+    const auto value = parse_json(request.body, found);
+    wire::drain_change change;
+    if (value) {
+        json_reader in{*value, "", found};
+        change.set_kind(in.string("kind"));
+        change.set_id(in.string("id"));
+        change.set_draining(in.boolean_or("draining", true));
+        in.finish();
+    }
+    if (!found.empty()) {
+        answer(*reply, bad_request, {{"result", "refused"}, {"faults", to_json(found)}});
+        return;
+    }
+    owner_.control().submit_drain(
+        steady_now(), change, [reply](const std::optional<wire::command_answer>& it) {
+            if (!it) {
+                answer(*reply, unavailable,
+                       {{"result", "unknown"},
+                        {"text", "no answer from the failure domain in time; ask again"}});
+            }
+            else if (!it->refused().empty()) {
+                answer(*reply, unprocessable, {{"result", "refused"}, {"text", it->refused()}});
+            }
+            else {
+                answer(*reply, ok, {{"result", "done"}});
+            }
+        });
+}
+
+void operator_api::post_stop(const http_request& /*request*/, const reply_ptr& reply)
+{
+    answer(*reply, ok, {{"result", "stopping"}});
+    owner_.stop();
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/daemon/request_reader.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "cedarpoint/request/dispatcher.h"
+#include "io/http_message.h"
+
+#include <optional>
+
+namespace cedarpoint {
+
+/// Headers that callers use.
+namespace caller_header {
+inline constexpr const char* session = "Cedarpoint-Session";
+inline constexpr const char* request = "Cedarpoint-Request-Id";
+inline constexpr const char* not_repeatable = "Cedarpoint-Not-Repeatable";
+inline constexpr const char* priority = "Cedarpoint-Priority";
+inline constexpr const char* deadline_ms = "Cedarpoint-Deadline-Ms";
+inline constexpr const char* idempotency = "Idempotency-Key";
+} // namespace caller_header
+
+/// True for the paths that a model serves.
+bool is_model_path(std::string_view path);
+
+/// Reads what the core needs from a request. Empty with `error` if the request is not valid.
+std::optional<request_facts> read_facts(instant now, const http_request& request, request_id id,
+                                        refusal& error);
+
+/// Lower-case hex SHA-256.
+std::string sha256_hex(std::string_view bytes);
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/groups/group_controller.cpp
@@ -0,0 +1,293 @@
+#include "cedarpoint/groups/group_controller.h"
+
+#include <algorithm>
+
+namespace cedarpoint {
+
+struct group_controller::context {
+    instant now;
+    const configuration& config;
+    const group_table& groups;
+    const runner_watch& watch;
+    const drain_marks& drains;
+};
+
+namespace {
+
+/// True if the runner reports the wanted phase under this very assignment.
+bool reports(const runner_watch& watch, const runner_id& runner, epoch assignment,
+             runner_phase phase)
+{
+    const auto report = watch.report_of(runner);
+    return report && report->assignment == assignment && report->phase == phase;
+}
+
+group_record blank_record(const pool_spec& pool, const group_id& id)
+{
+    group_record out;
+    out.id = id;
+    out.pool = pool.id;
+    out.model = pool.model;
+    out.version = pool.version;
+    out.adapters = pool.adapters;
+    out.role = pool.role;
+    return out;
+}
+
+group_proposal move_to(const group_record& it, group_state to, std::string why)
+{
+    return {it, to, {}, std::move(why)};
+}
+
+} // namespace
+
+group_controller::group_controller(control_options options,
+                                   std::unique_ptr<placement_strategy> placement)
+    : options_{std::move(options)}, placement_{std::move(placement)}
+{
+}
+
+void group_controller::reset()
+{
+    entered_.clear();
+    ordered_.clear();
+}
+
+control_step group_controller::step(instant now, const configuration& config,
+                                    const group_table& groups, const runner_watch& watch,
+                                    const drain_marks& drains)
+{
+    const context in{now, config, groups, watch, drains};
+    control_step out;
+    for (const auto& [id, it] : groups.records()) {
+        look_at_group(in, it, out);
+    }
+    std::erase_if(entered_, [&](const auto& it) { return groups.find(it.first) == nullptr; });
+    place_missing(in, out);
+    return out;
+}
+
+instant group_controller::since(instant now, const group_record& it)
+{
+    auto& entry = entered_[it.id];
+    if (entry.assignment != it.assignment || entry.state != it.state) {
+        entry = {it.assignment, it.state, now};
+    }
+    return entry.since;
+}
+
+void group_controller::look_at_group(const context& in, const group_record& it, control_step& out)
+{
+    using look = void (group_controller::*)(const context&, const group_record&, control_step&);
+    struct row {
+        group_state state;
+        look function;
+    };
+    static constexpr row table[] = {
+        {group_state::loading, &group_controller::look_at_loading},
+        {group_state::serving, &group_controller::look_at_serving},
+        {group_state::draining, &group_controller::look_at_draining},
+        {group_state::stopped, &group_controller::look_at_ended},
+        {group_state::lost, &group_controller::look_at_ended},
+    };
+    (void)since(in.now, it); // notes when the group came into its state
+    for (const auto& [state, function] : table) {
+        if (state == it.state) {
+            (this->*function)(in, it, out);
+        }
+    }
+}
+
+std::string group_controller::why_lost(const context& in, const group_record& it) const
+{
+    for (const auto& node : it.nodes) {
+        const auto* runner = in.config.find_runner_on(node);
+        if (runner == nullptr) {
+            return "node " + node.str() + " has no runner any more";
+        }
+        if (!in.watch.is_present(in.now, runner->id)) {
+            return "node " + node.str() + " is absent";
+        }
+        if (it.state != group_state::loading &&
+            !reports(in.watch, runner->id, it.assignment, runner_phase::ready)) {
+            return "runner " + runner->id.str() + " has lost its place in the group";
+        }
+    }
+    return {};
+}
+
+std::string group_controller::why_unwanted(const context& in, const group_record& it) const
+{
+    const auto* pool = in.config.find_pool(it.pool);
+    if (pool == nullptr) {
+        return "no longer declared";
+    }
+    const bool same = pool->model == it.model && pool->version == it.version &&
+                      pool->adapters == it.adapters && pool->role == it.role &&
+                      static_cast<std::size_t>(pool->size) == it.nodes.size();
+    if (!same) {
+        return "declared otherwise now";
+    }
+    bool counted = false;
+    for (int n = 0; n < pool->count && !counted; ++n) {
+        counted = group_of(pool->id, n) == it.id;
+    }
+    if (!counted) {
+        return "fewer groups declared now";
+    }
+    if (in.drains.groups.contains(it.id)) {
+        return "an operator drains the group";
+    }
+    for (const auto& node : it.nodes) {
+        const auto* runner = in.config.find_runner_on(node);
+        const auto report = runner == nullptr ? std::nullopt : in.watch.report_of(runner->id);
+        if (in.drains.nodes.contains(node) ||
+            (runner != nullptr && in.drains.runners.contains(runner->id))) {
+            return "an operator drains node " + node.str();
+        }
+        if (report && report->leaving) {
+            return "node " + node.str() + " is leaving";
+        }
+    }
+    return {};
+}
+
+void group_controller::look_at_loading(const context& in, const group_record& it, control_step& out)
+{
+    if (auto why = why_lost(in, it); !why.empty()) {
+        out.proposals.push_back(move_to(it, group_state::lost, std::move(why)));
+        return;
+    }
+    if (auto why = why_unwanted(in, it); !why.empty()) {
+        out.proposals.push_back(move_to(it, group_state::stopped, std::move(why)));
+        return;
+    }
+    const bool ready = std::all_of(it.nodes.begin(), it.nodes.end(), [&](const node_id& node) {
+        return reports(in.watch, in.config.find_runner_on(node)->id, it.assignment,
+                       runner_phase::ready);
+    });
+    if (ready) {
+        out.proposals.push_back(move_to(it, group_state::serving, "all nodes are ready"));
+        return;
+    }
+    order_members(in, it, true, out);
+}
+
+void group_controller::look_at_serving(const context& in, const group_record& it, control_step& out)
+{
+    if (auto why = why_lost(in, it); !why.empty()) {
+        out.proposals.push_back(move_to(it, group_state::lost, std::move(why)));
+        return;
+    }
+    if (auto why = why_unwanted(in, it); !why.empty()) {
+        out.proposals.push_back(move_to(it, group_state::draining, std::move(why)));
+    }
+}
+
+void group_controller::look_at_draining(const context& in, const group_record& it,
+                                        control_step& out)
+{
+    if (auto why = why_lost(in, it); !why.empty()) {
+        out.proposals.push_back(move_to(it, group_state::lost, std::move(why)));
+        return;
+    }
+    // A daemon may use the group until its grant ends, and its request shows in a later report.
+    const auto spent = in.now - since(in.now, it);
+    const auto quiet_after = 2 * options_.grant_ttl + options_.drift;
+    const auto report = in.watch.report_of(in.config.find_runner_on(it.nodes.front())->id);
+    const bool empty = report && report->in_flight == 0 && spent >= quiet_after;
+    if (empty || spent >= options_.drain_bound) {
+        out.proposals.push_back(
+            move_to(it, group_state::stopped, empty ? "drained" : "drain bound passed"));
+    }
+}
+
+void group_controller::look_at_ended(const context& in, const group_record& it, control_step& out)
+{
+    order_members(in, it, false, out);
+    const auto spent = in.now - since(in.now, it);
+    const auto old_grants = options_.grant_ttl + options_.drift;
+    for (const auto& node : it.nodes) {
+        const auto* runner = in.config.find_runner_on(node);
+        if (runner == nullptr) {
+            continue;
+        }
+        const bool idle = reports(in.watch, runner->id, it.assignment, runner_phase::idle);
+        // Whoever checks the epoch refuses what comes under an old grant. The others must be
+        // idle, or be given the time in which all old work has ended.
+        const bool safe = runner->checks_epoch || (idle && spent >= old_grants) ||
+                          spent >= old_grants + options_.in_flight_bound;
+        if (!safe) {
+            return;
+        }
+    }
+    out.proposals.push_back(move_to(it, group_state::released, "its nodes are free"));
+}
+
+void group_controller::order_members(const context& in, const group_record& it, bool load,
+                                     control_step& out)
+{
+    for (std::size_t n = 0; n < it.nodes.size(); ++n) {
+        const auto* runner = in.config.find_runner_on(it.nodes[n]);
+        const auto wanted = load ? runner_phase::ready : runner_phase::idle;
+        const bool done =
+            runner == nullptr || reports(in.watch, runner->id, it.assignment, wanted) ||
+            (load && reports(in.watch, runner->id, it.assignment, runner_phase::loading));
+        if (done) {
+            continue;
+        }
+        auto& last = ordered_[runner->id];
+        if (last != instant{} && in.now - last < options_.order_interval) {
+            continue;
+        }
+        last = in.now;
+        out.orders.push_back({runner->id, runner->address, it.assignment, load, it.id,
+                              static_cast<int>(n), static_cast<int>(it.nodes.size()), it.model,
+                              it.version, it.adapters, it.role});
+    }
+}
+
+void group_controller::place_missing(const context& in, control_step& out) const
+{
+    placement_view view{in.config, in.groups, {}, {}};
+    int loading = 0;
+    for (const auto& [id, it] : in.groups.records()) {
+        loading += it.state == group_state::loading ? 1 : 0;
+    }
+    for (const auto& pool : in.config.pools) {
+        for (int n = 0; n < pool.count && pool.failure_domain == options_.domain; ++n) {
+            const auto id = group_of(pool.id, n);
+            if (in.groups.find(id) == nullptr && !in.drains.groups.contains(id)) {
+                view.needs.push_back({&pool, id});
+            }
+        }
+    }
+    if (view.needs.empty() || loading >= options_.loads_at_once) {
+        return;
+    }
+    for (const auto& node : in.config.nodes) {
+        const auto* runner = in.config.find_runner_on(node.id);
+        const auto report = runner == nullptr ? std::nullopt : in.watch.report_of(runner->id);
+        const bool usable = runner != nullptr && in.watch.is_present(in.now, runner->id) &&
+                            !report->leaving && !in.drains.nodes.contains(node.id) &&
+                            !in.drains.runners.contains(runner->id) &&
+                            in.groups.find_by_node(node.id) == nullptr;
+        if (usable) {
+            view.spare[node.fabric_domain].push_back(node.id);
+        }
+    }
+    for (auto& choice : placement_->place(view)) {
+        if (loading++ >= options_.loads_at_once) {
+            return;
+        }
+        const auto need =
+            std::find_if(view.needs.begin(), view.needs.end(),
+                         [&](const placement_need& e) { return e.group == choice.group; });
+        auto record = blank_record(*need->pool, choice.group);
+        record.nodes = std::move(choice.nodes);
+        out.proposals.push_back(
+            {std::move(record), group_state::loading, in.watch.highest_epoch(), "nodes are free"});
+    }
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/io/http_connection.cpp
@@ -0,0 +1,346 @@
+#include "io/http_connection.h"
+
+#include <fmt/format.h>
+
+namespace cedarpoint {
+namespace {
+
+constexpr int idle_timeout_ms = 75'000;
+constexpr int stall_timeout_ms = 120'000; ///< a caller that takes nothing for this long is gone
+constexpr int linger_ms = 1000;
+constexpr qint64 read_buffer = 65536;
+
+} // namespace
+
+http_connection::http_connection(http_listener& owner, qintptr descriptor)
+    : owner_{owner}, limits_{owner.limits_}, parser_{limits_.max_head_bytes, limits_.max_body_bytes}
+{
+    socket_.setReadBufferSize(read_buffer);
+    timer_.setSingleShot(true);
+    connect(&socket_, &QTcpSocket::readyRead, this, [this] { on_readable(); });
+    connect(&socket_, &QTcpSocket::disconnected, this, [this] { on_disconnected(); });
+    connect(&socket_, &QTcpSocket::bytesWritten, this, [this] {
+        if (phase_ != phase::answering || reply_ == nullptr) {
+            return;
+        }
+        timer_.start(stall_timeout_ms);
+        const auto kept = reply_;
+        if (kept->on_drained) {
+            kept->on_drained();
+        }
+    });
+    connect(&timer_, &QTimer::timeout, this, [this] { on_timeout(); });
+    socket_.setSocketDescriptor(descriptor);
+    socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    timer_.start(static_cast<int>(limits_.head_timeout.count()));
+}
+
+http_connection::~http_connection()
+{
+    if (reply_ != nullptr) {
+        reply_->connection_ = nullptr;
+    }
+}
+
+void http_connection::on_readable()
+{
+    if (phase_ == phase::lingering) {
+        socket_.readAll();
+        return;
+    }
+    if (phase_ == phase::reading) {
+        read_request();
+    }
+}
+
+void http_connection::read_request()
+{
+    const auto fresh = socket_.readAll();
+    pending_.append(fresh.constData(), static_cast<std::size_t>(fresh.size()));
+    if (pending_.empty()) {
+        return;
+    }
+    const bool first = !parser_.is_started();
+    pending_.erase(0, parser_.put(pending_));
+    if (parser_.fault() != http_fault::none) {
+        switch (parser_.fault()) {
+        case http_fault::head_too_large:
+            return refuse(error_code::head_too_large, "the request's head is too large");
+        case http_fault::body_too_large:
+            return refuse(error_code::body_too_large, "the request's body is too large");
+        default:
+            return refuse(error_code::bad_request, "the request is not valid HTTP/1.1");
+        }
+    }
+    if (parser_.is_done()) {
+        return hand_on();
+    }
+    if (!parser_.is_head_done() && pending_.size() > limits_.max_head_bytes) {
+        return refuse(error_code::head_too_large, "the request's head is too large");
+    }
+    if (parser_.expects_continue() && !continued_) {
+        continued_ = true;
+        socket_.write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (first) {
+        timer_.start(static_cast<int>((limits_.head_timeout + limits_.body_timeout).count()));
+    }
+}
+
+void http_connection::hand_on()
+{
+    keep_alive_ = parser_.keeps_alive();
+    version_11_ = parser_.is_version_11();
+    auto request = parser_.take();
+    head_method_ = request.method == "HEAD";
+    continued_ = false;
+    phase_ = phase::answering;
+    timer_.start(stall_timeout_ms);
+    timer_.stop(); // the answer may take long; only a caller that doesn't read is timed
+    reply_ = std::make_shared<http_reply>(this);
+    owner_.handler_(std::move(request), reply_);
+}
+
+void http_connection::add_connection_field(http_head& head) const
+{
+    head.fields.add("Connection", keep_alive_ && !closing_ ? "keep-alive" : "close");
+}
+
+void http_connection::send(http_head head, const std::string& body)
+{
+    add_connection_field(head);
+    head.fields.add("Content-Length", std::to_string(body.size()));
+    auto bytes = serialize_head(head);
+    if (!head_method_) {
+        bytes += body;
+    }
+    socket_.write(bytes.data(), static_cast<qint64>(bytes.size()));
+    end_answer();
+}
+
+void http_connection::begin(http_head head)
+{
+    chunked_ = version_11_;
+    if (!chunked_) {
+        keep_alive_ = false;
+    }
+    add_connection_field(head);
+    if (chunked_) {
+        head.fields.add("Transfer-Encoding", "chunked");
+    }
+    const auto bytes = serialize_head(head);
+    socket_.write(bytes.data(), static_cast<qint64>(bytes.size()));
+}
+
+void http_connection::write(const std::string& bytes)
+{
+    if (bytes.empty() || head_method_) {
+        return;
+    }
+    const auto framed = chunked_ ? fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes) : bytes;
+    socket_.write(framed.data(), static_cast<qint64>(framed.size()));
+    if (!timer_.isActive()) {
+        timer_.start(stall_timeout_ms);
+    }
+}
+
+void http_connection::finish()
+{
+    if (chunked_ && !head_method_) {
+        socket_.write("0\r\n\r\n");
+    }
+    end_answer();
+}
+
+void http_connection::abort()
+{
+    socket_.abort();
+}
+
+std::size_t http_connection::buffered() const
+{
+    return static_cast<std::size_t>(socket_.bytesToWrite());
+}
+
+void http_connection::end_answer()
+{
+    if (reply_ != nullptr) {
+        reply_->connection_ = nullptr;
+        reply_.reset();
+    }
+    if (!keep_alive_ || closing_) {
+        linger();
+        return;
+    }
+    phase_ = phase::reading;
+    timer_.start(idle_timeout_ms);
+    // Not from within the handler's call: the next request may be waiting already.
+    QMetaObject::invokeMethod(
+        this,
+        [this] {
+            if (phase_ == phase::reading) {
+                read_request();
+            }
+        },
+        Qt::QueuedConnection);
+}
+
+void http_connection::refuse(error_code code, const char* text)
+{
+    if (owner_.on_refused) {
+        owner_.on_refused(code);
+    }
+    keep_alive_ = false;
+    http_head head{describe(code).status, {}};
+    head.fields.add("Content-Type", "application/json");
+    send(std::move(head), to_json({code, run_state::not_run, text, {}}, ""));
+}
+
+void http_connection::linger()
+{
+    // Closing with unread bytes would reset the connection and could take the answer with it.
+    phase_ = phase::lingering;
+    pending_.clear();
+    socket_.readAll();
+    timer_.start(linger_ms);
+    socket_.disconnectFromHost();
+}
+
+void http_connection::on_timeout()
+{
+    if (phase_ == phase::reading && parser_.is_started()) {
+        refuse(error_code::timed_out_reading, "the request did not arrive in time");
+        return;
+    }
+    if (phase_ == phase::answering && socket_.bytesToWrite() == 0) {
+        return; // it is the runner that takes its time
+    }
+    socket_.abort();
+}
+
+void http_connection::on_disconnected()
+{
+    timer_.stop();
+    owner_.open_.erase(this);
+    if (reply_ != nullptr) {
+        const auto kept = std::exchange(reply_, nullptr);
+        kept->connection_ = nullptr;
+        if (kept->on_gone) {
+            kept->on_gone();
+        }
+    }
+    deleteLater();
+}
+
+void http_connection::close_when_idle()
+{
+    closing_ = true;
+    if (phase_ == phase::reading && !parser_.is_started()) {
+        linger();
+    }
+}
+
+http_reply::~http_reply() = default;
+
+void http_reply::send(http_head head, const std::string& body)
+{
+    begun_ = true;
+    if (connection_ != nullptr) {
+        connection_->send(std::move(head), body);
+    }
+}
+
+void http_reply::begin(http_head head)
+{
+    begun_ = true;
+    if (connection_ != nullptr) {
+        connection_->begin(std::move(head));
+    }
+}
+
+void http_reply::write(const std::string& bytes)
+{
+    if (connection_ != nullptr) {
+        connection_->write(bytes);
+    }
+}
+
+void http_reply::finish()
+{
+    if (connection_ != nullptr) {
+        connection_->finish();
+    }
+}
+
+void http_reply::abort()
+{
+    if (connection_ != nullptr) {
+        connection_->abort();
+    }
+}
+
+std::size_t http_reply::buffered() const
+{
+    return connection_ == nullptr ? 0 : connection_->buffered();
+}
+
+http_listener::http_listener(caller_limits limits, http_handler handler)
+    : limits_{limits}, handler_{std::move(handler)}
+{
+    setListenBacklogSize(1024);
+}
+
+http_listener::~http_listener()
+{
+    for (auto* it : std::set<http_connection*>{open_}) {
+        delete it;
+    }
+}
+
+bool http_listener::start(const endpoint& at, reason& why)
+{
+    if (!listen(QHostAddress{QString::fromStdString(at.ip)}, at.port)) {
+        why = {"listen", at.str(), errorString().toStdString()};
+        return false;
+    }
+    return true;
+}
+
+endpoint http_listener::address() const
+{
+    return {serverAddress().toString().toStdString(), serverPort()};
+}
+
+void http_listener::stop()
+{
+    stopping_ = true;
+    close();
+    for (auto* it : std::set<http_connection*>{open_}) {
+        it->close_when_idle();
+    }
+}
+
+void http_listener::incomingConnection(qintptr descriptor)
+{
+    if (open_.size() >= limits_.max_connections) {
+        QTcpSocket socket;
+        socket.setSocketDescriptor(descriptor);
+        const refusal error{error_code::too_many_connections, run_state::not_run,
+                            "too many connections", milliseconds{1000}};
+        http_head head{describe(error.code).status, {}};
+        const auto body = to_json(error, "");
+        head.fields.add("Connection", "close");
+        head.fields.add("Retry-After", "1");
+        head.fields.add("Content-Length", std::to_string(body.size()));
+        const auto bytes = serialize_head(head) + body;
+        socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+        socket.flush();
+        if (on_refused) {
+            on_refused(error.code);
+        }
+        return;
+    }
+    open_.insert(new http_connection{*this, descriptor});
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/io/http_connection.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "cedarpoint/config/settings.h"
+#include "cedarpoint/request/refusal.h"
+#include "io/http_listener.h"
+#include "io/http_parser.h"
+
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <memory>
+#include <string>
+
+namespace cedarpoint {
+
+/// One caller's connection. Reads one request, hands it on, and reads the next only when the answer
+/// to the first is complete: so answers can't mix, and a flood of pipelined requests waits in the
+/// kernel.
+class http_connection final : public QObject {
+public:
+    http_connection(http_listener& owner, qintptr descriptor);
+    ~http_connection() override;
+    http_connection(const http_connection&) = delete;
+    http_connection& operator=(const http_connection&) = delete;
+
+    void send(http_head head, const std::string& body);
+    void begin(http_head head);
+    void write(const std::string& bytes);
+    void finish();
+    void abort();
+    [[nodiscard]] std::size_t buffered() const;
+    void close_when_idle();
+
+private:
+    enum class phase { reading, answering, lingering };
+
+    void on_readable();
+    void read_request();
+    void hand_on();
+    void refuse(error_code code, const char* text);
+    void on_timeout();
+    void on_disconnected();
+    void end_answer();
+    void linger();
+    void add_connection_field(http_head& head) const;
+
+    http_listener& owner_;
+    const caller_limits& limits_;
+    QTcpSocket socket_;
+    QTimer timer_;
+    http_request_parser parser_;
+    std::string pending_;
+    std::shared_ptr<http_reply> reply_;
+    phase phase_ = phase::reading;
+    bool keep_alive_ = true;
+    bool version_11_ = true;
+    bool head_method_ = false;
+    bool continued_ = false;
+    bool closing_ = false;
+    bool chunked_ = false;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/io/http_listener.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "cedarpoint/config/settings.h"
+#include "cedarpoint/core/reason.h"
+#include "cedarpoint/request/refusal.h"
+#include "io/http_message.h"
+
+#include <QTcpServer>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace cedarpoint {
+
+class http_connection;
+
+/// The answer to one request. Outlives its connection: calls then do nothing.
+class http_reply {
+public:
+    explicit http_reply(http_connection* connection) : connection_{connection} {}
+    ~http_reply();
+    http_reply(const http_reply&) = delete;
+    http_reply& operator=(const http_reply&) = delete;
+
+    /// The whole answer at once.
+    void send(http_head head, const std::string& body);
+    /// The beginning of an answer of unknown length; `write` and `finish` follow.
+    void begin(http_head head);
+    void write(const std::string& bytes);
+    void finish();
+    /// Ends the connection so that the caller sees the answer as cut.
+    void abort();
+
+    [[nodiscard]] bool has_begun() const { return begun_; }
+    [[nodiscard]] bool is_open() const { return connection_ != nullptr; }
+    /// Bytes that the caller has not taken yet.
+    [[nodiscard]] std::size_t buffered() const;
+
+    std::function<void()> on_gone;    ///< the caller went away before the end
+    std::function<void()> on_drained; ///< the caller has taken some of what was buffered
+
+private:
+    friend class http_connection;
+    http_connection* connection_;
+    bool begun_ = false;
+};
+
+using http_handler = std::function<void(http_request, std::shared_ptr<http_reply>)>;
+
+/// Accepts HTTP/1.1 connections. Pipelined requests are answered one after the other; everything a
+/// caller can make grow is bounded.
+class http_listener final : public QTcpServer {
+public:
+    http_listener(caller_limits limits, http_handler handler);
+    ~http_listener() override;
+    http_listener(const http_listener&) = delete;
+    http_listener& operator=(const http_listener&) = delete;
+
+    bool start(const endpoint& at, reason& why);
+    [[nodiscard]] endpoint address() const;
+    [[nodiscard]] std::size_t connections() const { return open_.size(); }
+    /// Stops accepting; open connections close after the answer they are giving.
+    void stop();
+    /// Called for each request refused before it reached the handler.
+    std::function<void(error_code)> on_refused;
+
+protected:
+    void incomingConnection(qintptr descriptor) override;
+
+private:
+    friend class http_connection;
+
+    caller_limits limits_;
+    http_handler handler_;
+    std::set<http_connection*> open_;
+    bool stopping_ = false;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/io/http_parser.cpp
@@ -0,0 +1,243 @@
+#include "io/http_parser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <limits>
+
+namespace cedarpoint {
+namespace {
+
+namespace http = boost::beast::http;
+
+/// A body that is appended to and may be emptied between reads. Unlike the library's string body
+/// it takes no peer's word for a length to reserve.
+struct growing_body {
+    using value_type = std::string;
+
+    static std::uint64_t size(const value_type& body) { return body.size(); }
+
+    class reader {
+    public:
+        template <bool is_request, class Fields>
+        reader(http::header<is_request, Fields>& /*head*/, value_type& body) : body_{body}
+        {
+        }
+        void init(const boost::optional<std::uint64_t>& /*length*/, boost::beast::error_code& ec)
+        {
+            ec = {};
+        }
+        template <class Buffers>
+        std::size_t put(const Buffers& buffers, boost::beast::error_code& ec)
+        {
+            ec = {};
+            std::size_t n = 0;
+            for (auto it = boost::asio::buffer_sequence_begin(buffers);
+                 it != boost::asio::buffer_sequence_end(buffers); ++it) {
+                const boost::asio::const_buffer part = *it;
+                body_.append(static_cast<const char*>(part.data()), part.size());
+                n += part.size();
+            }
+            return n;
+        }
+        void finish(boost::beast::error_code& ec) { ec = {}; }
+
+    private:
+        value_type& body_;
+    };
+};
+
+http_fault fault_of(const boost::beast::error_code& ec)
+{
+    if (ec == http::error::header_limit) {
+        return http_fault::head_too_large;
+    }
+    if (ec == http::error::body_limit) {
+        return http_fault::body_too_large;
+    }
+    if (ec == http::error::partial_message || ec == http::error::end_of_stream) {
+        return http_fault::cut;
+    }
+    return http_fault::malformed;
+}
+
+template <class Fields>
+http_fields copy_fields(const Fields& in)
+{
+    http_fields out;
+    for (const auto& it : in) {
+        out.add(std::string{it.name_string()}, std::string{it.value()});
+    }
+    return out;
+}
+
+constexpr std::uint32_t limit32(std::size_t n)
+{
+    return n > std::numeric_limits<std::uint32_t>::max() ? std::numeric_limits<std::uint32_t>::max()
+                                                         : static_cast<std::uint32_t>(n);
+}
+
+} // namespace
+
+struct http_request_parser::impl {
+    http::request_parser<growing_body> parser;
+    http_fault fault = http_fault::none;
+    bool started = false;
+};
+
+http_request_parser::http_request_parser(std::size_t max_head, std::size_t max_body)
+    : max_head_{max_head}, max_body_{max_body}
+{
+    reset();
+}
+
+http_request_parser::~http_request_parser() = default;
+
+void http_request_parser::reset()
+{
+    impl_ = std::make_unique<impl>();
+    impl_->parser.eager(true);
+    impl_->parser.header_limit(limit32(max_head_));
+    impl_->parser.body_limit(max_body_);
+}
+
+std::size_t http_request_parser::put(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && !is_done() && impl_->fault == http_fault::none) {
+        boost::beast::error_code ec;
+        const auto n =
+            impl_->parser.put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), ec);
+        impl_->started = true;
+        used += n;
+        if (ec == http::error::need_more) {
+            break;
+        }
+        if (ec) {
+            impl_->fault = fault_of(ec);
+        }
+    }
+    return used;
+}
+
+http_fault http_request_parser::fault() const
+{
+    return impl_->fault;
+}
+
+bool http_request_parser::is_started() const
+{
+    return impl_->started;
+}
+
+bool http_request_parser::is_head_done() const
+{
+    return impl_->parser.is_header_done();
+}
+
+bool http_request_parser::is_done() const
+{
+    return impl_->parser.is_done();
+}
+
+bool http_request_parser::expects_continue() const
+{
+    if (!is_head_done()) {
+        return false;
+    }
+    const auto field = impl_->parser.get()[http::field::expect];
+    return equal_ignoring_case({field.data(), field.size()}, "100-continue");
+}
+
+bool http_request_parser::keeps_alive() const
+{
+    return impl_->parser.keep_alive();
+}
+
+bool http_request_parser::is_version_11() const
+{
+    return impl_->parser.get().version() >= 11;
+}
+
+http_request http_request_parser::take()
+{
+    auto& message = impl_->parser.get();
+    http_request out{std::string{message.method_string()}, std::string{message.target()},
+                     copy_fields(message), std::move(message.body())};
+    reset();
+    return out;
+}
+
+struct http_response_parser::impl {
+    http::response_parser<growing_body> parser;
+    http_fault fault = http_fault::none;
+    std::string kept; ///< head bytes that the parser wants to see whole
+};
+
+http_response_parser::http_response_parser(std::size_t max_head, bool head_only)
+    : impl_{std::make_unique<impl>()}
+{
+    impl_->parser.eager(true);
+    impl_->parser.skip(head_only);
+    impl_->parser.header_limit(limit32(max_head));
+    impl_->parser.body_limit(boost::none);
+}
+
+http_response_parser::~http_response_parser() = default;
+
+void http_response_parser::put(std::string_view bytes)
+{
+    impl_->kept.append(bytes);
+    std::size_t used = 0;
+    while (used < impl_->kept.size() && !is_done() && impl_->fault == http_fault::none) {
+        boost::beast::error_code ec;
+        used += impl_->parser.put(
+            boost::asio::buffer(impl_->kept.data() + used, impl_->kept.size() - used), ec);
+        if (ec == http::error::need_more) {
+            break;
+        }
+        if (ec) {
+            impl_->fault = fault_of(ec);
+        }
+    }
+    impl_->kept.erase(0, used);
+}
+
+void http_response_parser::put_eof()
+{
+    if (is_done() || impl_->fault != http_fault::none) {
+        return;
+    }
+    boost::beast::error_code ec;
+    impl_->parser.put_eof(ec);
+    if (ec || !is_done()) {
+        impl_->fault = http_fault::cut;
+    }
+}
+
+http_fault http_response_parser::fault() const
+{
+    return impl_->fault;
+}
+
+bool http_response_parser::is_head_done() const
+{
+    return impl_->parser.is_header_done();
+}
+
+bool http_response_parser::is_done() const
+{
+    return impl_->parser.is_done();
+}
+
+http_head http_response_parser::head() const
+{
+    const auto& message = impl_->parser.get();
+    return {static_cast<int>(message.result_int()), copy_fields(message)};
+}
+
+std::string http_response_parser::take_body()
+{
+    return std::exchange(impl_->parser.get().body(), {});
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/io/mesh.cpp
@@ -0,0 +1,178 @@
+#include "io/mesh.h"
+
+#include <array>
+#include <cstring>
+#include <vector>
+
+namespace cedarpoint {
+namespace {
+
+constexpr int high_water = 10'000;
+constexpr int reconnect_ms = 50;
+constexpr int reconnect_max_ms = 1000;
+constexpr std::size_t max_message = 64 << 20;
+constexpr const char* zap_address = "inproc://zeromq.zap.01";
+constexpr const char* zap_domain = "cedarpoint";
+constexpr std::size_t key_digits = 40;
+constexpr std::size_t key_bytes = 32;
+
+std::string tcp(const endpoint& it)
+{
+    return "tcp://" + it.str();
+}
+
+} // namespace
+
+mesh::mesh(handler handler) : handler_{std::move(handler)} {}
+
+mesh::~mesh()
+{
+    notifier_.reset();
+    gate_notifier_.reset();
+    peers_.clear();
+    inbox_.reset();
+    gate_.reset();
+}
+
+void mesh::secure(zmq::socket_t& socket, bool server) const
+{
+    if (secret_key_.empty()) {
+        return;
+    }
+    socket.set(zmq::sockopt::curve_publickey, public_key_);
+    socket.set(zmq::sockopt::curve_secretkey, secret_key_);
+    if (server) {
+        socket.set(zmq::sockopt::curve_server, 1);
+        socket.set(zmq::sockopt::zap_domain, zap_domain);
+    }
+    else {
+        socket.set(zmq::sockopt::curve_serverkey, public_key_);
+    }
+}
+
+bool mesh::start(const settings& own, const std::string& secret_key, reason& why)
+{
+    public_key_ = own.curve_public_key;
+    secret_key_ = secret_key;
+    try {
+        if (!secret_key_.empty()) {
+            gate_ = std::make_unique<zmq::socket_t>(context_, zmq::socket_type::router);
+            gate_->bind(zap_address);
+            gate_notifier_ = std::make_unique<QSocketNotifier>(gate_->get(zmq::sockopt::fd),
+                                                               QSocketNotifier::Read);
+            QObject::connect(gate_notifier_.get(), &QSocketNotifier::activated,
+                             [this] { answer_handshakes(); });
+        }
+        inbox_ = std::make_unique<zmq::socket_t>(context_, zmq::socket_type::router);
+        inbox_->set(zmq::sockopt::rcvhwm, high_water);
+        inbox_->set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(max_message));
+        inbox_->set(zmq::sockopt::linger, 0);
+        secure(*inbox_, true);
+        inbox_->bind(tcp(*own.daemons));
+        for (const auto& it : own.peers) {
+            if (it.id == own.id) {
+                continue;
+            }
+            zmq::socket_t out{context_, zmq::socket_type::dealer};
+            out.set(zmq::sockopt::linger, 0);
+            out.set(zmq::sockopt::immediate, 1);
+            out.set(zmq::sockopt::sndhwm, high_water);
+            out.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
+            out.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
+            secure(out, false);
+            out.connect(tcp(it.address));
+            known_[it.id] = it.address.str();
+            peers_.emplace(it.id, std::move(out));
+        }
+    }
+    catch (const zmq::error_t& e) {
+        why = {"listen", own.daemons->str(), e.what()};
+        return false;
+    }
+    notifier_ =
+        std::make_unique<QSocketNotifier>(inbox_->get(zmq::sockopt::fd), QSocketNotifier::Read);
+    QObject::connect(notifier_.get(), &QSocketNotifier::activated, [this] { drain(); });
+    return true;
+}
+
+void mesh::send(const daemon_id& to, const wire::envelope& envelope)
+{
+    const auto it = peers_.find(to);
+    if (it == peers_.end()) {
+        return;
+    }
+    zmq::message_t message{envelope.ByteSizeLong()};
+    envelope.SerializeToArray(message.data(), static_cast<int>(message.size()));
+    const auto n = message.size();
+    if (it->second.send(message, zmq::send_flags::dontwait)) {
+        bytes_out_ += n;
+    }
+}
+
+void mesh::drain()
+{
+    if (draining_ || inbox_ == nullptr) {
+        return;
+    }
+    draining_ = true;
+    answer_handshakes();
+    zmq::message_t sender;
+    zmq::message_t body;
+    while (inbox_->recv(sender, zmq::recv_flags::dontwait)) {
+        if (!sender.more() || !inbox_->recv(body, zmq::recv_flags::dontwait)) {
+            continue;
+        }
+        while (body.more()) {
+            zmq::message_t rest;
+            if (!inbox_->recv(rest, zmq::recv_flags::dontwait) || !rest.more()) {
+                break;
+            }
+        }
+        wire::envelope in;
+        const bool read = in.ParseFromArray(body.data(), static_cast<int>(body.size()));
+        if (read && known_.contains(daemon_id{in.from()})) {
+            bytes_in_ += body.size();
+            handler_(in);
+        }
+    }
+    draining_ = false;
+}
+
+void mesh::answer_handshakes()
+{
+    if (gate_ == nullptr) {
+        return;
+    }
+    // ZAP 1.0 over a router: identity, empty, version, request id, domain, address, peer identity,
+    // mechanism, the client's public key. Only the fleet's own key is let in.
+    std::array<std::uint8_t, key_bytes> own{};
+    zmq_z85_decode(own.data(), public_key_.c_str());
+    for (;;) {
+        std::vector<zmq::message_t> parts;
+        do {
+            zmq::message_t part;
+            if (!gate_->recv(part, zmq::recv_flags::dontwait)) {
+                return;
+            }
+            parts.push_back(std::move(part));
+        } while (parts.back().more());
+        constexpr std::size_t curve_parts = 9;
+        const bool fine = parts.size() == curve_parts && parts[7].to_string_view() == "CURVE" &&
+                          parts[8].size() == key_bytes &&
+                          std::memcmp(parts[8].data(), own.data(), key_bytes) == 0;
+        if (parts.size() < 4) {
+            continue;
+        }
+        const std::string status = fine ? "200" : "400";
+        gate_->send(parts[0], zmq::send_flags::sndmore);
+        gate_->send(zmq::message_t{}, zmq::send_flags::sndmore);
+        gate_->send(zmq::str_buffer("1.0"), zmq::send_flags::sndmore);
+        gate_->send(parts[3], zmq::send_flags::sndmore);
+        gate_->send(zmq::buffer(status), zmq::send_flags::sndmore);
+        gate_->send(zmq::message_t{}, zmq::send_flags::sndmore);
+        gate_->send(zmq::message_t{}, zmq::send_flags::sndmore);
+        gate_->send(zmq::message_t{}, zmq::send_flags::none);
+    }
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/io/upstream_call.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "cedarpoint/core/endpoint.h"
+#include "cedarpoint/core/reason.h"
+#include "cedarpoint/core/time.h"
+#include "io/http_message.h"
+#include "io/http_parser.h"
+
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <functional>
+#include <string>
+
+namespace cedarpoint {
+
+/// How a call to a runner ended.
+enum class call_end {
+    complete, ///< the whole answer arrived
+    unsent,   ///< no byte of the request reached the connection
+    cut       ///< anything else
+};
+
+/// Bounds of one call.
+struct call_options {
+    milliseconds connect_timeout{2000};
+    milliseconds idle_timeout{120'000}; ///< without a byte from the runner
+};
+
+/// One request on one fresh connection. It is written at most once, whatever happens: there is no
+/// reuse, so no stale connection, so nothing that could be sent again. After `on_end` it is silent.
+class upstream_call final : public QObject {
+public:
+    struct handlers {
+        std::function<void()> on_sending; ///< bytes are about to be written
+        std::function<void(const http_head&)> on_head;
+        std::function<void(std::string)> on_body;
+        std::function<void(call_end, const reason&)> on_end;
+    };
+
+    upstream_call(endpoint to, const http_request& request, call_options options,
+                  handlers handlers);
+
+    void start();
+    /// Stops reading: the runner is held back through the connection.
+    void pause();
+    void resume();
+    /// Ends the call without `on_end`.
+    void cancel();
+
+private:
+    void on_connected();
+    void read();
+    void on_closed();
+    void end(call_end how, const char* step, const std::string& text);
+
+    endpoint to_;
+    std::string bytes_;
+    call_options options_;
+    handlers handlers_;
+    QTcpSocket socket_;
+    QTimer timer_;
+    http_response_parser parser_;
+    bool sending_ = false;
+    bool head_seen_ = false;
+    bool paused_ = false;
+    bool ended_ = false;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/routing/breaker.cpp
@@ -0,0 +1,28 @@
+#include "cedarpoint/routing/breaker.h"
+
+namespace cedarpoint {
+
+bool breaker::allows(instant now) const
+{
+    return !is_open() || now >= retry_at_;
+}
+
+void breaker::on_dispatch(instant now)
+{
+    if (is_open()) {
+        retry_at_ = now + open_time; // one trial; the next only when this one is overdue
+    }
+}
+
+void breaker::on_success()
+{
+    failures_ = 0;
+}
+
+void breaker::on_failure(instant now)
+{
+    ++failures_;
+    retry_at_ = now + open_time;
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/storage/log_store.cpp
@@ -0,0 +1,185 @@
+#include "cedarpoint/storage/log_store.h"
+
+#include "cedarpoint/core/hash.h"
+
+#include <cstring>
+#include <string_view>
+
+namespace cedarpoint {
+namespace {
+
+// A frame: mark (4 bytes), length (4), checksum of the payload (8), payload. Little-endian.
+constexpr std::string_view file_mark = "cedarpoint log 1\n";
+constexpr std::string_view frame_mark = "CPf1";
+constexpr std::size_t frame_head = 16;
+
+template <class T>
+void put(std::string& out, T value)
+{
+    for (std::size_t n = 0; n < sizeof(T); ++n) {
+        out.push_back(static_cast<char>(value >> (8 * n)));
+    }
+}
+
+template <class T>
+T get(std::string_view in)
+{
+    T out = 0;
+    for (std::size_t n = 0; n < sizeof(T); ++n) {
+        out |= static_cast<T>(static_cast<unsigned char>(in[n])) << (8 * n);
+    }
+    return out;
+}
+
+std::string make_frame(const std::string& payload)
+{
+    std::string out{frame_mark};
+    put(out, static_cast<std::uint32_t>(payload.size()));
+    put(out, hash_of(payload));
+    return out + payload;
+}
+
+/// The payload of the frame that `in` begins with, if it is whole.
+std::optional<std::string_view> read_frame(std::string_view in)
+{
+    if (in.size() < frame_head || !in.starts_with(frame_mark)) {
+        return {};
+    }
+    const auto length = get<std::uint32_t>(in.substr(4));
+    const auto sum = get<std::uint64_t>(in.substr(8));
+    if (in.size() - frame_head < length) {
+        return {};
+    }
+    const auto payload = in.substr(frame_head, length);
+    if (hash_of(payload) != sum) {
+        return {};
+    }
+    return payload;
+}
+
+bool holds_whole_frame(std::string_view in)
+{
+    for (auto at = in.find(frame_mark); at != std::string_view::npos;
+         at = in.find(frame_mark, at + 1)) {
+        if (read_frame(in.substr(at))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void apply_batch(const wire::storage_batch& batch, raft_state& state)
+{
+    if (batch.has_state()) {
+        state.hard = batch.state();
+    }
+    while (batch.truncate_from() > 0 && !state.entries.empty() &&
+           state.entries.back().index() >= batch.truncate_from()) {
+        state.entries.pop_back();
+    }
+    for (const auto& it : batch.entries()) {
+        if (it.index() > state.snapshot.index()) {
+            state.entries.push_back(it);
+        }
+    }
+}
+
+} // namespace
+
+log_store::log_store(file_system& files, const std::string& folder)
+    : files_{files}, snapshot_path_{folder + "/snapshot"}, log_path_{folder + "/log"}
+{
+}
+
+std::unique_ptr<log_store> log_store::open(file_system& files, const std::string& folder,
+                                           raft_state& state, reason& why)
+{
+    if (!files.make_folder(folder, why)) {
+        return {};
+    }
+    std::unique_ptr<log_store> out{new log_store{files, folder}};
+    if (!out->read_snapshot(state, why) || !out->read_log(state, why)) {
+        return {};
+    }
+    return out;
+}
+
+bool log_store::read_snapshot(raft_state& state, reason& why)
+{
+    const auto bytes = files_.read(snapshot_path_, why);
+    if (!bytes) {
+        return why.step.empty();
+    }
+    const std::string_view text{*bytes};
+    const auto payload =
+        text.starts_with(file_mark) ? read_frame(text.substr(file_mark.size())) : std::nullopt;
+    if (!payload ||
+        !state.snapshot.ParseFromArray(payload->data(), static_cast<int>(payload->size()))) {
+        why = {"read", snapshot_path_, "damaged, or of another version: restore the data folder"};
+        return false;
+    }
+    return true;
+}
+
+bool log_store::read_log(raft_state& state, reason& why)
+{
+    const auto bytes = files_.read(log_path_, why);
+    if (!bytes) {
+        if (!why.step.empty()) {
+            return false;
+        }
+        const std::string mark{file_mark};
+        log_bytes_ = mark.size();
+        return files_.replace(log_path_, mark, why);
+    }
+    const std::string_view text{*bytes};
+    if (!text.starts_with(file_mark)) {
+        why = {"read", log_path_, "not a log of this version"};
+        return false;
+    }
+    std::size_t at = file_mark.size();
+    while (at < text.size()) {
+        const auto payload = read_frame(text.substr(at));
+        wire::storage_batch batch;
+        if (!payload || !batch.ParseFromArray(payload->data(), static_cast<int>(payload->size()))) {
+            break;
+        }
+        apply_batch(batch, state);
+        at += frame_head + payload->size();
+    }
+    if (at < text.size() && holds_whole_frame(text.substr(at + 1))) {
+        why = {"read", log_path_,
+               "damaged at byte " + std::to_string(at) +
+                   ", before good records: restore the data folder"};
+        return false;
+    }
+    log_bytes_ = at;
+    return at == text.size() || files_.truncate(log_path_, at, why);
+}
+
+bool log_store::append(const wire::storage_batch& batch, reason& why)
+{
+    const auto frame = make_frame(batch.SerializeAsString());
+    if (!files_.append_synced(log_path_, frame, why)) {
+        return false;
+    }
+    log_bytes_ += frame.size();
+    return true;
+}
+
+bool log_store::save_snapshot(const wire::log_snapshot& snapshot, const wire::storage_batch& rest,
+                              reason& why)
+{
+    const std::string mark{file_mark};
+    if (!files_.replace(snapshot_path_, mark + make_frame(snapshot.SerializeAsString()), why)) {
+        return false;
+    }
+    const auto log = mark + make_frame(rest.SerializeAsString());
+    if (!files_.replace(log_path_, log, why)) {
+        return false;
+    }
+    log_bytes_ = log.size();
+    return true;
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/tools/stand_in/stand_in_runner.cpp
@@ -0,0 +1,242 @@
+#include "stand_in/stand_in_runner.h"
+
+#include <charconv>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace cedarpoint {
+namespace {
+
+using json = nlohmann::json;
+
+http_head json_head(int status)
+{
+    http_head out{status, {}};
+    out.fields.add("Content-Type", "application/json");
+    return out;
+}
+
+std::uint64_t number_of(std::string_view text)
+{
+    std::uint64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+std::string token_event(bool chat, int n)
+{
+    const auto text = fmt::format("t{} ", n);
+    const json choice = chat ? json{{"index", 0}, {"delta", {{"content", text}}}}
+                             : json{{"index", 0}, {"text", text}};
+    return "data: " + json{{"choices", json::array({choice})}}.dump() + "\n\n";
+}
+
+} // namespace
+
+stand_in_runner::stand_in_runner(options options) : options_{options}
+{
+    caller_limits limits;
+    limits.max_body_bytes = 64 << 20;
+    listener_ = std::make_unique<http_listener>(
+        limits, [this](const http_request& request, const std::shared_ptr<http_reply>& reply) {
+            on_request(request, reply);
+        });
+    load_timer_.setSingleShot(true);
+    QObject::connect(&load_timer_, &QTimer::timeout, [this] { phase_ = "ready"; });
+}
+
+stand_in_runner::~stand_in_runner()
+{
+    for (auto& [id, it] : streams_) {
+        it.reply->on_gone = nullptr;
+    }
+}
+
+bool stand_in_runner::start(const endpoint& at, reason& why)
+{
+    return listener_->start(at, why);
+}
+
+void stand_in_runner::on_request(const http_request& request,
+                                 const std::shared_ptr<http_reply>& reply)
+{
+    if (request.target == "/engine/state") {
+        give_state(*reply);
+        return;
+    }
+    if (request.target == "/engine/orders") {
+        take_order(request, *reply);
+        return;
+    }
+    requests_.push_back(request);
+    ++arrivals_[request.body.empty() ? request.target : request.body];
+    serve(request, reply);
+}
+
+void stand_in_runner::give_state(http_reply& reply) const
+{
+    reply.send(json_head(200), json{{"phase", phase_},
+                                    {"epoch", epoch_},
+                                    {"group", group_},
+                                    {"in_flight", streams_.size()},
+                                    {"leaving", leaving_}}
+                                   .dump());
+}
+
+void stand_in_runner::take_order(const http_request& request, http_reply& reply)
+{
+    const auto in = json::parse(request.body, nullptr, false);
+    if (!in.is_object()) {
+        reply.send(json_head(400), "{}");
+        return;
+    }
+    const auto asked = in.value("epoch", std::uint64_t{0});
+    orders_.push_back(
+        fmt::format("{} {} {}", in.value("action", ""), in.value("group", ""), asked));
+    if (options_.checks_epoch && asked < epoch_) {
+        reply.send(json_head(409), json{{"epoch", epoch_}}.dump());
+        return;
+    }
+    epoch_ = asked;
+    group_ = in.value("group", "");
+    if (in.value("action", "") == "load") {
+        phase_ = "loading";
+        load_timer_.start(options_.load_ms);
+    }
+    else {
+        load_timer_.stop();
+        phase_ = "idle";
+    }
+    give_state(reply);
+}
+
+fault_stage stand_in_runner::next_fault()
+{
+    if (failures_ <= 0) {
+        return fault_stage::none;
+    }
+    --failures_;
+    return stage_;
+}
+
+void stand_in_runner::serve(const http_request& request, const std::shared_ptr<http_reply>& reply)
+{
+    const auto fault = next_fault();
+    if (fault == fault_stage::after_request) {
+        reply->abort();
+        return;
+    }
+    if (fault == fault_stage::server_error) {
+        reply->send(json_head(500), R"({"error":"engine failed"})");
+        return;
+    }
+    if (!request.target.starts_with("/v1/")) {
+        serve_plain(request, *reply);
+        return;
+    }
+    const auto wanted = request.fields.get("X-Epoch");
+    if (options_.checks_epoch &&
+        (phase_ != "ready" || (!wanted.empty() && number_of(wanted) != epoch_))) {
+        auto head = json_head(409);
+        head.fields.add("Cedarpoint-Not-Run", "true");
+        reply->send(std::move(head), R"({"error":"another epoch"})");
+        return;
+    }
+    const auto body = json::parse(request.body, nullptr, false);
+    const bool streamed = body.is_object() && body.value("stream", false);
+    const int tokens =
+        body.is_object() ? body.value("max_tokens", options_.tokens) : options_.tokens;
+    const auto id = ++last_stream_;
+    auto& it = streams_[id];
+    it.reply = reply;
+    it.next = static_cast<int>(number_of(request.fields.get("X-Resume-After")));
+    it.end = tokens;
+    it.fault = fault;
+    it.chat = request.target.starts_with("/v1/chat/");
+    reply->on_gone = [this, id] {
+        ++cancelled_;
+        streams_.erase(id);
+    };
+    it.timer = std::make_unique<QTimer>();
+    if (streamed) {
+        http_head head{200, {}};
+        head.fields.add("Content-Type", "text/event-stream");
+        head.fields.add("X-Request-Id", std::string{request.fields.get("X-Request-Id")});
+        reply->begin(std::move(head));
+        QObject::connect(it.timer.get(), &QTimer::timeout, [this, id] { step(id); });
+        it.timer->start(options_.token_ms);
+        return;
+    }
+    it.timer->setSingleShot(true);
+    QObject::connect(it.timer.get(), &QTimer::timeout, [this, id, tokens] {
+        auto node = streams_.extract(id);
+        auto& done = node.mapped();
+        done.timer.release()->deleteLater();
+        done.reply->on_gone = nullptr;
+        if (done.fault != fault_stage::none) {
+            done.reply->begin(json_head(200));
+            done.reply->write("{\"half");
+            done.reply->abort();
+            return;
+        }
+        std::string text;
+        for (int n = 0; n < tokens; ++n) {
+            text += fmt::format("t{} ", n);
+        }
+        ++served_;
+        done.reply->send(
+            json_head(200),
+            json{{"choices",
+                  json::array(
+                      {{{"index", 0}, {"message", {{"role", "assistant"}, {"content", text}}}}})}}
+                .dump());
+    });
+    it.timer->start(options_.token_ms * tokens);
+}
+
+void stand_in_runner::serve_plain(const http_request& request, http_reply& reply)
+{
+    ++served_;
+    reply.send(json_head(200),
+               json{{"path", request.target}, {"method", request.method}, {"run", served_}}.dump());
+}
+
+void stand_in_runner::step(std::uint64_t id)
+{
+    auto& it = streams_.at(id);
+    const bool half = it.next >= it.end / 2;
+    const bool breaks = (it.fault == fault_stage::after_head) ||
+                        (it.fault == fault_stage::mid_answer && half) ||
+                        (it.fault == fault_stage::before_end && it.next >= it.end);
+    if (it.fault == fault_stage::stall && half) {
+        it.timer->stop();
+        return;
+    }
+    if (breaks || it.next > it.end) {
+        auto node = streams_.extract(id);
+        node.mapped().timer.release()->deleteLater();
+        const auto reply = node.mapped().reply;
+        reply->on_gone = nullptr;
+        if (breaks) {
+            reply->write("data: {\"half"); // a torn event, which must never reach a caller
+            reply->abort();
+        }
+        else {
+            ++served_;
+            reply->finish();
+        }
+        return;
+    }
+    if (it.next == it.end) {
+        it.reply->write("data: [DONE]\n\n");
+    }
+    else if (it.reply->buffered() < (1 << 20)) {
+        it.reply->write(token_event(it.chat, it.next));
+    }
+    else {
+        return; // held back
+    }
+    ++it.next;
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/tools/stand_in/stand_in_runner.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "io/http_listener.h"
+
+#include <QTimer>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cedarpoint {
+
+/// Where a stand-in breaks the connection of the next requests.
+enum class fault_stage {
+    none,
+    after_request,
+    after_head,
+    mid_answer,
+    before_end,
+    server_error,
+    stall
+};
+
+/// A small model engine on one address: takes fenced orders, reports its state, streams answers
+/// token by token, resumes and cancels, and fails when told to. It counts what reaches it.
+class stand_in_runner {
+public:
+    struct options {
+        int tokens = 8;
+        int token_ms = 5;
+        int load_ms = 20;
+        bool checks_epoch = true;
+    };
+
+    explicit stand_in_runner(options options);
+    ~stand_in_runner();
+    stand_in_runner(const stand_in_runner&) = delete;
+    stand_in_runner& operator=(const stand_in_runner&) = delete;
+
+    bool start(const endpoint& at, reason& why);
+    [[nodiscard]] endpoint address() const { return listener_->address(); }
+    /// The next `times` requests (not orders or state) end this way.
+    void fail_next(fault_stage stage, int times)
+    {
+        stage_ = stage;
+        failures_ = times;
+    }
+    void set_leaving(bool it) { leaving_ = it; }
+    /// Requests that reached it, by their body's text or path, to count double runs.
+    [[nodiscard]] const std::map<std::string, int>& arrivals() const { return arrivals_; }
+    [[nodiscard]] int served() const { return served_; }
+    [[nodiscard]] int in_flight() const { return static_cast<int>(streams_.size()); }
+    [[nodiscard]] int cancelled() const { return cancelled_; }
+    [[nodiscard]] const std::vector<std::string>& orders() const { return orders_; }
+    [[nodiscard]] const std::vector<http_request>& requests() const { return requests_; }
+    options& behaviour() { return options_; }
+
+private:
+    struct stream {
+        std::shared_ptr<http_reply> reply;
+        int next = 0;
+        int end = 0;
+        fault_stage fault = fault_stage::none;
+        std::unique_ptr<QTimer> timer;
+        bool chat = true;
+    };
+
+    void on_request(const http_request& request, const std::shared_ptr<http_reply>& reply);
+    void give_state(http_reply& reply) const;
+    void take_order(const http_request& request, http_reply& reply);
+    void serve(const http_request& request, const std::shared_ptr<http_reply>& reply);
+    void serve_plain(const http_request& request, http_reply& reply);
+    void step(std::uint64_t id);
+    fault_stage next_fault();
+
+    options options_;
+    std::unique_ptr<http_listener> listener_;
+    std::map<std::uint64_t, stream> streams_;
+    std::uint64_t last_stream_ = 0;
+    std::map<std::string, int> arrivals_;
+    std::vector<std::string> orders_;
+    std::vector<http_request> requests_;
+    std::string phase_ = "idle";
+    std::string group_;
+    std::uint64_t epoch_ = 0;
+    int served_ = 0;
+    int cancelled_ = 0;
+    bool leaving_ = false;
+    fault_stage stage_ = fault_stage::none;
+    int failures_ = 0;
+    QTimer load_timer_;
+};
+
+} // namespace cedarpoint
