Request path: tests that bring about each failure; the faults they found, mended

Cause, each found by a test that failed first: - A listener torn down with open connections wrote into freed memory: a socket reports its end while its owner's other members are gone already. - A daemon called itself ready before the dispatcher had the configuration and answered the first calls with 401. - An account that had been idle got credit for the time: the fair share's clock stood still while no one waited. - Requests whose accounts have other routes to the same model held each other up. Change: owners let go of their socket's signals first; readiness follows the configuration in use; the clock follows the request served; a queue for each set of routes. Ruled out for the crash: hash map references (stable) and handlers that end themselves (kept alive by the caller).

--- a/include/cedarpoint/admission/wait_queue.h
+++ b/include/cedarpoint/admission/wait_queue.h
@@ -53,10 +53,8 @@
     };
     using lanes = std::map<client_account_id, lane>;
 
-    [[nodiscard]] double lowest_virtual_time(const lanes& all) const;
-
     std::array<lanes, classes> by_class_;
-    std::array<double, classes> clock_{};
+    std::array<double, classes> clock_{}; ///< virtual time of the latest request served
     std::size_t size_ = 0;
 };
 
--- a/src/admission/wait_queue.cpp
+++ b/src/admission/wait_queue.cpp
@@ -4,19 +4,6 @@
 
 namespace cedarpoint {
 
-double wait_queue::lowest_virtual_time(const lanes& all) const
-{
-    double out = 0;
-    bool first = true;
-    for (const auto& [account, it] : all) {
-        if (!it.requests.empty() && (first || it.virtual_time < out)) {
-            out = it.virtual_time;
-            first = false;
-        }
-    }
-    return out;
-}
-
 bool wait_queue::push(const waiting& it)
 {
     if (size_ >= max_length) {
@@ -86,11 +73,11 @@
                 continue;
             }
             if (served) {
+                clock_[n] = std::max(clock_[n], own.virtual_time);
                 own.virtual_time += 1.0 / it->weight;
             }
             own.requests.erase(it);
             --size_;
-            clock_[n] = std::max(clock_[n], lowest_virtual_time(by_class_[n]));
             return;
         }
     }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -135,8 +135,7 @@
 
 bool daemon::is_ready() const
 {
-    return !stopping_ && control_->is_ready(steady_now()) &&
-           control_->domain().in_force().value > 0;
+    return !stopping_ && control_->is_ready(steady_now()) && view_revision_.value > 0;
 }
 
 void daemon::tick()
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -37,6 +37,8 @@
 
 http_connection::~http_connection()
 {
+    // The socket ends after the other members and would still report its end to them.
+    socket_.disconnect(this);
     if (reply_ != nullptr) {
         reply_->connection_ = nullptr;
     }
--- a/src/io/upstream_call.cpp
+++ b/src/io/upstream_call.cpp
@@ -48,6 +48,11 @@
     });
 }
 
+upstream_call::~upstream_call()
+{
+    socket_.disconnect(this);
+}
+
 void upstream_call::start()
 {
     timer_.start(static_cast<int>(options_.connect_timeout.count()));
--- a/src/io/upstream_call.h
+++ b/src/io/upstream_call.h
@@ -41,6 +41,10 @@
     upstream_call(endpoint to, const http_request& request, call_options options,
                   handlers handlers);
 
+    ~upstream_call() override;
+    upstream_call(const upstream_call&) = delete;
+    upstream_call& operator=(const upstream_call&) = delete;
+
     void start();
     /// Stops reading: the runner is held back through the connection.
     void pause();
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -183,6 +183,9 @@
     it.repeatable = !it.facts.not_repeatable;
     it.query.prefix = it.facts.prefix;
     it.lane = "model " + model.str();
+    for (const auto& pool : it.query.pools) {
+        it.lane += " " + pool.str(); // accounts with other routes must not hold each other up
+    }
     return {};
 }
 
@@ -422,8 +425,14 @@
     for (auto& [name, lane] : lanes_) {
         for (const auto& request : lane.expire(now)) {
             const auto& it = exchanges_.at(request);
-            refusal error{error_code::deadline_passed, run_state::not_run,
-                          "waited too long for a group", short_retry};
+            refusal error{error_code::no_group, run_state::not_run,
+                          "nothing could serve it in time", short_retry};
+            if (it.facts.deadline) {
+                error = {error_code::deadline_passed,
+                         run_state::not_run,
+                         "the deadline passed in the queue",
+                         {}};
+            }
             if (it.answered) {
                 error = {error_code::answer_cut,
                          run_state::ran_cut,
--- /dev/null
+++ b/tests/daemon/at_most_once_test.cpp
@@ -0,0 +1,176 @@
+// Promises: a request marked as not repeatable runs at most once; "not run" means not run.
+
+#include "daemon/site.h"
+
+#include <QTcpServer>
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using namespace testing_support;
+
+/// Accepts connections, counts whole requests, and closes at a chosen moment.
+class closing_server {
+public:
+    enum class when { before_reading, after_reading, in_the_head, in_the_body };
+
+    explicit closing_server(when moment) : moment_{moment}
+    {
+        server_.listen(QHostAddress::LocalHost);
+        QObject::connect(&server_, &QTcpServer::newConnection, [this] { accept(); });
+    }
+
+    [[nodiscard]] endpoint address() const { return {"127.0.0.1", server_.serverPort()}; }
+    [[nodiscard]] int requests() const { return requests_; }
+    [[nodiscard]] int connections() const { return connections_; }
+
+private:
+    void accept()
+    {
+        auto* socket = server_.nextPendingConnection();
+        ++connections_;
+        if (moment_ == when::before_reading) {
+            socket->abort();
+            socket->deleteLater();
+            return;
+        }
+        QObject::connect(socket, &QTcpSocket::readyRead, [this, socket] {
+            if (!socket->readAll().contains("\r\n\r\n")) {
+                return;
+            }
+            ++requests_;
+            if (moment_ == when::in_the_head) {
+                socket->write("HTTP/1.1 200 OK\r\nContent-");
+            }
+            else if (moment_ == when::in_the_body) {
+                socket->write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+            }
+            socket->disconnectFromHost();
+        });
+        QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+    }
+
+    when moment_;
+    QTcpServer server_;
+    int requests_ = 0;
+    int connections_ = 0;
+};
+
+/// The site with its shop replaced.
+void use_shop(site& at, const endpoint& address)
+{
+    auto text = at.file(1, "other-shop", 1);
+    const auto old = at.shop().address().str();
+    text.replace(text.find(old), old.size(), address.str());
+    ASSERT_TRUE(at.apply(text));
+    ASSERT_TRUE(
+        wait_until([&] { return at.it().requests().config()->change.str() == "other-shop"; }));
+}
+
+TEST(a_runner_that_closes, gets_a_not_repeatable_request_once_at_every_stage)
+{
+    using when = closing_server::when;
+    for (const auto moment :
+         {when::before_reading, when::after_reading, when::in_the_head, when::in_the_body}) {
+        for (const auto* method : {"GET", "POST"}) {
+            site at{{}};
+            closing_server shop{moment};
+            use_shop(at, shop.address());
+            raw_caller caller{at.callers()};
+            caller.send(
+                plain_request(method, "/shop/buy", "Cedarpoint-Not-Repeatable: true\r\n", ""));
+            ASSERT_TRUE(caller.wait_for("\"ran\":\"may have run\""))
+                << method << static_cast<int>(moment) << caller.received();
+            EXPECT_EQ(shop.connections(), 1) << method << static_cast<int>(moment);
+            EXPECT_LE(shop.requests(), 1);
+            // The same connection of the caller goes on working.
+            caller.send(plain_request("GET", "/v1/models", "", ""));
+            EXPECT_TRUE(caller.wait_for("\"list\""));
+        }
+    }
+}
+
+TEST(a_service_post, is_not_repeated_unless_it_was_not_run)
+{
+    site at{{}};
+    at.shop().fail_next(fault_stage::after_request, 1);
+    raw_caller caller{at.callers()};
+    caller.send(plain_request("POST", "/shop/buy", "", "one pot"));
+    ASSERT_TRUE(caller.wait_for("\"ran\":\"may have run\""));
+    EXPECT_EQ(at.arrivals("one pot"), 1);
+}
+
+TEST(a_runner_that_is_not_there, leaves_the_request_not_run)
+{
+    site at{{}};
+    endpoint gone;
+    {
+        QTcpServer server;
+        server.listen(QHostAddress::LocalHost);
+        gone = {"127.0.0.1", server.serverPort()};
+    }
+    use_shop(at, gone);
+    raw_caller caller{at.callers()};
+    caller.send(plain_request("POST", "/shop/buy", "", "one pot"));
+    ASSERT_TRUE(caller.wait_for("\"ran\":\"not run\""));
+    EXPECT_NE(caller.received().find("Retry-After"), std::string::npos);
+}
+
+TEST(a_claimed_key, runs_once_and_says_so_after_a_restart)
+{
+    site at{{}};
+    const std::string headers = "Idempotency-Key: order-17\r\n";
+    raw_caller first{at.callers()};
+    first.send(plain_request("POST", "/shop/buy", headers, "one pot"));
+    ASSERT_TRUE(first.wait_for("\"run\":1"));
+
+    raw_caller again{at.callers()};
+    again.send(plain_request("POST", "/shop/buy", headers, "one pot"));
+    ASSERT_TRUE(again.wait_for("already_ran"));
+
+    at.restart();
+    raw_caller later{at.callers()};
+    later.send(plain_request("POST", "/shop/buy", headers, "one pot"));
+    ASSERT_TRUE(later.wait_for("already_ran"));
+    EXPECT_NE(later.received().find("\"ran\":\"ran\""), std::string::npos);
+    EXPECT_EQ(at.arrivals("one pot"), 1);
+}
+
+TEST(a_claimed_key, whose_daemon_died_in_the_middle_may_have_run)
+{
+    site at{{}};
+    ASSERT_TRUE(at.wait_serving());
+    const ask call{.tokens = 100'000,
+                   .headers = "Idempotency-Key: note-4\r\nCedarpoint-Not-Repeatable: true\r\n"};
+    raw_caller first{at.callers()};
+    first.send(chat_request(call));
+    ASSERT_TRUE(first.wait_for("t3 "));
+    at.restart(); // without a planned stop: nobody reports the end of the claim
+    raw_caller again{at.callers()};
+    again.send(chat_request(call));
+    ASSERT_TRUE(again.wait_for("\"ran\":\"may have run\""));
+    EXPECT_EQ(at.arrivals("why"), 1);
+}
+
+TEST(two_callers_with_one_key, get_one_run)
+{
+    site at{{}};
+    ASSERT_TRUE(at.wait_serving());
+    const ask call{.tokens = 40,
+                   .headers = "Idempotency-Key: note-5\r\nCedarpoint-Not-Repeatable: true\r\n"};
+    raw_caller first{at.callers()};
+    raw_caller second{at.callers()};
+    first.send(chat_request(call));
+    second.send(chat_request(call));
+    ASSERT_TRUE(first.wait_for("\r\n\r\n"));
+    ASSERT_TRUE(second.wait_for("\r\n\r\n"));
+    const bool first_ran = status_of(first.received()) == 200;
+    EXPECT_EQ(status_of(first.received()) + status_of(second.received()), 200 + 409);
+    ASSERT_TRUE((first_ran ? first : second).wait_for("[DONE]"));
+    EXPECT_EQ(at.arrivals("why"), 1);
+}
+
+} // namespace
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/daemon/site.cpp
@@ -0,0 +1,243 @@
+#include "daemon/site.h"
+
+#include "io/clock.h"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QHostAddress>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace cedarpoint::testing_support {
+namespace {
+
+constexpr int nodes_per_group = 4;
+constexpr int far_too_long_s = 60;
+
+using json = nlohmann::json;
+
+} // namespace
+
+bool wait_until(const std::function<bool()>& done)
+{
+    const auto until = steady_now() + seconds{far_too_long_s};
+    while (!done()) {
+        if (steady_now() > until) {
+            return false;
+        }
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 10);
+        QCoreApplication::sendPostedEvents(nullptr, QEvent::DeferredDelete);
+    }
+    return true;
+}
+
+raw_caller::raw_caller(const endpoint& to)
+{
+    socket_.connectToHost(QHostAddress{QString::fromStdString(to.ip)}, to.port);
+    wait_until([&] {
+        return socket_.state() == QAbstractSocket::ConnectedState ||
+               socket_.state() == QAbstractSocket::UnconnectedState;
+    });
+}
+
+void raw_caller::send(const std::string& bytes)
+{
+    socket_.write(bytes.data(), static_cast<qint64>(bytes.size()));
+    socket_.flush();
+}
+
+const std::string& raw_caller::received()
+{
+    received_ += socket_.readAll().toStdString();
+    return received_;
+}
+
+bool raw_caller::wait_for(const std::string& text)
+{
+    return wait_until([&] { return received().find(text) != std::string::npos; });
+}
+
+bool raw_caller::wait_closed()
+{
+    const bool closed = wait_until([&] {
+        received();
+        return socket_.state() == QAbstractSocket::UnconnectedState;
+    });
+    received();
+    return closed;
+}
+
+void raw_caller::close()
+{
+    socket_.abort();
+}
+
+std::string plain_request(const std::string& method, const std::string& target,
+                          const std::string& headers, const std::string& body)
+{
+    return fmt::format("{} {} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                       "secret\r\n{}Content-Length: {}\r\n\r\n{}",
+                       method, target, headers, body.size(), body);
+}
+
+std::string chat_request(const ask& it)
+{
+    const json body{{"model", "m"},
+                    {"stream", it.stream},
+                    {"max_tokens", it.tokens},
+                    {"messages", json::array({{{"role", "user"}, {"content", it.text}}})}};
+    const auto text = body.dump();
+    return fmt::format("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                       "{}\r\n{}Content-Length: {}\r\n\r\n{}",
+                       it.key, it.headers, text.size(), text);
+}
+
+std::vector<int> tokens_in(const std::string& answer)
+{
+    std::vector<int> out;
+    const std::string mark = "\"content\":\"t";
+    for (auto at = answer.find(mark); at != std::string::npos; at = answer.find(mark, at + 1)) {
+        out.push_back(std::stoi(answer.substr(at + mark.size())));
+    }
+    return out;
+}
+
+int status_of(const std::string& text)
+{
+    constexpr std::size_t digits_at = 9;
+    return text.size() < digits_at + 3 ? 0 : std::stoi(text.substr(digits_at, 3));
+}
+
+site::site(const options& how) : options_{how}
+{
+    for (int n = 0; n < how.groups * nodes_per_group + how.spares; ++n) {
+        engines_.push_back(std::make_unique<stand_in_runner>(how.engine));
+        reason why;
+        engines_.back()->start({"127.0.0.1", 0}, why);
+        addresses_.push_back(engines_.back()->address());
+    }
+    shop_ = std::make_unique<stand_in_runner>(how.engine);
+    reason why;
+    shop_->start({"127.0.0.1", 0}, why);
+    start_daemon();
+    apply(file(0, "first", how.groups));
+    wait_until([&] { return daemon_->is_ready(); });
+}
+
+site::~site() = default;
+
+void site::start_daemon()
+{
+    settings own;
+    own.id = daemon_id{"d1"};
+    own.failure_domain = failure_domain_id{"zone"};
+    own.callers = {"127.0.0.1", 0};
+    own.operators = {"127.0.0.1", 0};
+    own.data_folder = folder_.path().toStdString();
+    own.watch_interval = milliseconds{50};
+    own.limits = options_.limits;
+    own.stop_bound = options_.stop_bound;
+    reason why;
+    daemon_ = daemon::start(own, why);
+    if (daemon_ == nullptr) {
+        fmt::print(stderr, "{}\n", why.str());
+        std::abort();
+    }
+    exit_code_ = -1;
+    daemon_->on_stopped = [this](int code) { exit_code_ = code; };
+}
+
+void site::restart()
+{
+    daemon_.reset();
+    start_daemon();
+    wait_until([&] { return daemon_->is_ready(); });
+}
+
+std::string site::file(int based_on, const std::string& change, int groups) const
+{
+    json out{{"based_on", based_on},
+             {"change_id", change},
+             {"failure_domains", {"zone"}},
+             {"fabric_domains", json::array({{{"id", "rack"}, {"failure_domain", "zone"}}})},
+             {"models", json::array({{{"id", "m"}, {"versions", {"1"}}}})},
+             {"routing_rules", json::array({{{"model", "m"}, {"replica_groups", {"pool"}}}})}};
+    for (std::size_t n = 0; n < addresses_.size(); ++n) {
+        out["nodes"].push_back({{"id", fmt::format("n{}", n)}, {"fabric_domain", "rack"}});
+        out["runners"].push_back({{"id", fmt::format("r{}", n)},
+                                  {"node", fmt::format("n{}", n)},
+                                  {"address", addresses_[n].str()},
+                                  {"slots", options_.slots}});
+    }
+    out["replica_groups"].push_back({{"id", "pool"},
+                                     {"model", "m"},
+                                     {"version", "1"},
+                                     {"failure_domain", "zone"},
+                                     {"size", nodes_per_group},
+                                     {"count", groups}});
+    out["services"].push_back(
+        {{"id", "shop"},
+         {"path_prefix", "/shop"},
+         {"upstreams", json::array({{{"id", "shop-1"},
+                                     {"failure_domain", "zone"},
+                                     {"address", shop_->address().str()}}})}});
+    out["client_accounts"].push_back({{"id", "acme"},
+                                      {"key_sha256", sha256_hex("secret")},
+                                      {"home_failure_domain", "zone"},
+                                      {"priorities", {"normal", "alarm", "bulk"}},
+                                      {"max_in_flight", options_.max_in_flight}});
+    return out.dump();
+}
+
+bool site::apply(const std::string& text)
+{
+    raw_caller it{operators()};
+    it.send(plain_request("POST", "/v1/configuration", "Connection: close\r\n", text));
+    it.wait_closed();
+    return status_of(it.received()) == 200;
+}
+
+bool site::drain(const std::string& kind, const std::string& id, bool draining)
+{
+    raw_caller it{operators()};
+    const json body{{"kind", kind}, {"id", id}, {"draining", draining}};
+    it.send(plain_request("POST", "/v1/drain", "Connection: close\r\n", body.dump()));
+    it.wait_closed();
+    return status_of(it.received()) == 200;
+}
+
+bool site::wait_serving()
+{
+    return wait_until([&] {
+        const auto& all = daemon_->control().domain().groups().records();
+        return static_cast<int>(all.size()) == options_.groups &&
+               std::all_of(all.begin(), all.end(),
+                           [](const auto& it) { return it.second.state == group_state::serving; });
+    });
+}
+
+std::size_t site::first_of(const std::string& group)
+{
+    const auto* it = daemon_->control().domain().groups().find(group_id{group});
+    return it == nullptr ? 0
+                         : static_cast<std::size_t>(std::stoi(it->nodes.front().str().substr(1)));
+}
+
+int site::arrivals(const std::string& body) const
+{
+    int out = 0;
+    for (const auto& it : engines_) {
+        if (it != nullptr) {
+            for (const auto& [text, n] : it->arrivals()) {
+                out += text.find(body) != std::string::npos ? n : 0;
+            }
+        }
+    }
+    for (const auto& [text, n] : shop_->arrivals()) {
+        out += text.find(body) != std::string::npos ? n : 0;
+    }
+    return out;
+}
+
+} // namespace cedarpoint::testing_support
--- /dev/null
+++ b/tests/request/dispatcher_scenario_test.cpp
@@ -0,0 +1,262 @@
+// Plays tests/request/scenarios/*.scenario through the dispatcher, message by message.
+
+#include "cedarpoint/request/dispatcher.h"
+#include "support/scenario_file.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::scenario_step;
+using lines = std::vector<std::string>;
+
+int number(const std::string& text, int fallback)
+{
+    return text.empty() ? fallback : std::stoi(text);
+}
+
+/// The dispatcher with a site that the scenario sets up.
+class dispatcher_play {
+public:
+    lines play(const scenario_step& step)
+    {
+        struct row {
+            const char* verb;
+            lines (dispatcher_play::*function)(const scenario_step&);
+        };
+        static constexpr row table[] = {
+            {"account", &dispatcher_play::account}, {"route", &dispatcher_play::route},
+            {"service", &dispatcher_play::service}, {"targets", &dispatcher_play::targets},
+            {"at", &dispatcher_play::at},           {"submit", &dispatcher_play::submit},
+            {"claim", &dispatcher_play::claim},     {"sending", &dispatcher_play::sending},
+            {"head", &dispatcher_play::head},       {"event", &dispatcher_play::event},
+            {"end", &dispatcher_play::end},         {"gone", &dispatcher_play::gone},
+            {"tick", &dispatcher_play::tick},       {"stop", &dispatcher_play::stop},
+            {"show", &dispatcher_play::show},
+        };
+        for (const auto& it : table) {
+            if (step.verb() == it.verb) {
+                return (this->*it.function)(step);
+            }
+        }
+        return {"no such verb: " + step.verb()};
+    }
+
+private:
+    lines account(const scenario_step& in)
+    {
+        account_spec it;
+        it.id = client_account_id{in.word(0)};
+        it.key_sha256 = "key-of-" + in.word(0);
+        it.weight = number(in.after("weight"), 1);
+        it.home_failure_domain = failure_domain_id{"home"};
+        it.priorities = {priority_class::normal, priority_class::alarm, priority_class::bulk};
+        it.max_in_flight = number(in.after("in-flight"), 1000);
+        it.requests_per_minute = number(in.after("per-minute"), 0);
+        config_.accounts.push_back(it);
+        return use();
+    }
+
+    lines route(const scenario_step& in)
+    {
+        config_.routes.push_back({model_id{in.word(0)}, {}, {pool_id{in.word(1)}}});
+        return use();
+    }
+
+    lines service(const scenario_step& in)
+    {
+        config_.services.push_back({service_id{in.word(0)}, in.word(1), {}});
+        return use();
+    }
+
+    lines use()
+    {
+        it_.set_configuration(std::make_shared<const configuration>(config_));
+        return {};
+    }
+
+    /// targets NAME:SLOTS[:draining|:absent|:expired] ...; a name with '/' is a group.
+    lines targets(const scenario_step& in)
+    {
+        target_table all;
+        for (std::size_t n = 0; n < in.size(); ++n) {
+            const auto text = in.word(n);
+            const auto colon = text.find(':');
+            target place;
+            place.upstream = runner_id{text.substr(0, colon)};
+            place.slots = std::stoi(text.substr(colon + 1));
+            place.failure_domain = failure_domain_id{"home"};
+            place.valid_until = now_ + seconds{1000};
+            if (const auto slash = text.find('/'); slash != std::string::npos) {
+                place.group = group_id{text.substr(0, colon)};
+                place.pool = pool_id{text.substr(0, slash)};
+                place.assignment = {7};
+            }
+            else {
+                place.service = config_.services.front().id;
+            }
+            place.draining = text.ends_with(":draining");
+            place.present = !text.ends_with(":absent");
+            if (text.ends_with(":expired")) {
+                place.valid_until = now_;
+            }
+            all.push_back(place);
+        }
+        return show(it_.set_targets(now_, std::move(all)));
+    }
+
+    lines at(const scenario_step& in)
+    {
+        now_ = instant{milliseconds{std::stoi(in.word(0))}};
+        return {};
+    }
+
+    lines submit(const scenario_step& in)
+    {
+        request_facts facts;
+        facts.id = request_id{in.word(0)};
+        facts.key_digest = "key-of-" + in.word(1);
+        if (const auto path = in.after("path"); !path.empty()) {
+            facts.path = path;
+        }
+        else {
+            facts.model = model_id{in.after("model").empty() ? "m" : in.after("model")};
+        }
+        facts.streamed = in.has("stream");
+        facts.safe_method = in.has("get");
+        facts.not_repeatable = in.has("once");
+        facts.idempotency_key = in.after("key");
+        if (const auto text = in.after("session"); !text.empty()) {
+            facts.session = session_id{text};
+        }
+        if (const auto text = in.after("deadline"); !text.empty()) {
+            facts.deadline = now_ + milliseconds{std::stoi(text)};
+        }
+        facts.priority = parse_priority(in.after("priority"));
+        return show(it_.submit(now_, std::move(facts)));
+    }
+
+    lines claim(const scenario_step& in)
+    {
+        const std::map<std::string, claim_verdict> verdicts{
+            {"granted", claim_verdict::granted},
+            {"running", claim_verdict::running},
+            {"ran", claim_verdict::already_ran},
+            {"unknown", claim_verdict::unknown_end},
+            {"unavailable", claim_verdict::unavailable}};
+        return show(it_.claim_answered(now_, request_id{in.word(0)}, verdicts.at(in.word(1))));
+    }
+
+    lines sending(const scenario_step& in)
+    {
+        it_.attempt_sending(attempt_of(in));
+        return {};
+    }
+
+    lines head(const scenario_step& in)
+    {
+        it_.attempt_answering(attempt_of(in));
+        return {};
+    }
+
+    lines event(const scenario_step& in)
+    {
+        for (int n = 0; n < number(in.word(1), 1); ++n) {
+            it_.attempt_event(attempt_of(in));
+        }
+        return {};
+    }
+
+    lines end(const scenario_step& in)
+    {
+        const std::map<std::string, attempt_end> ends{{"complete", attempt_end::complete},
+                                                      {"refused", attempt_end::refused},
+                                                      {"unsent", attempt_end::unsent},
+                                                      {"cut", attempt_end::cut},
+                                                      {"error", attempt_end::server_error}};
+        return show(it_.attempt_ended(now_, attempt_of(in), ends.at(in.word(1))));
+    }
+
+    lines gone(const scenario_step& in)
+    {
+        return show(it_.caller_gone(now_, request_id{in.word(0)}));
+    }
+    lines tick(const scenario_step& /*in*/) { return show(it_.tick(now_)); }
+    lines stop(const scenario_step& /*in*/) { return show(it_.begin_stop(now_)); }
+
+    lines show(const scenario_step& /*in*/)
+    {
+        return {fmt::format("in flight {}, queued {}, sessions {}", it_.in_flight(), it_.queued(),
+                            it_.sessions())};
+    }
+
+    static attempt_id attempt_of(const scenario_step& in)
+    {
+        return {static_cast<std::uint64_t>(std::stoi(in.word(0)))};
+    }
+
+    static lines show(const actions& all)
+    {
+        lines out;
+        for (const auto& it : all) {
+            out.push_back(std::visit([](const auto& what) { return show_one(what); }, it));
+        }
+        return out;
+    }
+
+    static std::string show_one(const start_attempt& it)
+    {
+        return fmt::format("start {} attempt {} on {} epoch {} resume {}", it.request.str(),
+                           it.attempt.value, it.upstream.str(), it.assignment.value,
+                           it.resume_after);
+    }
+    static std::string show_one(const cancel_attempt& it)
+    {
+        return fmt::format("cancel {}", it.attempt.value);
+    }
+    static std::string show_one(const refuse& it)
+    {
+        return fmt::format(
+            "refuse {} {} \"{}\"{}", it.request.str(), describe(it.error.code).name,
+            name_of(it.error.ran),
+            it.error.retry_after ? fmt::format(" retry {}", it.error.retry_after->count()) : "");
+    }
+    static std::string show_one(const ask_claim& it)
+    {
+        return fmt::format("ask claim {} {} of {} at {}", it.request.str(), it.key.key,
+                           it.key.account.str(), it.home.str());
+    }
+    static std::string show_one(const end_claim& it)
+    {
+        static constexpr const char* names[] = {"running", "ran", "may have run", "not run"};
+        return fmt::format("end claim {} {}: {}", it.request.str(), it.key.key,
+                           names[static_cast<int>(it.outcome)]);
+    }
+    static std::string show_one(const decision& it)
+    {
+        return fmt::format("decide {} {} {} ({})", it.step, it.request.str(), it.chosen, it.reason);
+    }
+
+    configuration config_;
+    dispatcher it_{failure_domain_id{"home"}, {}};
+    instant now_{};
+};
+
+class dispatcher_scenario : public testing::TestWithParam<std::string> {};
+
+TEST_P(dispatcher_scenario, prints_what_its_file_says)
+{
+    dispatcher_play it;
+    testing_support::check_scenario(std::string{SOURCE_DIR} + "/tests/request/scenarios/" +
+                                        GetParam() + ".scenario",
+                                    [&](const scenario_step& step) { return it.play(step); });
+}
+
+INSTANTIATE_TEST_SUITE_P(files, dispatcher_scenario,
+                         testing::ValuesIn(testing_support::list_scenarios("request/scenarios")),
+                         [](const auto& it) { return it.param; });
+
+} // namespace
+} // namespace cedarpoint
