--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -62,6 +62,9 @@
 public:
     enum class role { follower, pre_candidate, candidate, leader };
 
+    /// A member without any state may be new, or may have lost its disk with what it promised. So
+    /// it does not vote until it has caught up with a leader; and the first leader of all needs the
+    /// votes of all voters, which proves that none of them remembers anything.
     /// `bootstrap` is the membership of a log that has never been written anywhere.
     raft_node(instant now, member_id self, const wire::membership& bootstrap, raft_state state,
               raft_options options, std::uint64_t seed);
@@ -103,6 +106,7 @@
     struct progress {
         std::uint64_t next = 1;
         std::uint64_t match = 0;
+        bool probing = true;          ///< where the logs meet is not known: one message at a time
         std::optional<instant> acked; ///< our clock at the sending of the latest answered message
         std::int64_t follower_stamp = 0;
         std::optional<instant> snapshot_sent;
@@ -136,6 +140,9 @@
     void save_hard_state();
     void refresh_members();
     [[nodiscard]] bool may_vote(instant now) const;
+    [[nodiscard]] bool may_vote_for(instant now, const wire::raft_message& in) const;
+    [[nodiscard]] std::size_t election_quorum() const;
+    void note_whole(instant now, const wire::raft_message& in);
     [[nodiscard]] bool is_up_to_date(const wire::raft_message& in) const;
     [[nodiscard]] std::uint64_t last_term() const;
     [[nodiscard]] std::optional<std::uint64_t> term_at(std::uint64_t index) const;
--- a/include/cedarpoint/control/log_client.h
+++ b/include/cedarpoint/control/log_client.h
@@ -31,6 +31,7 @@
     };
 
     static constexpr duration ask_again = milliseconds{400};
+    static constexpr int max_redirects = 3; ///< followed at once; members may point at each other
 
     /// `first_call` differs at each start, so that an answer to an earlier process is not taken.
     log_client(hooks hooks, std::uint64_t first_call)
@@ -53,6 +54,7 @@
         instant next;
         std::size_t turn = 0;
         daemon_id hint;
+        int redirects = 0; ///< since the last pause
     };
 
     void ask(instant now, std::uint64_t id);
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -219,7 +219,7 @@
     }
     if (now >= election_at_) {
         arm_election(now);
-        if (is_voter(self_)) {
+        if (is_voter(self_) && (hard_.whole() || last_index() == 0)) {
             start_pre_vote(now);
         }
     }
@@ -260,6 +260,34 @@
     return commit_ >= granted_commit_ ? granted_ : std::nullopt;
 }
 
+bool raft_node::may_vote_for(instant now, const msg& in) const
+{
+    if (!may_vote(now) || !is_up_to_date(in)) {
+        return false;
+    }
+    // Without memory it may only help to begin a log that nobody remembers.
+    return hard_.whole() || (in.last_index() == 0 && last_index() == 0);
+}
+
+std::size_t raft_node::election_quorum() const
+{
+    if (last_index() > 0) {
+        return quorum();
+    }
+    const auto& all = members_.members();
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [](const auto& e) { return e.voter(); }));
+}
+
+void raft_node::note_whole(instant now, const msg& in)
+{
+    if (!hard_.whole() && in.commit() > 0 && commit_ >= in.commit()) {
+        hard_.set_whole(true);
+        save_hard_state();
+        no_vote_until_ = now + options_.election_timeout; // a vote that it forgot may be on its way
+    }
+}
+
 bool raft_node::may_vote(instant now) const
 {
     const bool follows = leader_heard_ && now - *leader_heard_ < options_.election_timeout;
@@ -296,6 +324,7 @@
     role_ = role::candidate;
     hard_.set_term(hard_.term() + 1);
     hard_.set_vote(self_.str());
+    hard_.set_whole(true);
     save_hard_state();
     votes_.clear();
     broadcast_vote(msg::vote, hard_.term());
@@ -308,7 +337,7 @@
         return;
     }
     votes_.insert(from);
-    if (votes_.size() < quorum()) {
+    if (votes_.size() < election_quorum()) {
         return;
     }
     if (role_ == role::pre_candidate) {
@@ -354,7 +383,7 @@
 void raft_node::on_pre_vote(instant now, const member_id& from, const msg& in)
 {
     auto out = make(msg::pre_vote_reply, hard_.term());
-    out.set_ok(may_vote(now) && in.term() > hard_.term() && is_up_to_date(in));
+    out.set_ok(in.term() > hard_.term() && may_vote_for(now, in));
     send(from, std::move(out));
 }
 
@@ -368,9 +397,10 @@
     }
     const bool free = hard_.vote().empty() || hard_.vote() == from.str();
     const bool grant =
-        in.term() == hard_.term() && free && role_ == role::follower && is_up_to_date(in);
+        in.term() == hard_.term() && free && role_ == role::follower && may_vote_for(now, in);
     if (grant) {
         hard_.set_vote(from.str());
+        hard_.set_whole(true);
         save_hard_state();
         arm_election(now);
     }
@@ -428,7 +458,9 @@
     for (auto n = it.next; n <= end; ++n) {
         *out.add_entries() = entry_at(n);
     }
-    it.next = end + 1;
+    if (!it.probing) {
+        it.next = end + 1;
+    }
     out.set_commit(commit_);
     out.set_leader_stamp(to_stamp(now));
     if (holds_lease(now)) {
@@ -489,6 +521,7 @@
                           : in.prev_index() + static_cast<std::uint64_t>(in.entries_size()));
     }
     else {
+        out.set_prev_index(in.prev_index());
         out.set_match(std::min(last_index(), in.prev_index() == 0 ? 0 : in.prev_index() - 1));
     }
     send(to, std::move(out));
@@ -526,6 +559,7 @@
     }
     const auto match = in.prev_index() + static_cast<std::uint64_t>(in.entries_size());
     advance_commit(std::min(in.commit(), std::max(match, commit_)));
+    note_whole(now, in);
     note_grant(now, in);
     reply_append(now, from, in, true);
 }
@@ -581,10 +615,18 @@
     it.acked = it.acked ? std::max(*it.acked, sent) : sent;
     it.follower_stamp = in.follower_stamp();
     if (!in.ok()) {
-        it.next = std::max(it.match, std::min(in.match(), it.next - 1)) + 1;
-        send_append(now, from);
+        // Only the answer to the latest question moves it: late and doubled answers each asking
+        // again would multiply.
+        const bool stale = it.probing ? in.prev_index() + 1 != it.next : in.prev_index() >= it.next;
+        if (!stale) {
+            it.probing = true;
+            it.match = std::min(it.match, in.match()); // it may have lost its log
+            it.next = std::max(it.match, std::min(in.match(), in.prev_index() - 1)) + 1;
+            send_append(now, from);
+        }
         return;
     }
+    it.probing = false;
     it.match = std::max(it.match, in.match());
     it.next = std::max(it.next, it.match + 1);
     advance_leader_commit();
--- a/src/control/log_client.cpp
+++ b/src/control/log_client.cpp
@@ -42,8 +42,10 @@
         return;
     }
     if (!in.applied()) {
-        if (!in.leader().empty() && found->second.hint.empty()) {
-            found->second.hint = daemon_id{in.leader()};
+        auto& it = found->second;
+        if (!in.leader().empty() && it.redirects < max_redirects) {
+            ++it.redirects;
+            it.hint = daemon_id{in.leader()};
             ask(now, in.call());
         }
         return;
@@ -70,7 +72,8 @@
         end(id, {});
     }
     for (const auto id : due) {
-        if (calls_.contains(id)) {
+        if (const auto found = calls_.find(id); found != calls_.end()) {
+            found->second.redirects = 0;
             ask(now, id);
         }
     }
--- /dev/null
+++ b/tests/consensus/raft_node_test.cpp
@@ -0,0 +1,259 @@
+// Single promises of one member, message by message. Whole groups are in tests/control.
+
+#include "cedarpoint/consensus/raft_node.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using msg = wire::raft_message;
+
+constexpr instant start{seconds{100}};
+const member_id a{"a"};
+const member_id b{"b"};
+const member_id c{"c"};
+
+wire::membership three()
+{
+    wire::membership out;
+    for (const auto* name : {"a", "b", "c"}) {
+        auto* it = out.add_members();
+        it->set_id(name);
+        it->set_voter(true);
+    }
+    return out;
+}
+
+wire::log_entry entry(std::uint64_t term, std::uint64_t index)
+{
+    wire::log_entry out;
+    out.set_term(term);
+    out.set_index(index);
+    out.set_command("x");
+    return out;
+}
+
+/// What a voter's folder holds after it took part up to `term` with one entry.
+raft_state memory(std::uint64_t term)
+{
+    raft_state out;
+    out.hard.set_term(term);
+    out.hard.set_whole(true);
+    out.entries.push_back(entry(1, 1));
+    return out;
+}
+
+raft_node member_with(raft_state state)
+{
+    return raft_node{start, a, three(), std::move(state), {}, 1};
+}
+
+msg ask_vote(std::uint64_t term, std::uint64_t last_index, std::uint64_t last_term)
+{
+    msg out;
+    out.set_kind(msg::vote);
+    out.set_term(term);
+    out.set_last_index(last_index);
+    out.set_last_term(last_term);
+    return out;
+}
+
+msg append(std::uint64_t term, std::uint64_t prev, std::uint64_t prev_term, std::uint64_t commit)
+{
+    msg out;
+    out.set_kind(msg::append);
+    out.set_term(term);
+    out.set_prev_index(prev);
+    out.set_prev_term(prev_term);
+    out.set_commit(commit);
+    return out;
+}
+
+/// True if the latest output grants a vote.
+bool grants(raft_node& it)
+{
+    const auto out = it.take_output();
+    return std::any_of(out.messages.begin(), out.messages.end(), [](const raft_envelope& e) {
+        return e.message.kind() == msg::vote_reply && e.message.ok();
+    });
+}
+
+constexpr duration past_lease = milliseconds{1001};
+
+TEST(a_voter, that_restarts_does_not_vote_while_a_lease_that_it_upheld_may_run)
+{
+    auto it = member_with(memory(3));
+    it.receive(start + milliseconds{10}, b, ask_vote(4, 1, 1));
+    EXPECT_FALSE(grants(it));
+    it.receive(start + past_lease, b, ask_vote(4, 1, 1));
+    EXPECT_TRUE(grants(it));
+}
+
+TEST(a_voter, keeps_its_vote_of_a_term_through_a_restart)
+{
+    auto it = member_with(memory(3));
+    it.receive(start + past_lease, b, ask_vote(4, 1, 1));
+    auto out = it.take_output();
+    ASSERT_TRUE(out.has_batch);
+    ASSERT_EQ(out.batch.state().vote(), "b");
+
+    auto saved = memory(3);
+    saved.hard = out.batch.state();
+    auto again = member_with(saved);
+    again.receive(start + past_lease, c, ask_vote(4, 1, 1));
+    EXPECT_FALSE(grants(again));
+    again.receive(start + past_lease, b, ask_vote(4, 1, 1));
+    EXPECT_TRUE(grants(again));
+}
+
+TEST(a_voter, follows_a_live_leader_and_gives_no_other_its_vote)
+{
+    auto it = member_with(memory(3));
+    const auto later = start + past_lease;
+    it.receive(later, b, append(4, 1, 1, 1));
+    it.receive(later + milliseconds{500}, c, ask_vote(5, 9, 9));
+    EXPECT_FALSE(grants(it));
+    EXPECT_EQ(it.term(), 4U);
+}
+
+TEST(a_voter, does_not_vote_for_a_shorter_log)
+{
+    auto it = member_with(memory(3));
+    it.receive(start + past_lease, b, ask_vote(4, 0, 0));
+    EXPECT_FALSE(grants(it));
+}
+
+TEST(a_new_log, begins_only_when_every_voter_says_that_it_remembers_nothing)
+{
+    raft_node it{start, a, three(), {}, {}, 1};
+    auto now = start;
+    const auto vote = [&](const member_id& from, msg::kind_t kind, std::uint64_t term) {
+        msg in;
+        in.set_kind(kind);
+        in.set_term(term);
+        in.set_ok(true);
+        it.receive(now, from, in);
+    };
+    while (it.at() != raft_node::role::pre_candidate) {
+        now += milliseconds{10};
+        it.tick(now);
+    }
+    vote(b, msg::pre_vote_reply, 0);
+    EXPECT_EQ(it.at(), raft_node::role::pre_candidate);
+    vote(c, msg::pre_vote_reply, 0);
+    ASSERT_EQ(it.at(), raft_node::role::candidate);
+    vote(b, msg::vote_reply, 1);
+    EXPECT_EQ(it.at(), raft_node::role::candidate);
+    vote(c, msg::vote_reply, 1);
+    EXPECT_TRUE(it.is_leader());
+}
+
+/// A leader of term 4 whose log ends with an entry of term 2 that nobody has committed.
+class leader_with_an_old_entry {
+public:
+    leader_with_an_old_entry()
+    {
+        auto state = memory(3);
+        state.entries.push_back(entry(2, 2));
+        it.emplace(member_with(std::move(state)));
+        while (it->at() != raft_node::role::pre_candidate) {
+            step();
+        }
+        reply(b, msg::pre_vote_reply, 3, true, 0);
+        reply(b, msg::vote_reply, 4, true, 0);
+        (void)it->take_output();
+    }
+
+    void step()
+    {
+        now += milliseconds{10};
+        it->tick(now);
+    }
+
+    void reply(const member_id& from, msg::kind_t kind, std::uint64_t term, bool ok,
+               std::uint64_t match)
+    {
+        msg in;
+        in.set_kind(kind);
+        in.set_term(term);
+        in.set_ok(ok);
+        in.set_match(match);
+        in.set_leader_stamp(now.time_since_epoch().count());
+        it->receive(now, from, in);
+    }
+
+    instant now = start;
+    std::optional<raft_node> it;
+};
+
+TEST(a_leader, commits_an_earlier_terms_entry_only_with_one_of_its_own)
+{
+    leader_with_an_old_entry at;
+    ASSERT_TRUE(at.it->is_leader());
+    at.reply(b, msg::append_reply, 4, true, 2);
+    EXPECT_EQ(at.it->commit(), 0U);
+    EXPECT_FALSE(at.it->holds_lease(at.now));
+    at.reply(b, msg::append_reply, 4, true, 3);
+    EXPECT_EQ(at.it->commit(), 3U);
+    EXPECT_TRUE(at.it->holds_lease(at.now));
+}
+
+TEST(a_leader, that_hears_nobody_loses_its_lease_then_its_office)
+{
+    leader_with_an_old_entry at;
+    at.reply(b, msg::append_reply, 4, true, 3);
+    EXPECT_TRUE(at.it->holds_lease(at.now + milliseconds{899}));
+    EXPECT_FALSE(at.it->holds_lease(at.now + milliseconds{900}));
+    at.it->tick(at.now + milliseconds{1000});
+    EXPECT_FALSE(at.it->is_leader());
+}
+
+TEST(a_grant, counts_from_the_followers_question_not_from_the_answers_arrival)
+{
+    auto it = member_with(memory(3));
+    const auto asked = start + seconds{2};
+    auto late = append(4, 1, 1, 1);
+    late.set_follower_stamp(asked.time_since_epoch().count());
+    const auto arrived = start + seconds{60}; // the process stood still in between
+    it.receive(arrived, b, late);
+    ASSERT_TRUE(it.granted_at(arrived));
+    EXPECT_EQ(*it.granted_at(arrived), asked);
+
+    // A stamp of an earlier process, whose clock may have been another, is no grant.
+    auto foreign = append(4, 1, 1, 1);
+    foreign.set_follower_stamp((arrived + seconds{5}).time_since_epoch().count());
+    it.receive(arrived, b, foreign);
+    EXPECT_EQ(*it.granted_at(arrived), asked);
+}
+
+TEST(a_grant, waits_for_the_state_that_it_speaks_of)
+{
+    auto it = member_with(memory(3));
+    auto ahead = append(4, 1, 1, 5);
+    ahead.set_follower_stamp((start + milliseconds{1}).time_since_epoch().count());
+    it.receive(start + milliseconds{2}, b, ahead);
+    EXPECT_FALSE(it.granted_at(start + milliseconds{2}));
+}
+
+TEST(membership, changes_one_member_at_a_time)
+{
+    leader_with_an_old_entry at;
+    const member_id d{"d"};
+    EXPECT_FALSE(
+        at.it->change_membership(at.now, d, true, false)); // nothing of its term is committed
+    at.reply(b, msg::append_reply, 4, true, 3);
+    EXPECT_TRUE(at.it->change_membership(at.now, d, true, false));
+    EXPECT_FALSE(at.it->change_membership(at.now, d, true, true));
+    at.reply(b, msg::append_reply, 4, true, 4);
+    EXPECT_TRUE(at.it->change_membership(at.now, d, true, true));
+    EXPECT_TRUE(at.it->is_voter(d));
+    // Three of four are needed now.
+    at.reply(b, msg::append_reply, 4, true, 5);
+    EXPECT_EQ(at.it->commit(), 4U);
+    at.reply(d, msg::append_reply, 4, true, 5);
+    EXPECT_EQ(at.it->commit(), 5U);
+}
+
+} // namespace
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/control/world.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "cedarpoint/control/control_plane.h"
+#include "support/memory_files.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cedarpoint::testing_support {
+
+/// What the world is made of. Zones are a, b, c...; daemons a1, a2...; nodes an0, an1...
+struct world_options {
+    int zones = 3;
+    int daemons = 3;       ///< in each zone
+    int disks = 3;         ///< of the daemons in each zone; these are the voters
+    bool diskless = false; ///< the voters keep nothing
+    int nodes = 9;         ///< in each zone
+    int groups = 2;        ///< of four nodes, in each zone
+    bool checks_epoch = true;
+    std::uint64_t seed = 1;
+    int loss_percent = 0;
+    int double_percent = 0;
+    int longest_delay_ms = 5;
+};
+
+/// A few control planes with faked time, messages, disks and engines. Everything follows from the
+/// seed. After each step the invariants are checked; `broken` keeps the first that did not hold.
+class world {
+public:
+    explicit world(world_options options);
+    ~world();
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
+
+    void run(milliseconds time);
+    /// Runs until `done` or for `limit`. The time that it took, or empty.
+    std::optional<milliseconds> run_until(const std::function<bool()>& done, milliseconds limit);
+
+    void kill(const std::string& daemon);
+    void start(const std::string& daemon);
+    void wipe(const std::string& daemon) { at(daemon).files.wipe(); }
+    void pause(const std::string& daemon, bool it) { at(daemon).paused = it; }
+    /// Names are daemons or zones.
+    void cut(const std::string& from, const std::string& to, bool both_ways);
+    void heal() { cuts_.clear(); }
+    void mend(const std::string& one, const std::string& other);
+    void lose_node(const std::string& node, bool lost) { engines_.at(node).alive = !lost; }
+
+    /// A file of this world, with `extra` groups more in each zone.
+    [[nodiscard]] std::string file(std::uint64_t based_on, const std::string& change,
+                                   int extra) const;
+    /// Hands a file to a daemon; the answer comes to `answers`.
+    void apply(const std::string& daemon, std::uint64_t based_on, const std::string& change,
+               int extra);
+    void claim(const std::string& daemon, const std::string& key, const std::string& holder);
+    void finish(const std::string& daemon, const std::string& key, const std::string& holder,
+                claim_outcome outcome);
+    void drain(const std::string& daemon, const std::string& kind, const std::string& id,
+               bool draining);
+
+    [[nodiscard]] bool is_up(const std::string& daemon) const;
+    control_plane& plane(const std::string& daemon) { return *at(daemon).plane; }
+    memory_files& disk(const std::string& daemon) { return at(daemon).files; }
+    [[nodiscard]] std::vector<std::string> names() const;
+    [[nodiscard]] std::string leader_of(const std::string& zone) const;
+    [[nodiscard]] std::string root_leader() const;
+    /// The groups that at least one daemon of the zone may send requests to now.
+    [[nodiscard]] int usable_groups(const std::string& zone) const;
+    [[nodiscard]] bool in_force_everywhere(std::uint64_t revision) const;
+    [[nodiscard]] instant now() const { return now_; }
+    [[nodiscard]] std::uint64_t steps() const { return steps_; }
+    [[nodiscard]] const std::string& broken() const { return broken_; }
+
+    std::vector<std::string> answers; ///< of operators and claims, in the order they came
+    std::vector<std::string> events;  ///< of groups
+    std::map<std::string, std::set<std::string>> granted; ///< holders by key
+    std::uint64_t messages = 0;
+    std::uint64_t message_bytes = 0;
+
+private:
+    struct host {
+        settings own;
+        memory_files files;
+        std::unique_ptr<control_plane> plane;
+        bool paused = false;
+        bool has_disk = true;
+        instant next_look;
+        std::uint64_t starts = 0;
+        std::uint64_t newest_revision = 0;
+        std::vector<wire::envelope> held; ///< came while it was paused
+    };
+    struct engine {
+        std::string node;
+        std::string zone;
+        bool alive = true;
+        bool checks_epoch = true;
+        runner_report state;
+        std::optional<instant> loaded_at;
+    };
+    struct flying {
+        instant due;
+        std::string from;
+        std::string to;
+        wire::envelope what;
+    };
+
+    host& at(const std::string& daemon) { return *hosts_.at(daemon); }
+    void step();
+    void deliver();
+    void look(const std::string& name, host& it);
+    void take_order(const runner_order& order);
+    void post(const std::string& from, const std::string& to, const wire::envelope& what);
+    [[nodiscard]] bool is_cut(const std::string& from, const std::string& to) const;
+    void check();
+    void check_leases();
+    void check_routes();
+    void check_configuration();
+    void note(const std::string& what);
+
+    world_options options_;
+    std::mt19937_64 random_;
+    instant now_{seconds{1000}};
+    std::map<std::string, std::unique_ptr<host>> hosts_;
+    std::map<std::string, engine> engines_;
+    std::vector<flying> flying_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::map<std::uint64_t, std::string> texts_; ///< by revision, as first seen
+    std::uint64_t steps_ = 0;
+    std::string broken_;
+};
+
+} // namespace cedarpoint::testing_support
--- /dev/null
+++ b/tests/storage/log_store_test.cpp
@@ -0,0 +1,133 @@
+#include "cedarpoint/storage/log_store.h"
+#include "storage/posix_file_system.h"
+#include "support/memory_files.h"
+
+#include <QTemporaryDir>
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::memory_files;
+
+wire::storage_batch batch_of(std::uint64_t first, std::uint64_t last)
+{
+    wire::storage_batch out;
+    out.mutable_state()->set_term(last);
+    for (auto n = first; n <= last; ++n) {
+        auto* it = out.add_entries();
+        it->set_index(n);
+        it->set_term(1);
+        it->set_command("command " + std::to_string(n));
+    }
+    return out;
+}
+
+/// The number of entries found at a fresh opening, or -1 if it is refused.
+int entries_at_opening(file_system& files, reason& why)
+{
+    raft_state state;
+    const auto it = log_store::open(files, "data", state, why);
+    return it == nullptr ? -1 : static_cast<int>(state.entries.size());
+}
+
+void write_three(file_system& files)
+{
+    raft_state state;
+    reason why;
+    const auto it = log_store::open(files, "data", state, why);
+    ASSERT_NE(it, nullptr);
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        ASSERT_TRUE(it->append(batch_of(n, n), why));
+    }
+}
+
+TEST(a_log, torn_at_any_byte_of_its_last_batch_loses_only_that_batch)
+{
+    memory_files whole;
+    write_three(whole);
+    auto& text = whole.files().at("data/log");
+    raft_state state;
+    reason why;
+    const auto full = text;
+    memory_files two;
+    {
+        const auto it = log_store::open(two, "data", state, why);
+        ASSERT_TRUE(it->append(batch_of(1, 1), why));
+        ASSERT_TRUE(it->append(batch_of(2, 2), why));
+    }
+    const auto kept = two.files().at("data/log").size();
+    for (auto size = kept; size < full.size(); ++size) {
+        memory_files torn;
+        torn.files()["data/log"] = full.substr(0, size);
+        EXPECT_EQ(entries_at_opening(torn, why), 2) << size;
+        EXPECT_EQ(torn.files().at("data/log").size(), kept) << "the torn tail must be cut off";
+    }
+}
+
+TEST(a_log, damaged_in_the_middle_is_refused_with_the_place)
+{
+    memory_files files;
+    write_three(files);
+    auto& text = files.files().at("data/log");
+    text[text.find("command 2")] = 'X';
+    reason why;
+    EXPECT_EQ(entries_at_opening(files, why), -1);
+    EXPECT_EQ(why.peer, "data/log");
+    EXPECT_NE(why.text.find("damaged at byte"), std::string::npos);
+}
+
+TEST(a_log, of_another_version_is_refused)
+{
+    memory_files files;
+    files.files()["data/log"] = "cedarpoint log 9\n";
+    reason why;
+    EXPECT_EQ(entries_at_opening(files, why), -1);
+}
+
+TEST(a_snapshot, replaces_what_it_covers_and_survives_a_crash_between_its_two_writes)
+{
+    for (const int failing_write : {-1, 0, 1}) {
+        memory_files files;
+        write_three(files);
+        raft_state state;
+        reason why;
+        const auto it = log_store::open(files, "data", state, why);
+        wire::log_snapshot snapshot;
+        snapshot.set_index(2);
+        snapshot.set_term(1);
+        snapshot.set_state("state at 2");
+        if (failing_write >= 0) {
+            files.fail_write(failing_write, 0);
+        }
+        EXPECT_EQ(it->save_snapshot(snapshot, batch_of(3, 3), why), failing_write < 0);
+        files.work_again();
+        raft_state after;
+        ASSERT_NE(log_store::open(files, "data", after, why), nullptr);
+        EXPECT_EQ(after.snapshot.index() + after.entries.size(), 3U) << failing_write;
+        EXPECT_EQ(after.entries.back().command(), "command 3");
+    }
+}
+
+TEST(real_files, keep_what_was_synced)
+{
+    QTemporaryDir folder;
+    posix_file_system files;
+    reason why;
+    const auto path = folder.path().toStdString() + "/x";
+    EXPECT_FALSE(files.read(path, why));
+    EXPECT_TRUE(why.step.empty());
+    ASSERT_TRUE(files.append_synced(path, "one", why));
+    ASSERT_TRUE(files.append_synced(path, "two", why));
+    EXPECT_EQ(files.read(path, why), "onetwo");
+    ASSERT_TRUE(files.truncate(path, 3, why));
+    EXPECT_EQ(files.read(path, why), "one");
+    ASSERT_TRUE(files.replace(path, "new", why));
+    EXPECT_EQ(files.read(path, why), "new");
+    EXPECT_FALSE(files.append_synced(folder.path().toStdString() + "/no/such/folder", "x", why));
+    EXPECT_EQ(why.step, "open");
+}
+
+} // namespace
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/support/memory_files.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "cedarpoint/storage/file_system.h"
+
+#include <map>
+#include <string>
+
+namespace cedarpoint::testing_support {
+
+/// A disk in memory that can fail, and tear the write during which it fails.
+class memory_files final : public file_system {
+public:
+    std::optional<std::string> read(const std::string& path, reason& why) override;
+    bool append_synced(const std::string& path, const std::string& bytes, reason& why) override;
+    bool replace(const std::string& path, const std::string& bytes, reason& why) override;
+    bool truncate(const std::string& path, std::uint64_t size, reason& why) override;
+    bool make_folder(const std::string& path, reason& why) override;
+
+    /// The n-th write from now fails (0: the next); of an append, `kept` bytes reach the disk.
+    void fail_write(int n, std::size_t kept);
+    void work_again() { fail_in_ = -1; }
+    void wipe() { files_.clear(); }
+    std::map<std::string, std::string>& files() { return files_; }
+    [[nodiscard]] int writes() const { return writes_; }
+
+private:
+    bool fails(reason& why, const std::string& path);
+
+    std::map<std::string, std::string> files_;
+    int fail_in_ = -1;
+    std::size_t kept_ = 0;
+    int writes_ = 0;
+};
+
+} // namespace cedarpoint::testing_support
