Bench: relay cost, control slopes, failover times

Cause: no figure said what a request, a token or a daemon's control costs. Change: tools/measure runs a bench program that prints one JSON line a figure.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,37 @@
+// Reruns the figures of docs/MEASUREMENTS.md; called by tools/measure.
+
+#include "benches.h"
+
+#include <QCoreApplication>
+
+#include <fmt/format.h>
+#include <string_view>
+
+int main(int argc, char** argv)
+{
+    QCoreApplication app{argc, argv};
+    struct row {
+        std::string_view name;
+        void (*run)();
+    };
+    constexpr row table[] = {
+        {"relay", cedarpoint::bench::run_relay_bench},
+        {"control", cedarpoint::bench::run_control_bench},
+        {"failover", cedarpoint::bench::run_failover_bench},
+    };
+    int known = 0;
+    for (const auto& it : table) {
+        bool wanted = argc == 1;
+        for (int n = 1; n < argc; ++n) {
+            wanted = wanted || it.name == argv[n];
+        }
+        if (wanted) {
+            ++known;
+            it.run();
+        }
+    }
+    if (known == 0) {
+        fmt::print(stderr, "no such figures; there are relay, control, failover\n");
+    }
+    return known == 0 ? 1 : 0;
+}
--- /dev/null
+++ b/bench/relay_bench.cpp
@@ -0,0 +1,230 @@
+// What the request path costs: a real daemon process between this process's callers and engines.
+
+#include "benches.h"
+#include "daemon/site.h"
+#include "process_usage.h"
+
+#include <QProcess>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace cedarpoint::bench {
+namespace {
+
+using namespace testing_support;
+using json = nlohmann::json;
+
+constexpr int node_count = 4;
+constexpr std::uint16_t callers_port = 25'080;
+constexpr std::uint16_t operators_port = 25'081;
+
+/// One daemon process with one group of engines in this process.
+class rig {
+public:
+    explicit rig(const stand_in_runner::options& engine)
+    {
+        json file{{"based_on", 0},
+                  {"change_id", "bench"},
+                  {"failure_domains", {"z"}},
+                  {"fabric_domains", json::array({{{"id", "f"}, {"failure_domain", "z"}}})},
+                  {"models", json::array({{{"id", "m"}, {"versions", {"1"}}}})},
+                  {"routing_rules", json::array({{{"model", "m"}, {"replica_groups", {"p"}}}})},
+                  {"replica_groups", json::array({{{"id", "p"},
+                                                   {"model", "m"},
+                                                   {"version", "1"},
+                                                   {"failure_domain", "z"},
+                                                   {"size", 4},
+                                                   {"count", 1}}})},
+                  {"client_accounts", json::array({{{"id", "acme"},
+                                                    {"key_sha256", sha256_hex("secret")},
+                                                    {"home_failure_domain", "z"},
+                                                    {"max_in_flight", 100000}}})}};
+        for (int n = 0; n < node_count; ++n) {
+            engines_.push_back(std::make_unique<stand_in_runner>(engine));
+            reason why;
+            engines_.back()->start({"127.0.0.1", 0}, why);
+            file["nodes"].push_back({{"id", fmt::format("n{}", n)}, {"fabric_domain", "f"}});
+            file["runners"].push_back({{"id", fmt::format("r{}", n)},
+                                       {"node", fmt::format("n{}", n)},
+                                       {"address", engines_.back()->address().str()},
+                                       {"slots", 100000}});
+        }
+        const json settings{{"id", "d"},
+                            {"failure_domain", "z"},
+                            {"callers", endpoint{"127.0.0.1", callers_port}.str()},
+                            {"operators", endpoint{"127.0.0.1", operators_port}.str()},
+                            {"data_folder", folder_.path().toStdString() + "/data"}};
+        const auto path = folder_.path().toStdString() + "/settings.json";
+        std::ofstream{path} << settings.dump();
+        process_.setStandardErrorFile(QProcess::nullDevice());
+        process_.start(BINARY_DIR "/cedarpoint",
+                       {"serve", "--settings", QString::fromStdString(path)});
+        process_.waitForStarted();
+        const auto text = file.dump();
+        wait_until([&] {
+            raw_caller it{{"127.0.0.1", operators_port}};
+            it.send(plain_request("POST", "/v1/configuration", "Connection: close\r\n", text));
+            it.wait_closed();
+            return status_of(it.received()) == 200;
+        });
+        wait_until([&] { return first_answer({"127.0.0.1", callers_port}).count() > 0; });
+    }
+
+    ~rig()
+    {
+        process_.kill();
+        process_.waitForFinished();
+    }
+    rig(const rig&) = delete;
+    rig& operator=(const rig&) = delete;
+
+    /// The time to the first token of a small request sent to `to`; 0 if it failed.
+    static duration first_answer(const endpoint& to)
+    {
+        raw_caller it{to};
+        const auto from = std::chrono::steady_clock::now();
+        it.send(chat_request({.tokens = 1}));
+        wait_until([&] {
+            return it.received().find("}}") != std::string::npos ||
+                   it.received().find("\"t0 ") != std::string::npos;
+        });
+        const auto took =
+            std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - from);
+        return it.received().find("\"t0 ") == std::string::npos ? duration{0} : took;
+    }
+
+    [[nodiscard]] endpoint first_engine() const
+    {
+        for (const auto& it : engines_) {
+            if (it->served() > 0) {
+                return it->address();
+            }
+        }
+        return engines_.front()->address();
+    }
+    [[nodiscard]] process_usage usage() const { return usage_of(process_.processId()); }
+    static endpoint callers() { return {"127.0.0.1", callers_port}; }
+
+private:
+    QTemporaryDir folder_;
+    std::vector<std::unique_ptr<stand_in_runner>> engines_;
+    QProcess process_;
+};
+
+double percentile_ms(std::vector<duration> all, double part)
+{
+    std::sort(all.begin(), all.end());
+    return static_cast<double>(
+               all[static_cast<std::size_t>(part * static_cast<double>(all.size() - 1))].count()) /
+           1000;
+}
+
+void measure_added_latency(rig& at)
+{
+    constexpr int rounds = 300;
+    std::vector<duration> direct;
+    std::vector<duration> relayed;
+    for (int n = 0; n < rounds; ++n) {
+        direct.push_back(rig::first_answer(at.first_engine()));
+        relayed.push_back(rig::first_answer(rig::callers()));
+    }
+    constexpr double p95 = 0.95;
+    const double added = percentile_ms(relayed, p95) - percentile_ms(direct, p95);
+    print_figure("relay.added_first_token_p95_idle", added, "ms", "< 1", added < 1);
+    print_figure("relay.added_first_token_p50_idle",
+                 percentile_ms(relayed, 0.5) - percentile_ms(direct, 0.5), "ms", "", -1);
+}
+
+/// Processor time of the daemon per token with this many streams at once.
+double measure_streams(rig& at, int streams, int tokens)
+{
+    std::vector<std::unique_ptr<raw_caller>> all;
+    const auto idle = at.usage();
+    for (int n = 0; n < streams; ++n) {
+        all.push_back(std::make_unique<raw_caller>(rig::callers()));
+    }
+    const auto connected = at.usage();
+    for (auto& it : all) {
+        it->send(chat_request({.tokens = tokens}));
+    }
+    double peak = 0;
+    const auto from = std::chrono::steady_clock::now();
+    wait_until([&] {
+        peak = std::max(peak, at.usage().resident_kb);
+        return std::all_of(all.begin(), all.end(), [](auto& it) {
+            return it->received().find("[DONE]") != std::string::npos;
+        });
+    });
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - from;
+    const double cpu = at.usage().cpu_seconds - connected.cpu_seconds;
+    const double total = static_cast<double>(streams) * tokens;
+    const auto name = fmt::format("relay.streams_{}", streams);
+    print_figure(name + ".cpu_us_per_token", cpu / total * 1e6, "us", "", -1);
+    print_figure(name + ".tokens_per_second", total / took.count(), "1/s", "", -1);
+    if (streams >= 100) {
+        print_figure(name + ".kb_per_idle_connection",
+                     (connected.resident_kb - idle.resident_kb) / streams, "KB", "", -1);
+        print_figure(name + ".kb_per_active_stream", (peak - connected.resident_kb) / streams, "KB",
+                     "", -1);
+    }
+    return cpu / total;
+}
+
+/// Processor time of the daemon per request without a stream, over kept-open connections.
+double measure_requests(rig& at)
+{
+    constexpr int callers = 50;
+    constexpr int each = 60;
+    std::string batch;
+    for (int n = 0; n < each; ++n) {
+        batch += chat_request({.stream = false, .tokens = 1});
+    }
+    std::vector<std::unique_ptr<raw_caller>> all;
+    const auto before = at.usage();
+    const auto from = std::chrono::steady_clock::now();
+    for (int n = 0; n < callers; ++n) {
+        all.push_back(std::make_unique<raw_caller>(rig::callers()));
+        all.back()->send(batch);
+    }
+    const auto answered = [](raw_caller& it) {
+        int n = 0;
+        const auto& text = it.received();
+        for (auto found = text.find("HTTP/1.1 200"); found != std::string::npos;
+             found = text.find("HTTP/1.1 200", found + 1)) {
+            ++n;
+        }
+        return n;
+    };
+    wait_until([&] {
+        return std::all_of(all.begin(), all.end(), [&](auto& it) { return answered(*it) == each; });
+    });
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - from;
+    const double cpu = (at.usage().cpu_seconds - before.cpu_seconds) / (callers * each);
+    print_figure("relay.cpu_us_per_request", cpu * 1e6, "us", "", -1);
+    print_figure("relay.requests_per_second", callers * each / took.count(), "1/s", "", -1);
+    return cpu;
+}
+
+} // namespace
+
+void run_relay_bench()
+{
+    stand_in_runner::options engine;
+    engine.token_ms = 1;
+    rig at{engine};
+    measure_added_latency(at);
+    const double per_request = measure_requests(at);
+    measure_streams(at, 1, 2000);
+    const double per_token = measure_streams(at, 100, 400);
+    const double per_token_many = measure_streams(at, 1000, 60);
+    // A daemon's share of the target: 230,000 requests and 47 M tokens a second over 2,000.
+    constexpr double requests = 115;
+    constexpr double tokens = 23'500;
+    const double share = requests * per_request + tokens * std::max(per_token, per_token_many);
+    print_figure("relay.core_share_at_target", share * 100, "% of a core", "< 40", share < 0.4);
+}
+
+} // namespace cedarpoint::bench
--- a/tests/control/world.cpp
+++ b/tests/control/world.cpp
@@ -19,6 +19,19 @@
     return std::string(1, static_cast<char>('a' + n));
 }
 
+/// Adds the time of its life to a sum.
+class stopwatch {
+public:
+    explicit stopwatch(std::chrono::duration<double>& sum) : sum_{sum} {}
+    stopwatch(const stopwatch&) = delete;
+    stopwatch& operator=(const stopwatch&) = delete;
+    ~stopwatch() { sum_ += std::chrono::steady_clock::now() - from_; }
+
+private:
+    std::chrono::duration<double>& sum_;
+    std::chrono::steady_clock::time_point from_ = std::chrono::steady_clock::now();
+};
+
 std::string zone_of(const std::string& name)
 {
     return name.substr(0, 1);
@@ -92,6 +105,16 @@
     }
 }
 
+void world::start_counting()
+{
+    messages = 0;
+    message_bytes = 0;
+    for (auto& [name, it] : hosts_) {
+        it->spent = {};
+        it->sent_bytes = 0;
+    }
+}
+
 void world::kill(const std::string& daemon)
 {
     at(daemon).plane.reset();
@@ -140,6 +163,7 @@
 {
     ++messages;
     message_bytes += what.ByteSizeLong();
+    at(from).sent_bytes += what.ByteSizeLong();
     std::uniform_int_distribution<int> percent(0, 99);
     std::uniform_int_distribution<int> delay(1, options_.longest_delay_ms);
     if (is_cut(from, to) || percent(random_) < options_.loss_percent) {
@@ -166,6 +190,7 @@
             to.held.push_back(it.what); // it will read old messages when it comes back
         }
         else if (to.plane != nullptr) {
+            const stopwatch running{to.spent};
             to.plane->receive(now_, it.what);
         }
     }
@@ -212,16 +237,21 @@
         if (it->plane == nullptr || it->paused) {
             continue;
         }
-        for (const auto& what : std::exchange(it->held, {})) {
-            it->plane->receive(now_, what);
+        {
+            const stopwatch running{it->spent};
+            for (const auto& what : std::exchange(it->held, {})) {
+                it->plane->receive(now_, what);
+            }
+            look(name, *it);
+            it->plane->tick(now_);
         }
-        look(name, *it);
-        it->plane->tick(now_);
         if (it->plane->failure()) {
             kill(name); // as the process ends itself
         }
     }
-    check();
+    if (checking_) {
+        check();
+    }
 }
 
 void world::run(milliseconds time)
--- a/tests/control/world.h
+++ b/tests/control/world.h
@@ -74,6 +74,17 @@
     [[nodiscard]] bool in_force_everywhere(std::uint64_t revision) const;
     [[nodiscard]] instant now() const { return now_; }
     [[nodiscard]] std::uint64_t steps() const { return steps_; }
+    /// For benches: the invariants' cost would be counted as the planes'.
+    void stop_checking() { checking_ = false; }
+    void start_counting();
+    [[nodiscard]] double spent_seconds(const std::string& daemon) const
+    {
+        return hosts_.at(daemon)->spent.count();
+    }
+    [[nodiscard]] std::uint64_t sent_bytes(const std::string& daemon) const
+    {
+        return hosts_.at(daemon)->sent_bytes;
+    }
     [[nodiscard]] const std::string& broken() const { return broken_; }
 
     std::vector<std::string> answers; ///< of operators and claims, in the order they came
@@ -91,6 +102,8 @@
         bool has_disk = true;
         instant next_look;
         std::uint64_t starts = 0;
+        std::chrono::duration<double> spent{0}; ///< real time inside the plane
+        std::uint64_t sent_bytes = 0;
         std::uint64_t newest_revision = 0;
         std::vector<wire::envelope> held; ///< came while it was paused
     };
@@ -132,6 +145,7 @@
     std::map<std::uint64_t, std::string> texts_; ///< by revision, as first seen
     std::uint64_t steps_ = 0;
     std::string broken_;
+    bool checking_ = true;
 };
 
 } // namespace cedarpoint::testing_support
