--- a/include/cedarpoint/config/settings.h
+++ b/include/cedarpoint/config/settings.h
@@ -40,6 +40,7 @@
     endpoint operators;
     std::optional<endpoint> daemons; ///< none: the embedded default, a quorum of one
     std::string data_folder;         ///< empty: no disk
+    std::string operator_key_sha256; ///< empty: whoever reaches the operators' listener may use it
     bool json_logs = false;
     caller_limits limits;
     milliseconds stop_bound{30'000};   ///< streams get this long on a planned stop
--- a/include/cedarpoint/core/hash.h
+++ b/include/cedarpoint/core/hash.h
@@ -8,4 +8,7 @@
 /// XXH3, 64 bits: the same on every machine and at every start. Not for secrets.
 std::uint64_t hash_of(std::string_view bytes);
 
+/// True for 64 lower-case hex digits.
+bool is_sha256_hex(std::string_view text);
+
 } // namespace cedarpoint
--- a/include/cedarpoint/groups/group_controller.h
+++ b/include/cedarpoint/groups/group_controller.h
@@ -57,6 +57,7 @@
     duration order_interval = seconds{1};   ///< between two sendings of the same order
     duration grant_ttl = seconds{3};        ///< daemons use a group at most this long unheard
     duration drift = milliseconds{500};     ///< clocks may differ by this over a grant
+    duration report_lag = seconds{1};       ///< a report may be this old when it arrives
     duration in_flight_bound = seconds{60}; ///< work on a runner that checks no epoch ends by then
     duration drain_bound = seconds{600};    ///< a draining group is stopped after this
     int loads_at_once = 2; ///< groups loading together, for the weight store's sake
--- a/include/cedarpoint/groups/runner_watch.h
+++ b/include/cedarpoint/groups/runner_watch.h
@@ -31,6 +31,8 @@
     /// True if a report came lately. A runner never heard of is absent.
     [[nodiscard]] bool is_present(instant now, const runner_id& runner) const;
     [[nodiscard]] std::optional<runner_report> report_of(const runner_id& runner) const;
+    /// When the latest report came; empty if none ever did.
+    [[nodiscard]] std::optional<instant> heard_at(const runner_id& runner) const;
     [[nodiscard]] epoch highest_epoch() const { return highest_; }
 
 private:
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -42,7 +42,12 @@
 
     int run()
     {
-        CLI11_PARSE(app_, argc_, argv_);
+        try {
+            app_.parse(argc_, argv_);
+        }
+        catch (const CLI::ParseError& e) {
+            return app_.exit(e) == 0 ? to_int(exit_code::done) : to_int(exit_code::usage);
+        }
         return chosen_();
     }
 
--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -30,6 +30,10 @@
     QNetworkRequest request{QUrl{QString::fromStdString("http://" + daemon_.str() + path)}};
     request.setTransferTimeout(transfer_timeout_ms);
     request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    // From the environment: a key on the command line would show in the list of processes.
+    if (const auto key = qgetenv("CEDARPOINT_OPERATOR_KEY"); !key.isEmpty()) {
+        request.setRawHeader("Authorization", "Bearer " + key);
+    }
     auto* reply = manager.sendCustomRequest(request, method, QByteArray::fromStdString(body));
     QEventLoop loop;
     QObject::connect(reply, &QNetworkReply::finished, &loop, &QEventLoop::quit);
--- a/src/config/configuration_parser.cpp
+++ b/src/config/configuration_parser.cpp
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/config/configuration.h"
 #include "cedarpoint/config/json_reader.h"
+#include "cedarpoint/core/hash.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -13,7 +14,6 @@
 
 constexpr int min_group_nodes = 4;
 constexpr int max_group_nodes = 32;
-constexpr std::size_t digest_digits = 64;
 
 endpoint read_address(json_reader& in)
 {
@@ -138,10 +138,7 @@
         account_spec it;
         it.id = client_account_id{e.string("id")};
         it.key_sha256 = e.string("key_sha256");
-        const bool hex = std::all_of(it.key_sha256.begin(), it.key_sha256.end(), [](char c) {
-            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
-        });
-        if (!it.key_sha256.empty() && (!hex || it.key_sha256.size() != digest_digits)) {
+        if (!it.key_sha256.empty() && !is_sha256_hex(it.key_sha256)) {
             e.fail("key_sha256", "must be 64 lower-case hex digits: the SHA-256 of the key");
         }
         it.weight = static_cast<int>(e.integer_or("weight", 1, {1, 1000}));
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,6 +1,7 @@
 #include "cedarpoint/config/settings.h"
 
 #include "cedarpoint/config/json_reader.h"
+#include "cedarpoint/core/hash.h"
 
 #include <algorithm>
 
@@ -103,6 +104,10 @@
         in.string_or("daemons", "");
     }
     it.data_folder = in.string_or("data_folder", "");
+    it.operator_key_sha256 = in.string_or("operator_key_sha256", "");
+    if (!it.operator_key_sha256.empty() && !is_sha256_hex(it.operator_key_sha256)) {
+        in.fail("operator_key_sha256", "must be 64 lower-case hex digits: the SHA-256 of the key");
+    }
     it.json_logs = in.boolean_or("json_logs", false);
     in.object("limits", [&](json_reader& e) { read_limits(e, it.limits); });
     it.stop_bound = read_ms(in, "stop_bound_ms", it.stop_bound, {0, 86'400'000});
--- /dev/null
+++ b/src/consensus/raft_node_priv.h
@@ -0,0 +1,29 @@
+#pragma once
+
+// Shared by the parts of raft_node; not for others.
+
+#include "cedarpoint/consensus/raft_node.h"
+
+namespace cedarpoint {
+
+using msg = wire::raft_message;
+
+inline msg make(msg::kind_t kind, std::uint64_t term)
+{
+    msg out;
+    out.set_kind(kind);
+    out.set_term(term);
+    return out;
+}
+
+inline std::int64_t to_stamp(instant it)
+{
+    return it.time_since_epoch().count();
+}
+
+inline instant from_stamp(std::int64_t it)
+{
+    return instant{duration{it}};
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/control/control_plane_views.cpp
@@ -0,0 +1,167 @@
+// What this daemon knows now: targets, watched runners, figures.
+
+#include "control/control_plane_priv.h"
+
+#include "cedarpoint/core/hash.h"
+
+#include <algorithm>
+
+namespace cedarpoint {
+namespace {
+
+constexpr duration peer_silence = seconds{4}; ///< a daemon not heard for this long watches nothing
+constexpr std::size_t watchers_per_runner = 2;
+
+} // namespace
+
+const domain_state& control_plane::domain() const
+{
+    return domain_->state;
+}
+
+const root_state* control_plane::root() const
+{
+    return root_ == nullptr ? nullptr : &root_->state;
+}
+
+std::optional<instant> control_plane::granted_at(instant now) const
+{
+    return domain_log_->raft().granted_at(now);
+}
+
+bool control_plane::is_ready(instant now) const
+{
+    return was_ready_ || granted_at(now).has_value();
+}
+
+std::optional<reason> control_plane::failure() const
+{
+    if (domain_log_->failure()) {
+        return domain_log_->failure();
+    }
+    return root_log_ == nullptr ? std::nullopt : root_log_->failure();
+}
+
+int control_plane::stranded_accelerators(instant now) const
+{
+    const auto& config = *domain_->state.config();
+    int out = 0;
+    for (const auto& node : config.nodes) {
+        const auto* runner = config.find_runner_on(node.id);
+        const auto* group = domain_->state.groups().find_by_node(node.id);
+        const bool own = config.domain_of(node) == options_.own.failure_domain;
+        const bool serves = group != nullptr && group->state == group_state::serving;
+        if (own && !serves && runner != nullptr && watch_.is_present(now, runner->id)) {
+            out += node.accelerators;
+        }
+    }
+    return out;
+}
+
+std::vector<runner_spec> control_plane::watched(instant now) const
+{
+    const auto& own = options_.own;
+    std::vector<daemon_id> watchers{own.id};
+    for (const auto& it : own.peers) {
+        const auto heard = heard_.find(it.id);
+        if (it.failure_domain == own.failure_domain && it.id != own.id && heard != heard_.end() &&
+            now - heard->second < peer_silence) {
+            watchers.push_back(it.id);
+        }
+    }
+    std::vector<runner_spec> out;
+    const auto& config = *domain_->state.config();
+    for (const auto& runner : config.runners) {
+        const auto* node = config.find_node(runner.node);
+        if (node == nullptr || config.domain_of(*node) != own.failure_domain) {
+            continue;
+        }
+        const auto mine = hash_of(own.id.str() + "\n" + runner.id.str());
+        const auto before =
+            std::count_if(watchers.begin(), watchers.end(), [&](const daemon_id& it) {
+                return hash_of(it.str() + "\n" + runner.id.str()) < mine;
+            });
+        if (static_cast<std::size_t>(before) < watchers_per_runner) {
+            out.push_back(runner);
+        }
+    }
+    return out;
+}
+
+void control_plane::add_group_targets(instant now, const group_record& it, instant valid_until,
+                                      const failure_domain_id& home, target_table& out) const
+{
+    const auto* runner = domain_->state.config()->find_runner_on(it.nodes.front());
+    if (runner == nullptr ||
+        (it.state != group_state::serving && it.state != group_state::draining)) {
+        return;
+    }
+    target place;
+    place.upstream = runner->id;
+    place.group = it.id;
+    place.pool = it.pool;
+    place.assignment = it.assignment;
+    place.address = runner->address;
+    place.slots = runner->slots;
+    place.failure_domain = home;
+    place.valid_until = valid_until;
+    place.draining = it.state == group_state::draining;
+    if (home == options_.own.failure_domain) {
+        place.present = std::all_of(it.nodes.begin(), it.nodes.end(), [&](const node_id& node) {
+            const auto* member = domain_->state.config()->find_runner_on(node);
+            return member != nullptr && watch_.is_present(now, member->id);
+        });
+    }
+    out.push_back(std::move(place));
+}
+
+target_table control_plane::targets(instant now,
+                                    const std::function<int(const runner_id&)>& own_in_flight) const
+{
+    target_table out;
+    const duration ttl = options_.own.grant_ttl;
+    const auto& state = domain_->state;
+    const auto grant = granted_at(now);
+    const auto until = grant ? *grant + ttl : instant{};
+    for (const auto& [id, it] : state.groups().records()) {
+        add_group_targets(now, it, until, options_.own.failure_domain, out);
+    }
+    for (const auto& [domain, view] : others_.all()) {
+        for (const auto& it : view.groups) {
+            add_group_targets(now, it, view.granted ? *view.granted + ttl : instant{}, domain, out);
+        }
+    }
+    for (auto& it : out) {
+        const auto report = watch_.report_of(it.upstream);
+        const auto found = others_.all().find(it.failure_domain);
+        int total = report ? report->in_flight : 0;
+        if (found != others_.all().end()) {
+            const auto load = found->second.in_flight.find(it.upstream);
+            total = load == found->second.in_flight.end() ? 0 : load->second;
+        }
+        it.reported_others = std::max(0, total - own_in_flight(it.upstream));
+    }
+    for (const auto& service : state.config()->services) {
+        for (const auto& it : service.upstreams) {
+            target place;
+            place.upstream = it.id;
+            place.service = service.id;
+            place.address = it.address;
+            place.slots = it.slots;
+            place.failure_domain = it.failure_domain;
+            const auto found = others_.all().find(it.failure_domain);
+            if (it.failure_domain == options_.own.failure_domain) {
+                place.valid_until = until;
+                place.draining = state.drains().runners.contains(it.id);
+            }
+            else if (found != others_.all().end() && found->second.granted) {
+                place.valid_until = *found->second.granted + ttl;
+                place.draining = found->second.drains.runners.contains(it.id);
+            }
+            out.push_back(std::move(place));
+        }
+    }
+    return out;
+}
+
+} // namespace cedarpoint
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/config/json_reader.h"
 #include "cedarpoint/config/plan.h"
+#include "cedarpoint/core/secret.h"
 #include "daemon/daemon.h"
 #include "daemon/status_report.h"
 #include "io/clock.h"
@@ -16,6 +17,7 @@
 
 constexpr int ok = 200;
 constexpr int bad_request = 400;
+constexpr int unauthorized = 401;
 constexpr int not_found = 404;
 constexpr int bad_method = 405;
 constexpr int conflict = 409;
@@ -93,9 +95,10 @@
 } // namespace
 
 struct operator_api::row {
-    const char* method;
-    const char* path; ///< a last '/' takes everything below
-    route function;
+    const char* method = nullptr;
+    const char* path = nullptr; ///< a last '/' takes everything below
+    route function = nullptr;
+    bool open = false; ///< needs no key
 };
 
 operator_api::operator_api(daemon& owner)
@@ -114,9 +117,9 @@
 void operator_api::on_request(const http_request& request, const reply_ptr& reply)
 {
     static constexpr std::array table{
-        row{"GET", "/metrics", &operator_api::get_metrics},
-        row{"GET", "/healthz", &operator_api::get_health},
-        row{"GET", "/readyz", &operator_api::get_readiness},
+        row{"GET", "/metrics", &operator_api::get_metrics, true},
+        row{"GET", "/healthz", &operator_api::get_health, true},
+        row{"GET", "/readyz", &operator_api::get_readiness, true},
         row{"GET", "/v1/status", &operator_api::get_status},
         row{"GET", "/v1/configuration", &operator_api::get_configuration},
         row{"GET", "/v1/explain/", &operator_api::get_explanation},
@@ -133,6 +136,11 @@
             own.back() == '/' ? path.size() > own.size() && path.starts_with(own) : path == own;
         path_known = path_known || matches;
         if (matches && request.method == it.method) {
+            if (!it.open && !is_allowed(request)) {
+                answer(*reply, unauthorized,
+                       {{"text", "needs Authorization: Bearer and the operators' key"}});
+                return;
+            }
             (this->*it.function)(request, reply);
             return;
         }
@@ -141,6 +149,18 @@
            {{"text", path_known ? "not with this method" : "no such path"}});
 }
 
+bool operator_api::is_allowed(const http_request& request) const
+{
+    const auto& wanted = owner_.own().operator_key_sha256;
+    if (wanted.empty()) {
+        return true;
+    }
+    constexpr std::string_view bearer = "Bearer ";
+    const auto given = request.fields.get("Authorization");
+    return given.starts_with(bearer) &&
+           equal_digest(sha256_hex(given.substr(bearer.size())), wanted);
+}
+
 void operator_api::get_metrics(const http_request& /*request*/, const reply_ptr& reply)
 {
     answer_text(*reply, ok, "text/plain; version=0.0.4", owner_.figures().text());
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -24,6 +24,7 @@
     using route = void (operator_api::*)(const http_request&, const reply_ptr&);
     struct row;
 
+    [[nodiscard]] bool is_allowed(const http_request& request) const;
     void on_request(const http_request& request, const reply_ptr& reply);
     void get_metrics(const http_request& request, const reply_ptr& reply);
     void get_health(const http_request& request, const reply_ptr& reply);
--- a/src/groups/group_controller.cpp
+++ b/src/groups/group_controller.cpp
@@ -191,11 +191,15 @@
         out.proposals.push_back(move_to(it, group_state::lost, std::move(why)));
         return;
     }
-    // A daemon may use the group until its grant ends, and its request shows in a later report.
-    const auto spent = in.now - since(in.now, it);
-    const auto quiet_after = 2 * options_.grant_ttl + options_.drift;
-    const auto report = in.watch.report_of(in.config.find_runner_on(it.nodes.front())->id);
-    const bool empty = report && report->in_flight == 0 && spent >= quiet_after;
+    // A daemon may use the group until its grant ends. A report that set out after that, with a
+    // second's lag allowed for, shows all requests there are.
+    const auto entered = since(in.now, it);
+    const auto spent = in.now - entered;
+    const auto settled = entered + options_.grant_ttl + options_.drift + options_.report_lag;
+    const auto& first = in.config.find_runner_on(it.nodes.front())->id;
+    const auto report = in.watch.report_of(first);
+    const auto heard = in.watch.heard_at(first);
+    const bool empty = report && report->in_flight == 0 && heard && *heard >= settled;
     if (empty || spent >= options_.drain_bound) {
         out.proposals.push_back(
             move_to(it, group_state::stopped, empty ? "drained" : "drain bound passed"));
--- a/src/groups/runner_watch.cpp
+++ b/src/groups/runner_watch.cpp
@@ -27,4 +27,13 @@
     return it->second.report;
 }
 
+std::optional<instant> runner_watch::heard_at(const runner_id& runner) const
+{
+    const auto it = entries_.find(runner);
+    if (it == entries_.end()) {
+        return {};
+    }
+    return it->second.heard;
+}
+
 } // namespace cedarpoint
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "cedarpoint/request/dispatcher.h"
 
+#include "cedarpoint/core/secret.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -9,19 +11,6 @@
 constexpr milliseconds short_retry{1000};
 constexpr milliseconds claim_retry{2000};
 
-/// Compares in a time that does not depend on where the two differ.
-bool equal_digest(const std::string& a, const std::string& b)
-{
-    if (a.size() != b.size()) {
-        return false;
-    }
-    unsigned char diff = 0;
-    for (std::size_t n = 0; n < a.size(); ++n) {
-        diff |= static_cast<unsigned char>(a[n] ^ b[n]);
-    }
-    return diff == 0;
-}
-
 std::string list_candidates(const route_choice& choice)
 {
     std::string out;
--- a/tests/daemon/bad_input_test.cpp
+++ b/tests/daemon/bad_input_test.cpp
@@ -123,6 +123,29 @@
     EXPECT_EQ(status_of(answer_to(at, plain_request("GET", "/v1/chat/completions", "", ""))), 400);
 }
 
+TEST(operators_without_the_key, are_refused_and_change_nothing)
+{
+    site at{{.operator_key = "secret"}}; // the site's own calls carry it
+    EXPECT_EQ(at.it().control().domain().in_force().value, 1U);
+    const auto status_for = [&](const std::string& line, const std::string& path) {
+        raw_caller caller{at.operators()};
+        caller.send("GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + line +
+                    "\r\n");
+        caller.wait_closed();
+        return status_of(caller.received());
+    };
+    EXPECT_EQ(status_for("", "/v1/status"), 401);
+    EXPECT_EQ(status_for("Authorization: Bearer wrong\r\n", "/v1/configuration"), 401);
+    EXPECT_EQ(status_for("Authorization: Bearer secret\r\n", "/v1/status"), 200);
+    EXPECT_EQ(status_for("", "/healthz"), 200);
+    raw_caller stranger{at.operators()};
+    stranger.send(
+        "POST /v1/stop HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    stranger.wait_closed();
+    EXPECT_EQ(status_of(stranger.received()), 401);
+    EXPECT_FALSE(at.it().is_stopping());
+}
+
 TEST(slow_senders, are_given_up)
 {
     site::options how;
--- /dev/null
+++ b/tests/daemon/command_line_test.cpp
@@ -0,0 +1,69 @@
+// The command line as operators use it: a process of its own, its exit codes as documented.
+
+#include "daemon/site.h"
+
+#include <QProcess>
+
+#include <fstream>
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using namespace testing_support;
+
+struct outcome {
+    int code = -1;
+    std::string text; ///< both streams
+};
+
+outcome run(const QStringList& arguments)
+{
+    QProcess it;
+    it.setProcessChannelMode(QProcess::MergedChannels);
+    it.start(BINARY_DIR "/cedarpoint", arguments);
+    wait_until([&] { return it.state() == QProcess::NotRunning; });
+    return {it.exitCode(), it.readAll().toStdString()};
+}
+
+TEST(the_command_line, exits_as_documented)
+{
+    site at{{}};
+    ASSERT_TRUE(at.wait_serving());
+    QTemporaryDir folder;
+    const auto write = [&](const char* name, const std::string& text) {
+        const auto path = folder.path().toStdString() + "/" + name;
+        std::ofstream{path} << text;
+        return QString::fromStdString(path);
+    };
+    const auto daemon = QString::fromStdString(at.operators().str());
+    const auto next = write("next.json", at.file(1, "next", 1));
+    const auto late = write("late.json", at.file(0, "late", 1));
+    const auto bad = write("bad.json", "{\"based_on\": 0}");
+
+    EXPECT_EQ(run({"version"}).code, 0);
+    EXPECT_EQ(run({"--help"}).code, 0);
+    EXPECT_EQ(run({}).code, 1);
+    EXPECT_EQ(run({"drain", "pod", "x"}).code, 1);
+    EXPECT_EQ(run({"status", "--daemon", "somewhere"}).code, 1);
+    EXPECT_EQ(run({"check", bad}).code, 2);
+    EXPECT_NE(run({"check", bad}).text.find("/change_id: is missing"), std::string::npos);
+    EXPECT_EQ(run({"check", "no-such-file"}).code, 2);
+    EXPECT_EQ(run({"serve", "--settings", bad}).code, 2);
+    EXPECT_EQ(run({"check", next}).code, 0);
+    EXPECT_EQ(run({"plan", next, "--daemon", daemon}).code, 0);
+    EXPECT_EQ(run({"apply", next, "--wait", "18", "--daemon", daemon}).code, 0);
+    EXPECT_EQ(run({"apply", next, "--daemon", daemon}).text, "accepted as revision 2\n");
+    EXPECT_EQ(run({"apply", late, "--daemon", daemon}).code, 3);
+    EXPECT_EQ(run({"plan", late, "--daemon", daemon}).code, 3);
+    EXPECT_EQ(run({"apply", next, "--wait", "1", "--daemon", daemon, "--also", "127.0.0.1:1"}).code,
+              6);
+    EXPECT_NE(run({"status", "--daemon", daemon}).text.find("pool/0"), std::string::npos);
+    EXPECT_EQ(run({"explain", "nobody", "--daemon", daemon}).code, 3);
+    EXPECT_EQ(run({"status", "--daemon", "127.0.0.1:1"}).code, 4);
+    EXPECT_EQ(run({"stop", "--daemon", daemon}).code, 0);
+    EXPECT_TRUE(wait_until([&] { return at.exit_code() == 0; }));
+}
+
+} // namespace
+} // namespace cedarpoint
--- a/tests/daemon/site.cpp
+++ b/tests/daemon/site.cpp
@@ -138,6 +138,9 @@
     own.watch_interval = milliseconds{50};
     own.limits = options_.limits;
     own.stop_bound = options_.stop_bound;
+    if (!options_.operator_key.empty()) {
+        own.operator_key_sha256 = sha256_hex(options_.operator_key);
+    }
     reason why;
     daemon_ = daemon::start(own, why);
     if (daemon_ == nullptr) {
--- a/tests/daemon/site.h
+++ b/tests/daemon/site.h
@@ -62,6 +62,7 @@
         stand_in_runner::options engine;
         caller_limits limits;
         milliseconds stop_bound{5000};
+        std::string operator_key; ///< empty: none is needed
     };
 
     explicit site(const options& how);
