Keys between daemons: tests that a stranger is not heard

Cause: the key settings were coded and never run. Change: tests over real sockets: in the clear, with the fleet's keys, with other keys, with none, with the open key only, with a name that settings do not have.

--- /dev/null
+++ b/tests/io/mesh_test.cpp
@@ -0,0 +1,167 @@
+// Messages between daemons over real sockets, with and without keys.
+
+#include "daemon/site.h"
+#include "io/mesh.h"
+
+#include <QTcpServer>
+
+#include <array>
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::wait_until;
+
+struct key_pair {
+    std::string open;
+    std::string secret;
+};
+
+key_pair make_keys()
+{
+    std::array<char, 41> open{};
+    std::array<char, 41> secret{};
+    zmq_curve_keypair(open.data(), secret.data());
+    return {open.data(), secret.data()};
+}
+
+endpoint free_address()
+{
+    QTcpServer it;
+    it.listen(QHostAddress::LocalHost);
+    return {"127.0.0.1", it.serverPort()};
+}
+
+/// Two daemons' settings that name each other.
+settings settings_of(const std::string& id, const std::vector<peer_spec>& peers,
+                     const key_pair& keys)
+{
+    settings out;
+    out.id = daemon_id{id};
+    out.peers = peers;
+    out.curve_public_key = keys.open;
+    for (const auto& it : peers) {
+        if (it.id.str() == id) {
+            out.daemons = it.address;
+        }
+    }
+    return out;
+}
+
+wire::envelope envelope_from(const std::string& id)
+{
+    wire::envelope out;
+    out.set_version(1);
+    out.set_from(id);
+    out.mutable_config_pull()->set_have_revision(7);
+    return out;
+}
+
+/// What two daemons with these keys get of each other's messages.
+class pair_of_daemons {
+public:
+    pair_of_daemons(const key_pair& first, const key_pair& second)
+    {
+        const std::vector<peer_spec> peers{
+            {daemon_id{"a"}, free_address(), failure_domain_id{"z"}, true, true},
+            {daemon_id{"b"}, free_address(), failure_domain_id{"z"}, false, true}};
+        a_address = peers.front().address;
+        reason why;
+        EXPECT_TRUE(a.start(settings_of("a", peers, first), first.secret, why)) << why.str();
+        EXPECT_TRUE(b.start(settings_of("b", peers, second), second.secret, why)) << why.str();
+    }
+
+    void talk()
+    {
+        a.send(daemon_id{"b"}, envelope_from("a"));
+        b.send(daemon_id{"a"}, envelope_from("b"));
+        a.drain();
+        b.drain();
+    }
+
+    endpoint a_address;
+    int at_a = 0;
+    int at_b = 0;
+    mesh a{[this](const wire::envelope&) { ++at_a; }};
+    mesh b{[this](const wire::envelope&) { ++at_b; }};
+};
+
+TEST(daemons, hear_each_other_in_the_clear)
+{
+    pair_of_daemons it{{}, {}};
+    EXPECT_TRUE(wait_until([&] {
+        it.talk();
+        return it.at_a > 0 && it.at_b > 0;
+    }));
+}
+
+TEST(daemons, with_the_fleets_keys_hear_each_other)
+{
+    const auto keys = make_keys();
+    pair_of_daemons it{keys, keys};
+    EXPECT_TRUE(wait_until([&] {
+        it.talk();
+        return it.at_a > 0 && it.at_b > 0;
+    }));
+}
+
+TEST(daemons, without_the_fleets_keys_are_not_heard)
+{
+    const auto keys = make_keys();
+    for (const auto& strangers : {make_keys(), key_pair{}}) {
+        pair_of_daemons proper{keys, keys};
+        pair_of_daemons it{keys, strangers};
+        int rounds = 0;
+        // As many rounds as the proper pair needs to hear each other thirty times over.
+        EXPECT_TRUE(wait_until([&] {
+            proper.talk();
+            it.talk();
+            ++rounds;
+            return proper.at_a > 30 && proper.at_b > 30;
+        }));
+        EXPECT_EQ(it.at_a, 0);
+        EXPECT_EQ(it.at_b, 0);
+    }
+}
+
+TEST(a_stranger, that_knows_only_the_open_key_is_not_heard)
+{
+    const auto keys = make_keys();
+    const auto own = make_keys();
+    pair_of_daemons proper{keys, keys};
+    zmq::context_t context;
+    zmq::socket_t stranger{context, zmq::socket_type::dealer};
+    stranger.set(zmq::sockopt::linger, 0);
+    stranger.set(zmq::sockopt::curve_publickey, own.open);
+    stranger.set(zmq::sockopt::curve_secretkey, own.secret);
+    stranger.set(zmq::sockopt::curve_serverkey, keys.open);
+    stranger.connect("tcp://" + proper.a_address.str());
+    const auto forged = envelope_from("b").SerializeAsString();
+    EXPECT_TRUE(wait_until([&] {
+        stranger.send(zmq::buffer(forged), zmq::send_flags::dontwait);
+        proper.a.send(daemon_id{"b"}, envelope_from("a"));
+        proper.a.drain();
+        proper.b.drain();
+        return proper.at_b > 300;
+    }));
+    EXPECT_EQ(proper.at_a, 0);
+}
+
+TEST(daemons, that_are_not_named_in_the_settings_are_not_heard)
+{
+    pair_of_daemons it{{}, {}};
+    int rounds = 0;
+    EXPECT_TRUE(wait_until([&] {
+        it.b.send(daemon_id{"a"}, envelope_from("nobody"));
+        it.a.send(daemon_id{"b"}, envelope_from("a"));
+        it.a.drain();
+        it.b.drain();
+        ++rounds;
+        return it.at_b > 30;
+    }));
+    EXPECT_EQ(it.at_a, 0);
+}
+
+} // namespace
+} // namespace cedarpoint
