Gateway: one way to make a caller's head in place of two

Cause: the same loop over a runner's header fields stood in begin_answer and in finish. Change: head_for_caller, called by both. Behaviour as before.

--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -43,6 +43,19 @@
     return head.status == 200 && head.fields.get("Content-Type").starts_with("text/event-stream");
 }
 
+/// A runner's head without what is between it and cedarpoint.
+http_head head_for_caller(const http_head& from, const request_id& request)
+{
+    http_head out{from.status, {}};
+    for (const auto& [name, value] : from.fields.all()) {
+        if (!is_hop_by_hop(name) && !is_private(name)) {
+            out.fields.add(name, value);
+        }
+    }
+    out.fields.add(caller_header::request, request.str());
+    return out;
+}
+
 std::string random_prefix()
 {
     std::random_device seed;
@@ -322,13 +335,7 @@
         return;
     }
     core_.attempt_answering(id);
-    http_head head{it.head.status, {}};
-    for (const auto& [name, value] : it.head.fields.all()) {
-        if (!is_hop_by_hop(name) && !is_private(name)) {
-            head.fields.add(name, value);
-        }
-    }
-    head.fields.add(caller_header::request, it.request.str());
+    auto head = head_for_caller(it.head, it.request);
     to.reply->begin(std::move(head));
 }
 
@@ -433,13 +440,7 @@
         reply->finish();
     }
     else {
-        http_head head{it.head.status, {}};
-        for (const auto& [name, value] : it.head.fields.all()) {
-            if (!is_hop_by_hop(name) && !is_private(name)) {
-                head.fields.add(name, value);
-            }
-        }
-        head.fields.add(caller_header::request, it.request.str());
+        auto head = head_for_caller(it.head, it.request);
         reply->send(std::move(head), it.kept);
     }
     it.call->cancel();
