--- a/src/control/control_plane_messages.cpp
+++ b/src/control/control_plane_messages.cpp
@@ -2,6 +2,8 @@
 
 #include "control/control_plane_priv.h"
 
+#include "cedarpoint/groups/drain_wire.h"
+
 namespace cedarpoint {
 void control_plane::receive(instant now, const wire::envelope& in)
 {
@@ -118,17 +120,8 @@
             *view->add_loads() = to_wire(runner->id, *report);
         }
     }
-    const auto add_drains = [&](const char* kind, const auto& marks) {
-        for (const auto& it : marks) {
-            auto* entry = view->add_drains();
-            entry->set_kind(kind);
-            entry->set_id(it.str());
-        }
-    };
     if (!view->unchanged()) {
-        add_drains("node", state.drains().nodes);
-        add_drains("group", state.drains().groups);
-        add_drains("runner", state.drains().runners);
+        write_drains(state.drains(), *view->mutable_drains());
     }
     send(daemon_id{pull.asker()}, std::move(out));
 }
--- a/src/control/remote_domains.cpp
+++ b/src/control/remote_domains.cpp
@@ -1,5 +1,7 @@
 #include "cedarpoint/control/remote_domains.h"
 
+#include "cedarpoint/groups/drain_wire.h"
+
 namespace cedarpoint {
 namespace {
 
@@ -16,23 +18,6 @@
     return out;
 }
 
-drain_marks read_drains(const wire::domain_view& in)
-{
-    drain_marks out;
-    for (const auto& it : in.drains()) {
-        if (it.kind() == "node") {
-            out.nodes.emplace(it.id());
-        }
-        else if (it.kind() == "group") {
-            out.groups.emplace(it.id());
-        }
-        else if (it.kind() == "runner") {
-            out.runners.emplace(it.id());
-        }
-    }
-    return out;
-}
-
 } // namespace
 
 bool remote_domains::on_view(instant now, const wire::domain_view& in)
@@ -53,7 +38,7 @@
             return false;
         }
         it.groups = std::move(*groups);
-        it.drains = read_drains(in);
+        it.drains = read_drains(in.drains());
         it.version = in.version();
     }
     it.granted = stamp;
--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -155,11 +155,8 @@
 
 void caller_gateway::answer_models(const http_request& request, http_reply& reply)
 {
-    constexpr std::string_view bearer = "Bearer ";
-    const auto authorization = request.fields.get("Authorization");
-    const auto* account = authorization.starts_with(bearer)
-                              ? core_.authenticate(sha256_hex(authorization.substr(bearer.size())))
-                              : nullptr;
+    const auto digest = bearer_digest(request);
+    const auto* account = digest ? core_.authenticate(*digest) : nullptr;
     if (account == nullptr) {
         refuse_now(reply,
                    {error_code::unauthorized, run_state::not_run, "no account has this key", {}},
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -155,10 +155,8 @@
     if (wanted.empty()) {
         return true;
     }
-    constexpr std::string_view bearer = "Bearer ";
-    const auto given = request.fields.get("Authorization");
-    return given.starts_with(bearer) &&
-           equal_digest(sha256_hex(given.substr(bearer.size())), wanted);
+    const auto given = bearer_digest(request);
+    return given && equal_digest(*given, wanted);
 }
 
 void operator_api::get_metrics(const http_request& /*request*/, const reply_ptr& reply)
--- a/src/daemon/request_reader.cpp
+++ b/src/daemon/request_reader.cpp
@@ -136,6 +136,16 @@
     return QCryptographicHash::hash(in, QCryptographicHash::Sha256).toHex().toStdString();
 }
 
+std::optional<std::string> bearer_digest(const http_request& request)
+{
+    constexpr std::string_view bearer = "Bearer ";
+    const auto authorization = request.fields.get("Authorization");
+    if (!authorization.starts_with(bearer)) {
+        return {};
+    }
+    return sha256_hex(authorization.substr(bearer.size()));
+}
+
 bool is_model_path(std::string_view path)
 {
     return path == "/v1/chat/completions" || path == "/v1/completions";
@@ -147,16 +157,15 @@
     error = {error_code::bad_request, run_state::not_run, "", {}};
     request_facts out;
     out.id = std::move(id);
-    constexpr std::string_view bearer = "Bearer ";
-    const auto authorization = request.fields.get("Authorization");
-    if (!authorization.starts_with(bearer)) {
+    const auto digest = bearer_digest(request);
+    if (!digest) {
         error = {error_code::unauthorized,
                  run_state::not_run,
                  "needs Authorization: Bearer and the account's key",
                  {}};
         return {};
     }
-    out.key_digest = sha256_hex(authorization.substr(bearer.size()));
+    out.key_digest = *digest;
     out.path = request.target.substr(0, request.target.find('?'));
     out.safe_method = request.method == "GET" || request.method == "HEAD";
     const auto session = read_id(request, caller_header::session, error);
--- a/src/daemon/request_reader.h
+++ b/src/daemon/request_reader.h
@@ -24,6 +24,9 @@
 std::optional<request_facts> read_facts(instant now, const http_request& request, request_id id,
                                         refusal& error);
 
+/// The digest of the key in "Authorization: Bearer KEY"; empty if there is none.
+std::optional<std::string> bearer_digest(const http_request& request);
+
 /// Lower-case hex SHA-256.
 std::string sha256_hex(std::string_view bytes);
 
--- a/src/io/mesh.cpp
+++ b/src/io/mesh.cpp
@@ -13,7 +13,6 @@
 constexpr std::size_t max_message = 64 << 20;
 constexpr const char* zap_address = "inproc://zeromq.zap.01";
 constexpr const char* zap_domain = "cedarpoint";
-constexpr std::size_t key_digits = 40;
 constexpr std::size_t key_bytes = 32;
 
 std::string tcp(const endpoint& it)
--- a/src/state/domain_state.cpp
+++ b/src/state/domain_state.cpp
@@ -1,5 +1,7 @@
 #include "cedarpoint/state/domain_state.h"
 
+#include "cedarpoint/groups/drain_wire.h"
+
 namespace cedarpoint {
 
 domain_answer domain_state::apply(const wire::command& command)
@@ -49,24 +51,7 @@
 
 domain_answer domain_state::apply_drain(const wire::drain_change& in)
 {
-    const auto mark = [&](auto& marks, auto id) {
-        if (in.draining()) {
-            marks.insert(std::move(id));
-        }
-        else {
-            marks.erase(id);
-        }
-    };
-    if (in.kind() == "node") {
-        mark(drains_.nodes, node_id{in.id()});
-    }
-    else if (in.kind() == "group") {
-        mark(drains_.groups, group_id{in.id()});
-    }
-    else if (in.kind() == "runner") {
-        mark(drains_.runners, runner_id{in.id()});
-    }
-    else {
+    if (!mark_drain(drains_, in.kind(), in.id(), in.draining())) {
         return {"can drain a node, a group or a runner, not a \"" + in.kind() + "\"", {}};
     }
     return {};
@@ -104,16 +89,7 @@
         entry->set_outcome(static_cast<std::uint32_t>(it.outcome));
         entry->set_claimed_ms(it.claimed_ms);
     }
-    const auto add_drains = [&](const char* kind, const auto& marks) {
-        for (const auto& it : marks) {
-            auto* entry = out.add_drains();
-            entry->set_kind(kind);
-            entry->set_id(it.str());
-        }
-    };
-    add_drains("node", drains_.nodes);
-    add_drains("group", drains_.groups);
-    add_drains("runner", drains_.runners);
+    write_drains(drains_, *out.mutable_drains());
     return out.SerializeAsString();
 }
 
@@ -144,13 +120,7 @@
             {client_account_id{it.account()}, it.key()},
             {request_id{it.holder()}, static_cast<claim_outcome>(it.outcome()), it.claimed_ms()});
     }
-    for (const auto& it : in.drains()) {
-        wire::drain_change mark;
-        mark.set_kind(it.kind());
-        mark.set_id(it.id());
-        mark.set_draining(true);
-        next.apply_drain(mark);
-    }
+    next.drains_ = read_drains(in.drains());
     *this = std::move(next);
     return true;
 }
