--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -20,6 +20,13 @@
 /// each start, because it has forgotten what it promised.
 using member_id = id<struct member_tag>;
 
+/// What a member without any state knows of its past.
+enum class start_mode {
+    unknown, ///< new, or without the disk that it had: it may only begin a log with all others
+    first,   ///< the whole system starts for the first time: nobody can remember anything
+    later    ///< the system has run before: whatever it promised is lost until it has caught up
+};
+
 /// Times of one log. Any two daemons' clocks may run apart by `drift` over an election timeout.
 struct raft_options {
     duration election_timeout = milliseconds{1000}; ///< the shortest; up to twice this at random
@@ -27,6 +34,7 @@
     duration drift = milliseconds{100};
     std::size_t max_batch_entries = 256;
     duration snapshot_interval = seconds{1}; ///< between two sendings to the same follower
+    start_mode start = start_mode::unknown;
 };
 
 /// What a log's folder gave back at start.
@@ -148,6 +156,8 @@
     [[nodiscard]] std::optional<std::uint64_t> term_at(std::uint64_t index) const;
     [[nodiscard]] std::size_t quorum() const;
     [[nodiscard]] instant lease_basis(instant now) const;
+    /// A leader that a quorum has answered within an election timeout.
+    [[nodiscard]] bool is_upheld(instant now) const;
     [[nodiscard]] const wire::log_entry& entry_at(std::uint64_t index) const;
 
     member_id self_;
--- /dev/null
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "cedarpoint/core/time.h"
+#include "cedarpoint/fleet/announcement.h"
+#include "cedarpoint/fleet/fleet_configuration.h"
+#include "cedarpoint/fleet/fleet_state.h"
+#include "cedarpoint/fleet/load_limiter.h"
+#include "cedarpoint/fleet/runner_registry.h"
+#include "cedarpoint/fleet/sighting_board.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cedarpoint {
+
+/// Where a group stands in the leader's plan.
+enum class plan_phase {
+    joining,   ///< members are ordered in; none of them has been opened
+    opening,   ///< all were ready; the head is ordered to open
+    serving,   ///< the head says that it is open
+    retiring,  ///< takes no new requests; ends when those in flight have ended
+    releasing, ///< the head is ordered to leave; its members are not free before it has
+    waiting    ///< the head can't be asked: members have left, so it breaks in a known time
+};
+
+std::string_view name_of(plan_phase phase);
+
+/// One group of the plan.
+struct planned_group {
+    group_id name;
+    epoch assignment;
+    service_id service;
+    model_id model;
+    std::vector<runner_id> members; ///< the head first
+    plan_phase phase = plan_phase::joining;
+    instant since;                  ///< in this phase
+    bool opened = false;            ///< an order to open was sent, by whomever
+    std::size_t loads = 0;          ///< members that read weights from the store to join
+    std::optional<instant> left_at; ///< waiting: when the first member's leave was acknowledged
+};
+
+/// What the planner wants done.
+struct planner_step {
+    enum class kind_t { order, look };
+    kind_t kind = kind_t::order;
+    group_order order; ///< of a look only `to` and `address` are set
+};
+
+/// One change of the plan, for the log.
+struct planner_event {
+    group_id group;
+    plan_phase phase = plan_phase::joining;
+    std::string reason;
+    std::string members;
+};
+
+/// Times that decide.
+struct planner_options {
+    duration heartbeat = milliseconds{1200};
+    duration stall = milliseconds{4000};      ///< a head without its members breaks after this
+    duration settle = milliseconds{1700};     ///< a new leader listens before it decides
+    duration order_retry = milliseconds{500}; ///< an unanswered order is sent again
+    duration look_interval = milliseconds{400};
+    duration retire_limit = milliseconds{8000};
+};
+
+/// Decides on the leading control daemon which runners form which groups. What runners report is
+/// the truth; what was ordered is a wish. Keeps three rules at every moment: a group opens only
+/// when every member has said that it is ready under the group's name and epoch; no runner is
+/// ordered into a group while the head of its present one may be open; an assignment's epoch is
+/// above all earlier ones, of earlier leaders too. Does no I/O.
+class group_planner {
+public:
+    group_planner(planner_options options, const runner_registry& registry,
+                  const sighting_board& sightings, const fleet_state& state);
+
+    /// Begins anew as the leader of `term`.
+    void begin_term(instant now, std::uint64_t term);
+    void set_configuration(const fleet_configuration* configuration);
+    [[nodiscard]] std::vector<planner_step> tick(instant now);
+    void on_order_result(instant now, const group_order& order, order_result result);
+    /// A look at a runner was not answered; an answer goes to the registry.
+    void on_look_failed(instant now, const runner_id& runner);
+    void on_look_answered(const runner_id& runner);
+
+    [[nodiscard]] const std::map<group_id, planned_group>& groups() const { return groups_; }
+    /// False while a new leader still listens.
+    [[nodiscard]] bool is_settled(instant now) const { return now >= settled_at_; }
+    std::function<void(const planner_event&)> on_event;
+
+private:
+    enum class member_health { present, silent, draining, lost };
+
+    void adopt(instant now);
+    void adopt_group(instant now, planned_group group,
+                     const std::map<std::size_t, runner_id>& ranks);
+    void look_after(instant now, planned_group& group);
+    void join_members(instant now, planned_group& group);
+    void open_head(instant now, planned_group& group);
+    void watch_serving(instant now, planned_group& group);
+    void watch_retiring(instant now, planned_group& group);
+    void release_head(instant now, planned_group& group);
+    void watch_waiting(instant now, planned_group& group);
+    void lose_member(instant now, planned_group& group, const std::string& why);
+    void look_at_members(instant now, const planned_group& group);
+
+    void form(instant now);
+    struct proposal {
+        fabric_domain_id domain;
+        const fleet_service* service = nullptr;
+        const engine_model* model = nullptr;
+        std::vector<runner_id> members;
+        std::size_t loads = 0;
+        double score = 0; ///< the lowest is formed first
+    };
+    using free_map = std::map<fabric_domain_id, std::vector<runner_id>>;
+    [[nodiscard]] std::optional<proposal> best_proposal(const free_map& free) const;
+    void begin_group(instant now, const proposal& chosen, free_map& free);
+    [[nodiscard]] std::optional<proposal> propose(const fleet_service& service,
+                                                  const engine_model& model,
+                                                  const std::vector<runner_id>& free) const;
+    [[nodiscard]] bool is_free(instant now, const runner_record& record) const;
+    [[nodiscard]] free_map free_runners(instant now) const;
+    void stage_spares(instant now, const free_map& free);
+    void stage(instant now, const runner_record& record, const engine_model& model);
+
+    [[nodiscard]] member_health health_of(instant now, const planned_group& group,
+                                          const runner_id& runner) const;
+    [[nodiscard]] bool is_member_at(const runner_id& runner, const planned_group& group,
+                                    member_phase phase) const;
+    [[nodiscard]] const engine_model* find_model(const service_id& service,
+                                                 const model_id& model) const;
+    [[nodiscard]] duration join_time(const runner_record& record, const engine_model& model) const;
+    [[nodiscard]] std::size_t count_groups(const model_id& model) const;
+    [[nodiscard]] std::size_t loads_running() const;
+    void order(instant now, const group_order& order);
+    void look(instant now, const runner_id& runner);
+    void enter(instant now, planned_group& group, plan_phase phase, const std::string& why);
+    void finish(planned_group& group, const std::string& why);
+    void tell(const planned_group& group, const std::string& why) const;
+    [[nodiscard]] group_order order_for(const planned_group& group, order_kind kind,
+                                        const runner_id& to) const;
+
+    planner_options options_;
+    const runner_registry& registry_;
+    const sighting_board& sightings_;
+    const fleet_state& state_;
+    const fleet_configuration* configuration_ = nullptr;
+    load_limiter loads_;
+    std::map<group_id, planned_group> groups_;
+    std::map<runner_id, group_id> placed_;
+    std::map<std::string, instant> ordered_; ///< by runner and kind, when last
+    std::map<runner_id, instant> looked_;
+    std::map<runner_id, int> unanswered_;                       ///< looks in a row
+    std::map<runner_id, std::pair<model_id, instant>> staging_; ///< until when at the latest
+    std::map<runner_id, model_id> last_model_;                  ///< of the latest join
+    std::set<std::pair<group_id, runner_id>> released_;         ///< memberships that bind no longer
+    std::set<group_id> finished_;                               ///< in this tick
+    std::vector<planner_step> steps_;
+    std::uint64_t term_ = 0;
+    std::uint64_t formed_ = 0;
+    instant settled_at_;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "cedarpoint/core/time.h"
+#include "cedarpoint/fleet/announcement.h"
+
+#include <map>
+#include <string>
+
+namespace cedarpoint {
+
+/// One incarnation of a runner, as its own heartbeats and answers told it.
+struct runner_record {
+    announcement latest;
+    instant first_heard;
+    instant heard;     ///< its latest heartbeat or answer
+    bool dead = false; ///< its address refused a connection after the latest heartbeat
+};
+
+/// Runners that announce themselves. Soft state of the leading control daemon: a new leader hears
+/// everyone again within a heartbeat.
+class runner_registry {
+public:
+    /// False for a heartbeat that is older than one taken before.
+    bool announce(instant now, const announcement& in);
+    /// A runner's own answer to a look at it.
+    void note_status(instant now, const runner_id& runner, const runner_status& status);
+    /// Nothing listens at the runner's address.
+    void note_dead(const runner_id& runner);
+    /// Forgets runners that have been silent for `keep`.
+    void forget_silent(instant now, duration keep);
+    void clear();
+
+    [[nodiscard]] const runner_record* find(const runner_id& runner) const;
+    /// False once another runner has announced itself under the same address.
+    [[nodiscard]] bool owns_address(const runner_record& record) const;
+    /// Present as far as is known: neither dead nor replaced at its address.
+    [[nodiscard]] bool is_present(const runner_record& record) const
+    {
+        return !record.dead && owns_address(record);
+    }
+    [[nodiscard]] const std::map<runner_id, runner_record>& records() const { return records_; }
+
+private:
+    std::map<runner_id, runner_record> records_;
+    std::map<endpoint, runner_id> owners_;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/include/cedarpoint/fleet/sighting_board.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cedarpoint/core/ids.h"
+#include "cedarpoint/core/time.h"
+#include "control.pb.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace cedarpoint {
+
+/// What the entry daemons see of one runner, taken together.
+struct runner_outlook {
+    int in_flight = 0;
+    bool progresses = false;         ///< some daemon gets bytes from it
+    bool stands_still = false;       ///< none gets any, and some waits for them or can't connect
+    bool refused = false;            ///< its address refused a connection
+    std::set<std::string> witnesses; ///< failure domains whose daemons say that it stands still
+};
+
+/// The latest words of each entry daemon on the runners that it uses.
+class sighting_board {
+public:
+    void put(instant now, const std::string& follower, const wire::fleet_follow& in);
+    [[nodiscard]] runner_outlook look(instant now, const runner_id& runner) const;
+    /// Entry daemons that have spoken lately.
+    [[nodiscard]] std::size_t followers(instant now) const;
+    /// Requests started for a model since the beginning, over all followers.
+    [[nodiscard]] std::uint64_t started() const { return started_; }
+    void clear() { words_.clear(); }
+
+private:
+    struct words {
+        instant at;
+        std::string failure_domain;
+        std::map<runner_id, wire::runner_sighting> sightings;
+    };
+    std::map<std::string, words> words_;
+    std::uint64_t started_ = 0;
+};
+
+} // namespace cedarpoint
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -24,6 +24,7 @@
 int run_drain(const endpoint& daemon, const drain_request& what);
 int run_stop(const endpoint& daemon);
 int run_explain(const endpoint& daemon, const std::string& request);
+int run_fleet(int& argc, char** argv, const std::string& settings_file);
 int run_serve(int& argc, char** argv, const std::string& settings_file);
 
 } // namespace cedarpoint
--- /dev/null
+++ b/src/cli/fleet.cpp
@@ -0,0 +1,69 @@
+#include "cedarpoint/config/fleet_settings.h"
+#include "cli/commands.h"
+#include "cli/exit_code.h"
+#include "cli/process_signals.h"
+#include "cli/settings_file.h"
+#include "control_daemon/control_daemon.h"
+#include "daemon/loop_pacer.h"
+#include "entry/entry_daemon.h"
+#include "io/log_line.h"
+
+#include <QCoreApplication>
+
+namespace cedarpoint {
+namespace {
+
+int report_failed_start(const reason& why)
+{
+    log_line("can_not_start")
+        .with("step", why.step)
+        .with("peer", why.peer)
+        .with("reason", why.text)
+        .write();
+    return to_int(exit_code::bad_file);
+}
+
+void log_reload(const std::string& file)
+{
+    // A daemon learns what changes while it runs from its peers; the file counts at the next start.
+    const bool valid = read_settings<fleet_settings>(file).has_value();
+    log_line("reload").with("file", file).with("valid", valid).with("applies", "at start").write();
+}
+
+} // namespace
+
+int run_fleet(int& argc, char** argv, const std::string& settings_file)
+{
+    process_signals signals;
+    auto own = read_settings<fleet_settings>(settings_file);
+    if (!own) {
+        return to_int(exit_code::bad_file);
+    }
+    log_line::use_json(own->json_logs);
+    choose_event_loop();
+    QCoreApplication app{argc, argv};
+    reason why;
+    std::unique_ptr<control_daemon> control;
+    std::unique_ptr<entry_daemon> entry;
+    if (own->role == fleet_role::control) {
+        control = control_daemon::start(std::move(*own), why);
+        if (control == nullptr) {
+            return report_failed_start(why);
+        }
+        control->on_stopped = [](int code) { QCoreApplication::exit(code); };
+        signals.on_stop = [&] { control->stop(); };
+    }
+    else {
+        entry = entry_daemon::start(std::move(*own), why);
+        if (entry == nullptr) {
+            return report_failed_start(why);
+        }
+        entry->on_stopped = [] { QCoreApplication::exit(0); };
+        signals.on_stop = [&] { entry->stop(); };
+    }
+    signals.on_reload = [&] { log_reload(settings_file); };
+    signals.attach();
+    return QCoreApplication::exec();
+}
+
+} // namespace cedarpoint
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -83,6 +83,10 @@
             add("serve", "Run one daemon", [this] { return run_serve(argc_, argv_, in_.file); });
         it->add_option("--settings", in_.file, "the daemon's settings, JSON with comments")
             ->required();
+        auto* fleet = add("fleet", "Run one daemon of a fleet that finds its peers from seeds",
+                          [this] { return run_fleet(argc_, argv_, in_.file); });
+        fleet->add_option("--settings", in_.file, "the daemon's settings, JSON with comments")
+            ->required();
         add("version", "Print the version", [] {
             fmt::print("{}\n", version_text);
             return to_int(exit_code::done);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,58 +1,20 @@
 #include "cedarpoint/config/settings.h"
 #include "cli/commands.h"
 #include "cli/exit_code.h"
+#include "cli/process_signals.h"
+#include "cli/settings_file.h"
 #include "daemon/daemon.h"
 #include "daemon/loop_pacer.h"
 #include "io/log_line.h"
-#include "storage/posix_file_system.h"
 
 #include <QCoreApplication>
-#include <QSocketNotifier>
-
-#include <csignal>
-#include <fmt/format.h>
-#include <sys/signalfd.h>
-#include <unistd.h>
 
 namespace cedarpoint {
-namespace {
-
-/// SIGTERM and SIGINT as a readable descriptor. Call before any thread is started.
-int open_signal_descriptor()
-{
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigprocmask(SIG_BLOCK, &set, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
-}
-
-std::optional<settings> read_settings(const std::string& file)
-{
-    posix_file_system files;
-    reason why;
-    const auto text = files.read(file, why);
-    if (!text) {
-        fmt::print(stderr, "{}\n",
-                   why.step.empty() ? "open " + file + ": there is no such file" : why.str());
-        return {};
-    }
-    faults found;
-    auto out = settings::parse(*text, found);
-    for (const auto& it : found) {
-        fmt::print(stderr, "{}: {}: {}\n", file, it.path.empty() ? "/" : it.path, it.text);
-    }
-    return out;
-}
-
-} // namespace
 
 int run_serve(int& argc, char** argv, const std::string& settings_file)
 {
-    const int signals = open_signal_descriptor();
-    auto own = read_settings(settings_file);
+    process_signals signals;
+    auto own = read_settings<settings>(settings_file);
     if (!own) {
         return to_int(exit_code::bad_file);
     }
@@ -73,13 +35,8 @@
     constexpr std::size_t many = 64; ///< requests in flight; fewer than this gain nothing
     loop_pacer pacer{[&] { return it->requests().in_flight() >= many; }};
     pacer.attach();
-    QSocketNotifier notifier{signals, QSocketNotifier::Read};
-    QObject::connect(&notifier, &QSocketNotifier::activated, [&] {
-        signalfd_siginfo info{};
-        if (::read(signals, &info, sizeof info) > 0) {
-            it->stop();
-        }
-    });
+    signals.on_stop = [&] { it->stop(); };
+    signals.attach();
     return QCoreApplication::exec();
 }
 
--- /dev/null
+++ b/src/config/fleet_settings.cpp
@@ -0,0 +1,94 @@
+#include "cedarpoint/config/fleet_settings.h"
+
+#include "cedarpoint/config/json_reader.h"
+
+namespace cedarpoint {
+namespace {
+
+constexpr std::int64_t longest_ms = 86'400'000;
+
+std::optional<endpoint> read_endpoint(json_reader& in, const char* key, bool needed)
+{
+    const auto text = needed ? in.string(key) : in.string_or(key, "");
+    if (text.empty()) {
+        return {};
+    }
+    auto out = endpoint::parse(text);
+    if (!out) {
+        in.fail(key, "must be an IP number and port");
+    }
+    return out;
+}
+
+milliseconds read_ms(json_reader& in, const char* key, milliseconds fallback)
+{
+    return milliseconds{in.integer_or(key, fallback.count(), {1, longest_ms})};
+}
+
+void read_seeds(json_reader& in, fleet_settings& out)
+{
+    for (const auto& text : in.strings_or_none("seeds")) {
+        if (const auto seed = endpoint::parse(text)) {
+            out.seeds.push_back(*seed);
+        }
+        else {
+            in.fail("seeds", "\"" + text + "\" is not an IP number and port");
+        }
+    }
+    if (out.seeds.empty()) {
+        in.fail("seeds", "must name at least one control daemon");
+    }
+}
+
+void read_budget(json_reader& in, budget_options& out)
+{
+    constexpr double most_slack = 1e6;
+    out.ratio = in.number_or("ratio", out.ratio, 0, 1);
+    out.window = read_ms(in, "window_ms", out.window);
+    out.slack = in.number_or("slack", out.slack, 0, most_slack);
+    out.safety = in.number_or("safety", out.safety, 0, 1);
+}
+
+} // namespace
+
+std::optional<fleet_settings> fleet_settings::parse(std::string_view text, faults& out)
+{
+    const auto before = out.size();
+    const auto value = parse_json(text, out);
+    if (!value) {
+        return {};
+    }
+    fleet_settings own;
+    json_reader in{*value, "", out};
+    const auto role = in.string("role");
+    const bool is_control = role == "control";
+    if (!is_control && role != "entry") {
+        in.fail("role", "must be \"control\" or \"entry\"");
+    }
+    own.role = is_control ? fleet_role::control : fleet_role::entry;
+    own.name = in.string("name");
+    own.failure_domain = failure_domain_id{in.string("failure_domain")};
+    own.address = read_endpoint(in, "address", true).value_or(endpoint{});
+    own.callers = read_endpoint(in, "callers", !is_control);
+    own.ready = read_endpoint(in, "ready", !is_control);
+    own.control = read_endpoint(in, "control", is_control);
+    own.metrics = read_endpoint(in, "metrics", false);
+    own.data_folder = in.string_or("data_folder", "");
+    if (is_control && own.data_folder.empty()) {
+        in.fail("data_folder", "is needed: a control daemon keeps what it has acknowledged");
+    }
+    read_seeds(in, own);
+    own.first_start = in.boolean_or("first_start", false);
+    own.heartbeat = read_ms(in, "heartbeat_ms", own.heartbeat);
+    own.stall = read_ms(in, "stall_ms", own.stall);
+    own.stop_bound = read_ms(in, "stop_bound_ms", own.stop_bound);
+    in.object("retry_budget", [&](json_reader& each) { read_budget(each, own.budget); });
+    own.json_logs = in.boolean_or("json_logs", false);
+    in.finish();
+    if (out.size() != before) {
+        return {};
+    }
+    return own;
+}
+
+} // namespace cedarpoint
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -16,6 +16,10 @@
     }
     refresh_members();
     arm_election(now);
+    if (options_.start == start_mode::first && hard_.term() == 0 && last_index() == 0) {
+        hard_.set_whole(true);
+        save_hard_state();
+    }
     const bool alone = members_.members_size() == 1 && is_voter(self_);
     if (alone) {
         election_at_ = now; // nobody else could be leading
@@ -181,7 +185,7 @@
 void raft_node::tick(instant now)
 {
     if (role_ == role::leader) {
-        if (now - lease_basis(now) >= options_.election_timeout) {
+        if (!is_upheld(now)) {
             become_follower(now, hard_.term(), {}); // a quorum is out of reach
             return;
         }
@@ -195,7 +199,8 @@
     }
     if (now >= election_at_) {
         arm_election(now);
-        if (is_voter(self_) && (hard_.whole() || last_index() == 0)) {
+        const bool may_begin = last_index() == 0 && options_.start != start_mode::later;
+        if (is_voter(self_) && (hard_.whole() || may_begin)) {
             start_pre_vote(now);
         }
     }
@@ -220,6 +225,11 @@
     return acked.size() < quorum() ? lead_since_ : acked[quorum() - 1];
 }
 
+bool raft_node::is_upheld(instant now) const
+{
+    return role_ == role::leader && now - lease_basis(now) < options_.election_timeout;
+}
+
 bool raft_node::holds_lease(instant now) const
 {
     if (role_ != role::leader || commit_ < term_start_) {
@@ -242,12 +252,13 @@
         return false;
     }
     // Without memory it may only help to begin a log that nobody remembers.
-    return hard_.whole() || (in.last_index() == 0 && last_index() == 0);
+    return hard_.whole() ||
+           (options_.start != start_mode::later && in.last_index() == 0 && last_index() == 0);
 }
 
 std::size_t raft_node::election_quorum() const
 {
-    if (last_index() > 0) {
+    if (last_index() > 0 || options_.start == start_mode::first) {
         return quorum();
     }
     const auto& all = members_.members();
--- a/src/consensus/raft_node_replication.cpp
+++ b/src/consensus/raft_node_replication.cpp
@@ -65,6 +65,9 @@
 
 void raft_node::receive(instant now, const member_id& from, const msg& in)
 {
+    if (role_ == role::leader && !is_upheld(now)) {
+        become_follower(now, hard_.term(), {});
+    }
     switch (in.kind()) {
     case msg::append:
         on_append(now, from, in);
@@ -250,7 +253,8 @@
 
 std::optional<std::uint64_t> raft_node::propose(instant now, std::string command)
 {
-    if (role_ != role::leader) {
+    // One that stood still may be a leader of the past: what it sent would be an old term's.
+    if (!is_upheld(now)) {
         return {};
     }
     wire::log_entry entry;
--- /dev/null
+++ b/src/control_daemon/control_metrics.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cedarpoint/core/time.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace cedarpoint {
+
+/// The figures of a control daemon.
+class control_metrics {
+public:
+    control_metrics();
+
+    void count_call(const std::string& call, int status);
+    void count_order(const std::string& kind, const std::string& result);
+    void observe_commit(duration since_proposal);
+    void set_leader(bool leads) { leader_.Set(leads ? 1 : 0); }
+    void set_version(double version) { version_.Set(version); }
+    void set_groups(const std::string& phase, double count);
+    void set_runners(double present, double free);
+
+    /// The text exposition format.
+    [[nodiscard]] std::string text() const;
+
+private:
+    prometheus::Registry registry_;
+    prometheus::Family<prometheus::Counter>& calls_;
+    prometheus::Family<prometheus::Counter>& orders_;
+    prometheus::Family<prometheus::Gauge>& groups_;
+    prometheus::Family<prometheus::Gauge>& runners_;
+    prometheus::Histogram& commit_;
+    prometheus::Gauge& leader_;
+    prometheus::Gauge& version_;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/entry/entry_context.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "cedarpoint/fleet/dialect.h"
+#include "cedarpoint/fleet/route_table.h"
+#include "cedarpoint/fleet/target_set.h"
+#include "cedarpoint/fleet/window_budget.h"
+#include "entry/entry_metrics.h"
+#include "io/runner_pool.h"
+
+#include <map>
+#include <memory>
+#include <random>
+
+namespace cedarpoint {
+
+/// Requests for a model since the leader was told last.
+struct demand_count {
+    std::uint32_t started = 0;
+    std::uint32_t refused = 0;
+};
+
+/// What the requests of one entry daemon share.
+struct entry_context {
+    const dialect& words;
+    std::shared_ptr<const route_table> routes; ///< null before the first configuration
+    target_set targets;
+    window_budget budget;
+    runner_pool pool;
+    entry_metrics figures;
+    std::size_t daemons = 1; ///< entry daemons that share limits
+    std::mt19937_64 random;
+    std::map<model_id, demand_count> demand;
+    bool stopping = false;
+};
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/entry/fleet_follower.cpp
@@ -0,0 +1,89 @@
+#include "entry/fleet_follower.h"
+
+#include <algorithm>
+
+namespace cedarpoint {
+namespace {
+
+constexpr duration word_interval = milliseconds{200};
+constexpr duration leader_patience = milliseconds{900};
+
+} // namespace
+
+fleet_follower::fleet_follower(const fleet_settings& own, hooks hooks)
+    : hooks_{std::move(hooks)}, failure_domain_{own.failure_domain.str()}
+{
+    for (const auto& seed : own.seeds) {
+        known_.emplace(endpoint{seed.ip, own.address.port}.str());
+    }
+}
+
+bool fleet_follower::has_leader(instant now) const
+{
+    return !leader_.empty() && now - heard_ < leader_patience;
+}
+
+void fleet_follower::tick(instant now)
+{
+    if (now < next_word_) {
+        return;
+    }
+    next_word_ = now + word_interval;
+    if (has_leader(now)) {
+        speak(leader_);
+        return;
+    }
+    if (!leader_.empty()) {
+        hooks_.on_leader(leader_, false);
+        leader_ = {};
+    }
+    for (const auto& each : known_) {
+        speak(each);
+    }
+}
+
+void fleet_follower::speak(const daemon_id& to)
+{
+    wire::envelope out;
+    auto& follow = *out.mutable_follow();
+    follow.set_term(view_.term());
+    follow.set_version(view_.version());
+    follow.set_failure_domain(failure_domain_);
+    hooks_.fill(follow);
+    hooks_.send(to, std::move(out));
+}
+
+void fleet_follower::receive(instant now, const wire::envelope& in)
+{
+    if (!in.has_update()) {
+        return;
+    }
+    const auto& update = in.update();
+    for (const auto& voter : update.voters()) {
+        known_.emplace(voter);
+    }
+    if (!update.leading()) {
+        if (!update.leader().empty()) {
+            known_.emplace(update.leader());
+        }
+        return;
+    }
+    const auto outcome = view_.take(update);
+    if (outcome == view_copy::outcome::stale) {
+        return;
+    }
+    const daemon_id from{in.from()};
+    if (leader_ != from) {
+        leader_ = from;
+        hooks_.on_leader(leader_, true);
+    }
+    heard_ = now;
+    followers_ = std::max<std::size_t>(update.followers(), 1);
+    if (outcome == view_copy::outcome::gap) {
+        hurry();
+        return;
+    }
+    hooks_.on_view(outcome);
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/fleet/fleet_leader.cpp
@@ -0,0 +1,213 @@
+#include "cedarpoint/fleet/fleet_leader.h"
+
+namespace cedarpoint {
+namespace {
+
+constexpr duration forget_after = seconds{60};
+constexpr duration follower_silence = milliseconds{2500};
+constexpr int heartbeats_to_lose = 3; ///< a plain runner that was not heard for so many is not used
+
+wire::fleet_item runner_item(const runner_record& record, bool accepting)
+{
+    wire::fleet_item item;
+    auto& out = *item.mutable_runner();
+    out.set_id(record.latest.id.str());
+    out.set_service(record.latest.service.str());
+    out.set_address(record.latest.address.str());
+    out.set_failure_domain(record.latest.failure_domain.str());
+    out.set_slots(static_cast<std::uint32_t>(record.latest.slots));
+    out.set_accepting(accepting);
+    return item;
+}
+
+} // namespace
+
+fleet_leader::fleet_leader(planner_options options, const dialect& words, const fleet_state& state)
+    : options_{options}, words_{words}, state_{state}, planner_{options, registry_, sightings_,
+                                                                state}
+{
+}
+
+void fleet_leader::begin_term(instant now, std::uint64_t term)
+{
+    term_ = term;
+    registry_.clear();
+    sightings_.clear();
+    followers_.clear();
+    view_ = {};
+    planner_.begin_term(now, term);
+    take_configuration();
+}
+
+void fleet_leader::take_configuration()
+{
+    if (configuration_ && configuration_->version >= state_.version()) {
+        return;
+    }
+    if (state_.version() == 0) {
+        return;
+    }
+    reason why;
+    if (auto read = words_.read_configuration(state_.configuration().text(), why)) {
+        configuration_ = std::move(read);
+        planner_.set_configuration(&*configuration_);
+    }
+}
+
+std::vector<planner_step> fleet_leader::tick(instant now)
+{
+    take_configuration();
+    registry_.forget_silent(now, forget_after);
+    return planner_.tick(now);
+}
+
+bool fleet_leader::announce(instant now, const announcement& in)
+{
+    if (!registry_.announce(now, in)) {
+        return false;
+    }
+    planner_.on_look_answered(in.id);
+    return true;
+}
+
+void fleet_leader::on_status(instant now, const runner_id& runner, const runner_status& status)
+{
+    registry_.note_status(now, runner, status);
+    planner_.on_look_answered(runner);
+}
+
+void fleet_leader::on_look_failed(instant now, const runner_id& runner, bool refused)
+{
+    if (refused) {
+        registry_.note_dead(runner);
+    }
+    planner_.on_look_failed(now, runner);
+}
+
+void fleet_leader::on_order_result(instant now, const group_order& order, order_result result)
+{
+    if (result == order_result::unreached || result == order_result::refused) {
+        registry_.note_dead(order.to);
+    }
+    planner_.on_order_result(now, order, result);
+}
+
+// --- the view -----------------------------------------------------------------------------------
+
+bool fleet_leader::is_usable(instant now, const runner_record& record) const
+{
+    return registry_.is_present(record) && !record.latest.draining &&
+           !state_.is_leaving(record.latest.id) &&
+           now - record.heard < options_.heartbeat * heartbeats_to_lose;
+}
+
+void fleet_leader::add_plain_runners(instant now,
+                                     std::map<std::string, wire::fleet_item>& items) const
+{
+    for (const auto& [runner, record] : registry_.records()) {
+        const auto* service = configuration_->find_service(record.latest.service);
+        const bool plain = service == nullptr || !service->engine;
+        if (plain && is_usable(now, record)) {
+            items[runner_key(runner.str())] = runner_item(record, true);
+        }
+    }
+}
+
+void fleet_leader::add_groups(std::map<std::string, wire::fleet_item>& items) const
+{
+    for (const auto& [name, group] : planner_.groups()) {
+        const bool serves = group.phase == plan_phase::serving;
+        if (!serves && group.phase != plan_phase::retiring) {
+            continue;
+        }
+        const auto& head = group.members.front();
+        const auto* record = registry_.find(head);
+        if (record == nullptr) {
+            continue;
+        }
+        const auto* service = configuration_->find_service(group.service);
+        wire::fleet_item item;
+        auto& out = *item.mutable_group();
+        out.set_name(name.str());
+        out.set_epoch(group.assignment.value);
+        out.set_service(group.service.str());
+        out.set_model(group.model.str());
+        for (const auto& member : group.members) {
+            out.add_members(member.str());
+        }
+        out.set_accepting(serves);
+        items[group_key(name.str())] = std::move(item);
+        auto head_item = runner_item(*record, true);
+        if (service != nullptr && service->engine) {
+            head_item.mutable_runner()->set_slots(
+                static_cast<std::uint32_t>(service->engine->slots));
+        }
+        items[runner_key(head.str())] = std::move(head_item);
+    }
+}
+
+void fleet_leader::refresh_view(instant now)
+{
+    if (!configuration_) {
+        return;
+    }
+    if (state_.version() > 0) {
+        view_.set_configuration(state_.configuration());
+    }
+    // A new leader does not know yet who is there: entry daemons go on with what they have.
+    if (!planner_.is_settled(now)) {
+        return;
+    }
+    std::map<std::string, wire::fleet_item> items;
+    add_plain_runners(now, items);
+    add_groups(items);
+    view_.replace(std::move(items));
+}
+
+wire::fleet_update fleet_leader::make_update(instant now, std::uint64_t from) const
+{
+    auto out = view_.since(from);
+    out.set_term(term_);
+    out.set_leading(true);
+    out.set_followers(static_cast<std::uint32_t>(sightings_.followers(now)));
+    return out;
+}
+
+wire::fleet_update fleet_leader::on_follow(instant now, const std::string& name,
+                                           const wire::fleet_follow& in)
+{
+    sightings_.put(now, name, in);
+    auto& entry = followers_[name];
+    entry.heard = now;
+    const auto has = in.term() == term_ ? in.version() : 0;
+    entry.sent = view_.version();
+    return make_update(now, has);
+}
+
+std::vector<std::pair<std::string, wire::fleet_update>> fleet_leader::pending_updates(instant now)
+{
+    std::vector<std::pair<std::string, wire::fleet_update>> out;
+    for (auto& [name, entry] : followers_) {
+        if (entry.sent >= view_.version()) {
+            continue;
+        }
+        out.emplace_back(name, make_update(now, entry.sent));
+        entry.sent = view_.version();
+    }
+    return out;
+}
+
+std::vector<std::string> fleet_leader::take_lost_followers(instant now)
+{
+    std::vector<std::string> out;
+    std::erase_if(followers_, [&](const auto& each) {
+        if (now - each.second.heard < follower_silence) {
+            return false;
+        }
+        out.push_back(each.first);
+        return true;
+    });
+    return out;
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/fleet/group_planner.cpp
@@ -0,0 +1,672 @@
+#include "cedarpoint/fleet/group_planner.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cedarpoint {
+namespace {
+
+constexpr unsigned term_shift = 20; ///< an epoch: the leader's term, then a counter
+constexpr duration wait_margin = milliseconds{700};
+constexpr duration retire_shortest = milliseconds{500};
+constexpr int looks_to_doubt = 2; ///< unanswered in a row
+
+bool contains(const std::vector<model_id>& in, const model_id& model)
+{
+    return std::find(in.begin(), in.end(), model) != in.end();
+}
+
+/// The head's id stands in the name, so that a new leader knows it without having heard the head.
+group_id make_name(const runner_id& head, epoch assignment)
+{
+    return group_id{head.str() + "." + std::to_string(assignment.value)};
+}
+
+runner_id head_in(const group_id& name)
+{
+    return runner_id{name.str().substr(0, name.str().rfind('.'))};
+}
+
+} // namespace
+
+std::string_view name_of(plan_phase phase)
+{
+    constexpr std::array<std::string_view, 6> names{"joining",  "opening",   "serving",
+                                                    "retiring", "releasing", "waiting"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
+group_planner::group_planner(planner_options options, const runner_registry& registry,
+                             const sighting_board& sightings, const fleet_state& state)
+    : options_{options}, registry_{registry}, sightings_{sightings}, state_{state}
+{
+}
+
+void group_planner::begin_term(instant now, std::uint64_t term)
+{
+    term_ = term;
+    formed_ = 0;
+    settled_at_ = now + options_.settle;
+    groups_.clear();
+    placed_.clear();
+    ordered_.clear();
+    looked_.clear();
+    unanswered_.clear();
+    staging_.clear();
+    released_.clear();
+}
+
+void group_planner::set_configuration(const fleet_configuration* configuration)
+{
+    configuration_ = configuration;
+    for (const auto& service : configuration->services) {
+        if (service.engine) {
+            loads_.set_limits(service.engine->loads_per_second, service.engine->loads_at_once);
+        }
+    }
+}
+
+std::vector<planner_step> group_planner::tick(instant now)
+{
+    steps_.clear();
+    if (configuration_ == nullptr || !is_settled(now)) {
+        return {};
+    }
+    loads_.set_unmetered(sightings_.started() == 0);
+    finished_.clear();
+    adopt(now);
+    for (auto& [name, group] : groups_) {
+        look_after(now, group);
+    }
+    for (const auto& name : finished_) {
+        groups_.erase(name);
+    }
+    form(now);
+    return std::move(steps_);
+}
+
+// --- groups of an earlier leader ----------------------------------------------------------------
+
+void group_planner::adopt(instant now)
+{
+    std::map<std::pair<group_id, epoch>, std::map<std::size_t, runner_id>> found;
+    for (const auto& [runner, record] : registry_.records()) {
+        const auto& membership = record.latest.membership;
+        if (!membership || !registry_.is_present(record) || groups_.contains(membership->group)) {
+            continue;
+        }
+        const bool stands_open =
+            membership->rank == 0 &&
+            (membership->phase == member_phase::open || membership->phase == member_phase::closing);
+        if (!stands_open &&
+            (placed_.contains(runner) || released_.contains({membership->group, runner}))) {
+            continue;
+        }
+        found[{membership->group, membership->assignment}].emplace(membership->rank, runner);
+    }
+    for (const auto& [key, ranks] : found) {
+        planned_group group;
+        group.name = key.first;
+        group.assignment = key.second;
+        group.since = now;
+        group.opened = true;
+        adopt_group(now, std::move(group), ranks);
+    }
+}
+
+void group_planner::adopt_group(instant now, planned_group group,
+                                const std::map<std::size_t, runner_id>& ranks)
+{
+    const auto& any = registry_.find(ranks.begin()->second)->latest;
+    group.service = any.service;
+    group.model = any.models.empty() ? model_id{} : any.models.front();
+    const auto* model = find_model(group.service, group.model);
+    const auto head = head_in(group.name);
+    if (ranks.begin()->first != 0) {
+        group.members.push_back(head);
+    }
+    for (const auto& [rank, runner] : ranks) {
+        group.members.push_back(runner);
+    }
+    const auto* head_record = registry_.find(head);
+    const bool open = head_record != nullptr && head_record->latest.membership &&
+                      head_record->latest.membership->group == group.name &&
+                      head_record->latest.membership->phase == member_phase::open;
+    const bool whole = model != nullptr && ranks.size() == model->group_size;
+    for (const auto& member : group.members) {
+        placed_.try_emplace(member, group.name);
+    }
+    auto& kept = groups_[group.name] = std::move(group);
+    enter(now, kept, open && whole ? plan_phase::serving : plan_phase::releasing, "found");
+}
+
+// --- groups of the plan -------------------------------------------------------------------------
+
+void group_planner::look_after(instant now, planned_group& group)
+{
+    using handler = void (group_planner::*)(instant, planned_group&);
+    constexpr std::array<handler, 6> handlers{
+        &group_planner::join_members,  &group_planner::open_head,
+        &group_planner::watch_serving, &group_planner::watch_retiring,
+        &group_planner::release_head,  &group_planner::watch_waiting};
+    (this->*handlers.at(static_cast<std::size_t>(group.phase)))(now, group);
+}
+
+bool group_planner::is_member_at(const runner_id& runner, const planned_group& group,
+                                 member_phase phase) const
+{
+    const auto* record = registry_.find(runner);
+    if (record == nullptr || !record->latest.membership) {
+        return false;
+    }
+    const auto& membership = *record->latest.membership;
+    return membership.group == group.name && membership.assignment == group.assignment &&
+           membership.phase == phase;
+}
+
+group_planner::member_health group_planner::health_of(instant now, const planned_group& group,
+                                                      const runner_id& runner) const
+{
+    const auto* record = registry_.find(runner);
+    if (record == nullptr || !registry_.is_present(*record)) {
+        return member_health::lost;
+    }
+    const bool forming = group.phase == plan_phase::joining;
+    const auto& membership = record->latest.membership;
+    const bool belongs =
+        membership && membership->group == group.name && membership->assignment == group.assignment;
+    if (!forming && !belongs) {
+        return member_health::lost;
+    }
+    if (record->latest.draining || state_.is_leaving(runner)) {
+        return member_health::draining;
+    }
+    return now - record->heard > options_.heartbeat * 3 / 2 ? member_health::silent
+                                                            : member_health::present;
+}
+
+void group_planner::join_members(instant now, planned_group& group)
+{
+    bool all_ready = true;
+    for (const auto& member : group.members) {
+        const auto health = health_of(now, group, member);
+        const auto doubts = unanswered_.find(member);
+        const bool unheard = health == member_health::silent && doubts != unanswered_.end() &&
+                             doubts->second >= looks_to_doubt;
+        if (health == member_health::lost || health == member_health::draining || unheard) {
+            finish(group, "member " + member.str() + " is not to be had");
+            return;
+        }
+        if (health == member_health::silent) {
+            look(now, member);
+        }
+        if (is_member_at(member, group, member_phase::ready)) {
+            continue;
+        }
+        all_ready = false;
+        if (!is_member_at(member, group, member_phase::joining)) {
+            auto next = order_for(group, order_kind::join, member);
+            next.model = group.model;
+            next.members = group.members;
+            order(now, next);
+        }
+    }
+    if (all_ready) {
+        group.opened = true;
+        enter(now, group, plan_phase::opening, "all members are ready");
+        open_head(now, group);
+    }
+}
+
+void group_planner::open_head(instant now, planned_group& group)
+{
+    for (const auto& member : group.members) {
+        if (health_of(now, group, member) == member_health::lost) {
+            lose_member(now, group, "member " + member.str() + " is lost");
+            return;
+        }
+    }
+    if (is_member_at(group.members.front(), group, member_phase::open)) {
+        enter(now, group, plan_phase::serving, "the head is open");
+        return;
+    }
+    order(now, order_for(group, order_kind::open, group.members.front()));
+}
+
+void group_planner::look_at_members(instant now, const planned_group& group)
+{
+    for (const auto& member : group.members) {
+        look(now, member);
+    }
+}
+
+void group_planner::watch_serving(instant now, planned_group& group)
+{
+    const auto& head = group.members.front();
+    if (is_member_at(head, group, member_phase::broken) ||
+        is_member_at(head, group, member_phase::ready)) {
+        lose_member(now, group, "the head does not serve");
+        return;
+    }
+    const auto outlook = sightings_.look(now, head);
+    if (outlook.stands_still || outlook.refused) {
+        look_at_members(now, group);
+    }
+    bool draining = false;
+    for (const auto& member : group.members) {
+        const auto health = health_of(now, group, member);
+        if (health == member_health::lost) {
+            lose_member(now, group, "member " + member.str() + " is lost");
+            return;
+        }
+        draining = draining || health == member_health::draining;
+        if (health == member_health::silent) {
+            look(now, member);
+        }
+        const auto doubts = unanswered_.find(member);
+        const int unanswered = doubts == unanswered_.end() ? 0 : doubts->second;
+        const bool confirmed = outlook.stands_still && unanswered >= 1;
+        const bool silent = health == member_health::silent && unanswered >= looks_to_doubt;
+        if (confirmed || (silent && !outlook.progresses)) {
+            lose_member(now, group, "member " + member.str() + " does not answer");
+            return;
+        }
+    }
+    if (draining) {
+        enter(now, group, plan_phase::retiring, "a member leaves");
+    }
+}
+
+void group_planner::watch_retiring(instant now, planned_group& group)
+{
+    for (const auto& member : group.members) {
+        if (health_of(now, group, member) == member_health::lost) {
+            lose_member(now, group, "member " + member.str() + " is lost");
+            return;
+        }
+    }
+    const auto outlook = sightings_.look(now, group.members.front());
+    const bool idle = outlook.in_flight == 0 && now - group.since >= retire_shortest;
+    if (idle || now - group.since >= options_.retire_limit) {
+        enter(now, group, plan_phase::releasing, idle ? "it is idle" : "its time is up");
+    }
+}
+
+void group_planner::lose_member(instant now, planned_group& group, const std::string& why)
+{
+    enter(now, group, plan_phase::releasing, why);
+    release_head(now, group);
+}
+
+void group_planner::release_head(instant now, planned_group& group)
+{
+    const auto& head = group.members.front();
+    const auto* record = registry_.find(head);
+    if (record != nullptr && health_of(now, group, head) == member_health::lost) {
+        finish(group, "the head has left");
+        return;
+    }
+    const auto doubts = unanswered_.find(head);
+    const bool unheard =
+        record == nullptr || (doubts != unanswered_.end() && doubts->second >= looks_to_doubt);
+    if (unheard) {
+        enter(now, group, plan_phase::waiting, "the head does not answer");
+        watch_waiting(now, group);
+        return;
+    }
+    order(now, order_for(group, order_kind::leave, head));
+    if (now - group.since > options_.order_retry) {
+        look(now, head);
+    }
+}
+
+void group_planner::watch_waiting(instant now, planned_group& group)
+{
+    const auto& head = group.members.front();
+    const auto* record = registry_.find(head);
+    const bool gone = record != nullptr && health_of(now, group, head) == member_health::lost;
+    if (gone) {
+        finish(group, "the head is gone");
+        return;
+    }
+    if (record != nullptr && record->heard > group.since) {
+        enter(now, group, plan_phase::releasing, "the head is heard again");
+        return;
+    }
+    bool any_member = false;
+    for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+        const auto& member = group.members[rank];
+        const auto health = health_of(now, group, member);
+        if (health == member_health::lost || health == member_health::silent) {
+            continue;
+        }
+        any_member = true;
+        if (!group.left_at) {
+            order(now, order_for(group, order_kind::leave, member));
+        }
+    }
+    if (group.left_at ? now - *group.left_at >= options_.stall + wait_margin
+                      : !any_member && now - group.since >= options_.stall + wait_margin) {
+        finish(group, "the head has broken by now");
+    }
+}
+
+void group_planner::finish(planned_group& group, const std::string& why)
+{
+    for (const auto& member : group.members) {
+        const auto placed = placed_.find(member);
+        if (placed != placed_.end() && placed->second == group.name) {
+            placed_.erase(placed);
+        }
+        released_.emplace(group.name, member);
+    }
+    finished_.insert(group.name);
+    tell(group, "ended: " + why);
+}
+
+void group_planner::enter(instant now, planned_group& group, plan_phase phase,
+                          const std::string& why)
+{
+    group.phase = phase;
+    group.since = now;
+    tell(group, why);
+}
+
+void group_planner::tell(const planned_group& group, const std::string& why) const
+{
+    if (!on_event) {
+        return;
+    }
+    planner_event event{group.name, group.phase, why, {}};
+    for (const auto& member : group.members) {
+        event.members += (event.members.empty() ? "" : ",") + member.str();
+    }
+    on_event(event);
+}
+
+// --- forming ------------------------------------------------------------------------------------
+
+const engine_model* group_planner::find_model(const service_id& service,
+                                              const model_id& model) const
+{
+    const auto* found = configuration_->find_service(service);
+    if (found == nullptr || !found->engine) {
+        return nullptr;
+    }
+    const auto& models = found->engine->models;
+    const auto each = std::find_if(models.begin(), models.end(),
+                                   [&](const engine_model& one) { return one.name == model; });
+    return each == models.end() ? nullptr : &*each;
+}
+
+bool group_planner::is_free(instant now, const runner_record& record) const
+{
+    const auto& runner = record.latest.id;
+    const auto& membership = record.latest.membership;
+    const bool bound = membership && !released_.contains({membership->group, runner});
+    const bool silent = now - record.heard > options_.heartbeat * 3 / 2;
+    return registry_.is_present(record) && !placed_.contains(runner) && !bound && !silent &&
+           !record.latest.draining && !state_.is_leaving(runner);
+}
+
+group_planner::free_map group_planner::free_runners(instant now) const
+{
+    free_map out;
+    for (const auto& [runner, record] : registry_.records()) {
+        const auto* service = configuration_->find_service(record.latest.service);
+        if (service != nullptr && service->engine && is_free(now, record)) {
+            out[record.latest.fabric_domain].push_back(runner);
+        }
+    }
+    return out;
+}
+
+duration group_planner::join_time(const runner_record& record, const engine_model& model) const
+{
+    constexpr duration again = milliseconds{200};
+    const auto last = last_model_.find(record.latest.id);
+    if (last != last_model_.end() && last->second == model.name) {
+        return again;
+    }
+    return contains(record.latest.staged, model.name) ? model.warm_time : model.load_time;
+}
+
+std::size_t group_planner::count_groups(const model_id& model) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(groups_.begin(), groups_.end(), [&](const auto& each) {
+            return each.second.model == model && each.second.phase <= plan_phase::serving &&
+                   !finished_.contains(each.first);
+        }));
+}
+
+std::size_t group_planner::loads_running() const
+{
+    std::size_t out = staging_.size();
+    for (const auto& [name, group] : groups_) {
+        out += group.phase == plan_phase::joining ? group.loads : 0;
+    }
+    return out;
+}
+
+std::optional<group_planner::proposal>
+group_planner::propose(const fleet_service& service, const engine_model& model,
+                       const std::vector<runner_id>& free) const
+{
+    std::vector<std::pair<duration, runner_id>> candidates;
+    for (const auto& runner : free) {
+        const auto& record = *registry_.find(runner);
+        if (record.latest.service == service.name && !staging_.contains(runner)) {
+            candidates.emplace_back(join_time(record, model), runner);
+        }
+    }
+    if (candidates.size() < model.group_size) {
+        return {};
+    }
+    std::sort(candidates.begin(), candidates.end());
+    candidates.resize(model.group_size);
+    proposal out;
+    out.service = &service;
+    out.model = &model;
+    for (const auto& [time, runner] : candidates) {
+        out.members.push_back(runner);
+        out.loads += time == model.load_time ? 1 : 0;
+    }
+    // Groups of a model against its share of the work; and a long wait speaks against it.
+    constexpr double per_second_of_wait = 0.05;
+    constexpr double us = 1e6;
+    constexpr double half = 0.5;
+    double groups = 1;
+    for (const auto& each : service.engine->models) {
+        groups += static_cast<double>(count_groups(each.name));
+    }
+    const auto own = static_cast<double>(count_groups(model.name)) + half;
+    out.score = own / std::max(model.share, 0.01) / groups +
+                per_second_of_wait * static_cast<double>(candidates.back().first.count()) / us;
+    return out;
+}
+
+std::optional<group_planner::proposal> group_planner::best_proposal(const free_map& free) const
+{
+    std::optional<proposal> best;
+    for (const auto& [domain, runners] : free) {
+        for (const auto& service : configuration_->services) {
+            if (!service.engine) {
+                continue;
+            }
+            for (const auto& model : service.engine->models) {
+                auto next = propose(service, model, runners);
+                if (next && (!best || next->score < best->score)) {
+                    best = std::move(next);
+                    best->domain = domain;
+                }
+            }
+        }
+    }
+    return best;
+}
+
+void group_planner::form(instant now)
+{
+    std::erase_if(staging_, [&](const auto& each) {
+        const auto* record = registry_.find(each.first);
+        return record == nullptr || now >= each.second.second ||
+               contains(record->latest.staged, each.second.first);
+    });
+    auto free = free_runners(now);
+    for (auto chosen = best_proposal(free); chosen; chosen = best_proposal(free)) {
+        if (!loads_.allows(now, chosen->loads, loads_running())) {
+            return;
+        }
+        begin_group(now, *chosen, free);
+    }
+    stage_spares(now, free);
+}
+
+void group_planner::begin_group(instant now, const proposal& chosen, free_map& free)
+{
+    planned_group group;
+    group.assignment = epoch{(term_ << term_shift) + ++formed_};
+    group.members = chosen.members;
+    group.name = make_name(group.members.front(), group.assignment);
+    group.service = chosen.service->name;
+    group.model = chosen.model->name;
+    group.loads = chosen.loads;
+    loads_.begin(now, chosen.loads);
+    auto& runners = free[chosen.domain];
+    for (const auto& member : group.members) {
+        placed_[member] = group.name;
+        last_model_[member] = group.model;
+        std::erase(runners, member);
+    }
+    auto& kept = groups_[group.name] = std::move(group);
+    enter(now, kept, plan_phase::joining, "formed");
+    join_members(now, kept);
+}
+
+void group_planner::stage_spares(instant now, const free_map& free)
+{
+    for (const auto& [domain, runners] : free) {
+        std::map<model_id, std::size_t> staged;
+        for (const auto& runner : runners) {
+            for (const auto& model : registry_.find(runner)->latest.staged) {
+                ++staged[model];
+            }
+            if (const auto under_way = staging_.find(runner); under_way != staging_.end()) {
+                ++staged[under_way->second.first];
+            }
+        }
+        for (const auto& runner : runners) {
+            const auto& record = *registry_.find(runner);
+            if (!record.latest.staged.empty() || staging_.contains(runner) ||
+                !loads_.allows(now, 1, loads_running())) {
+                continue;
+            }
+            const auto& models =
+                configuration_->find_service(record.latest.service)->engine->models;
+            const auto rarest = std::min_element(models.begin(), models.end(),
+                                                 [&](const engine_model& a, const engine_model& b) {
+                                                     return staged[a.name] < staged[b.name];
+                                                 });
+            ++staged[rarest->name];
+            stage(now, record, *rarest);
+        }
+    }
+}
+
+void group_planner::stage(instant now, const runner_record& record, const engine_model& model)
+{
+    loads_.begin(now, 1);
+    staging_[record.latest.id] = {model.name, now + model.load_time * 2};
+    group_order next;
+    next.kind = order_kind::stage;
+    next.to = record.latest.id;
+    next.address = record.latest.address;
+    next.fence = term_;
+    next.model = model.name;
+    steps_.push_back({planner_step::kind_t::order, std::move(next)});
+}
+
+// --- orders and looks ---------------------------------------------------------------------------
+
+group_order group_planner::order_for(const planned_group& group, order_kind kind,
+                                     const runner_id& to) const
+{
+    group_order out;
+    out.kind = kind;
+    out.to = to;
+    const auto* record = registry_.find(to);
+    if (record != nullptr) {
+        out.address = record->latest.address;
+    }
+    out.group = group.name;
+    out.assignment = group.assignment;
+    out.fence = term_;
+    return out;
+}
+
+void group_planner::order(instant now, const group_order& order)
+{
+    const auto key = order.to.str() + "/" + order.group.str() + "/" +
+                     std::to_string(static_cast<int>(order.kind));
+    const auto last = ordered_.find(key);
+    if (last != ordered_.end() && now - last->second < options_.order_retry) {
+        return;
+    }
+    ordered_[key] = now;
+    steps_.push_back({planner_step::kind_t::order, order});
+}
+
+void group_planner::look(instant now, const runner_id& runner)
+{
+    const auto last = looked_.find(runner);
+    const auto* record = registry_.find(runner);
+    if (record == nullptr ||
+        (last != looked_.end() && now - last->second < options_.look_interval)) {
+        return;
+    }
+    looked_[runner] = now;
+    planner_step step;
+    step.kind = planner_step::kind_t::look;
+    step.order.to = runner;
+    step.order.address = record->latest.address;
+    steps_.push_back(std::move(step));
+}
+
+void group_planner::on_look_failed(instant /*now*/, const runner_id& runner)
+{
+    ++unanswered_[runner];
+}
+
+void group_planner::on_look_answered(const runner_id& runner)
+{
+    unanswered_.erase(runner);
+}
+
+void group_planner::on_order_result(instant now, const group_order& order, order_result result)
+{
+    const auto found = groups_.find(order.group);
+    if (found == groups_.end() || order.assignment != found->second.assignment) {
+        return;
+    }
+    auto& group = found->second;
+    const bool answered = result == order_result::taken || result == order_result::unfit ||
+                          result == order_result::fenced;
+    if (order.kind == order_kind::leave && answered) {
+        if (group.phase == plan_phase::releasing && order.to == group.members.front()) {
+            finish(group, "the head has left");
+            groups_.erase(found);
+        }
+        else if (group.phase == plan_phase::waiting && !group.left_at) {
+            group.left_at = now;
+        }
+        return;
+    }
+    if (order.kind == order_kind::join && group.phase == plan_phase::joining &&
+        result == order_result::fenced) {
+        finish(group, "a member has seen a newer epoch");
+        groups_.erase(found);
+    }
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/fleet/sighting_board.cpp
@@ -0,0 +1,59 @@
+#include "cedarpoint/fleet/sighting_board.h"
+
+namespace cedarpoint {
+namespace {
+
+constexpr duration fresh = milliseconds{900};         ///< words older than this say nothing
+constexpr duration follower_age = milliseconds{2500}; ///< a follower is counted for this long
+constexpr std::uint32_t still_ms = 300;               ///< without a byte: it stands still
+constexpr std::uint32_t few_failures = 2;             ///< connections that were not made
+
+} // namespace
+
+void sighting_board::put(instant now, const std::string& follower, const wire::fleet_follow& in)
+{
+    auto& entry = words_[follower];
+    entry.at = now;
+    entry.failure_domain = in.failure_domain();
+    entry.sightings.clear();
+    for (const auto& each : in.sightings()) {
+        entry.sightings[runner_id{each.runner()}] = each;
+    }
+    for (const auto& each : in.demand()) {
+        started_ += each.started() + each.refused();
+    }
+}
+
+runner_outlook sighting_board::look(instant now, const runner_id& runner) const
+{
+    runner_outlook out;
+    for (const auto& [follower, entry] : words_) {
+        const auto found = entry.sightings.find(runner);
+        if (found == entry.sightings.end() || now - entry.at > fresh) {
+            continue;
+        }
+        const auto& seen = found->second;
+        out.in_flight += static_cast<int>(seen.in_flight());
+        out.refused = out.refused || seen.refused();
+        const bool waits = seen.in_flight() > 0 && seen.silent_ms() >= still_ms;
+        if (waits || seen.unreachable() >= few_failures) {
+            out.witnesses.insert(entry.failure_domain);
+        }
+        else if (seen.in_flight() > 0) {
+            out.progresses = true;
+        }
+    }
+    out.stands_still = !out.progresses && !out.witnesses.empty();
+    return out;
+}
+
+std::size_t sighting_board::followers(instant now) const
+{
+    std::size_t out = 0;
+    for (const auto& [follower, entry] : words_) {
+        out += now - entry.at <= follower_age ? 1 : 0;
+    }
+    return out;
+}
+
+} // namespace cedarpoint
--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -184,8 +184,9 @@
 
 http_response_parser::~http_response_parser() = default;
 
-void http_response_parser::put(std::string_view bytes)
+std::size_t http_response_parser::put(std::string_view bytes)
 {
+    const auto before = impl_->kept.size();
     impl_->kept.append(bytes);
     std::size_t used = 0;
     while (used < impl_->kept.size() && !is_done() && impl_->fault == http_fault::none) {
@@ -199,7 +200,12 @@
             impl_->fault = fault_of(ec);
         }
     }
+    if (is_done()) {
+        impl_->kept.clear();
+        return used > before ? used - before : 0;
+    }
     impl_->kept.erase(0, used);
+    return bytes.size();
 }
 
 void http_response_parser::put_eof()
--- a/src/io/http_parser.h
+++ b/src/io/http_parser.h
@@ -52,7 +52,8 @@
     http_response_parser(const http_response_parser&) = delete;
     http_response_parser& operator=(const http_response_parser&) = delete;
 
-    void put(std::string_view bytes);
+    /// Takes bytes; returns how many it used. Those behind a whole answer stay with the caller.
+    std::size_t put(std::string_view bytes);
     /// The peer closed: the end of an answer without a length, or a cut.
     void put_eof();
     [[nodiscard]] http_fault fault() const;
--- a/src/io/log_line.cpp
+++ b/src/io/log_line.cpp
@@ -1,13 +1,20 @@
 #include "io/log_line.h"
 
+#include "io/clock.h"
+#include "io/log_sink.h"
+
+#include <unistd.h>
+
 #include <chrono>
-#include <cstdio>
 #include <fmt/chrono.h>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace cedarpoint {
 namespace {
 
+constexpr double lines_per_second = 200; ///< of one kind of event
+
 bool json_lines = false;
 
 std::string wall_time()
@@ -60,9 +67,20 @@
 
 void log_line::write() const
 {
+    static log_sink sink{STDOUT_FILENO};
+    static std::map<std::string, log_rate, std::less<>> rates;
+    const auto now_ms = to_ms(steady_now().time_since_epoch());
+    auto& rate = rates.try_emplace(event_, lines_per_second).first->second;
+    if (!rate.take(now_ms)) {
+        return;
+    }
     const auto time = wall_time();
-    const auto line = (json_lines ? as_json(time) : as_text(time)) + "\n";
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    if (const auto count = rate.take_suppressed(); count > 0) {
+        log_line summary{"suppressed"};
+        summary.with("kind", event_).with("count", count);
+        sink.write((json_lines ? summary.as_json(time) : summary.as_text(time)) + "\n");
+    }
+    sink.write((json_lines ? as_json(time) : as_text(time)) + "\n");
 }
 
 } // namespace cedarpoint
--- a/src/io/log_line.h
+++ b/src/io/log_line.h
@@ -9,7 +9,8 @@
 
 namespace cedarpoint {
 
-/// One structured line on standard error: time, event, then the fields in their order.
+/// One structured line on standard output: time, event, then the fields in their order. Never
+/// blocks; lines of one kind are bounded, and what is left out is counted in a line.
 /// Prompts and keys never go into a field.
 class log_line {
 public:
--- /dev/null
+++ b/src/io/log_sink.cpp
@@ -0,0 +1,74 @@
+#include "io/log_sink.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cedarpoint {
+namespace {
+
+constexpr double ms_per_second = 1000;
+
+} // namespace
+
+log_sink::log_sink(int descriptor) : descriptor_{descriptor}
+{
+    const int flags = ::fcntl(descriptor_, F_GETFL);
+    if (flags >= 0) {
+        ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
+void log_sink::write(std::string_view line)
+{
+    if (kept_.size() + line.size() > most_kept) {
+        write_some();
+    }
+    if (kept_.size() + line.size() > most_kept) {
+        ++dropped_;
+        return;
+    }
+    if (told_ != dropped_) {
+        kept_ += "event=log_lines_dropped count=" + std::to_string(dropped_ - told_) + "\n";
+        told_ = dropped_;
+    }
+    kept_.append(line);
+    write_some();
+}
+
+void log_sink::flush()
+{
+    write_some();
+}
+
+void log_sink::write_some()
+{
+    while (!kept_.empty()) {
+        const auto count = ::write(descriptor_, kept_.data(), kept_.size());
+        if (count <= 0) {
+            return;
+        }
+        kept_.erase(0, static_cast<std::size_t>(count));
+    }
+}
+
+bool log_rate::take(std::int64_t now_ms)
+{
+    const auto passed = static_cast<double>(now_ms - std::exchange(last_ms_, now_ms));
+    tokens_ = std::clamp(tokens_ + passed * per_second_ / ms_per_second, 0.0, per_second_);
+    if (tokens_ < 1) {
+        ++suppressed_;
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+std::uint64_t log_rate::take_suppressed()
+{
+    return std::exchange(suppressed_, 0);
+}
+
+} // namespace cedarpoint
--- a/src/io/mesh.cpp
+++ b/src/io/mesh.cpp
@@ -10,6 +10,9 @@
 constexpr int high_water = 10'000;
 constexpr int reconnect_ms = 50;
 constexpr int reconnect_max_ms = 1000;
+constexpr int connect_timeout_ms = 1000;
+constexpr int heartbeat_ms = 1000;
+constexpr int heartbeat_timeout_ms = 2500;
 constexpr std::size_t max_message = 64 << 20;
 constexpr const char* zap_address = "inproc://zeromq.zap.01";
 constexpr const char* zap_domain = "cedarpoint";
@@ -62,36 +65,82 @@
             QObject::connect(gate_notifier_.get(), &QSocketNotifier::activated,
                              [this] { answer_handshakes(); });
         }
-        inbox_ = std::make_unique<zmq::socket_t>(context_, zmq::socket_type::router);
-        inbox_->set(zmq::sockopt::rcvhwm, high_water);
-        inbox_->set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(max_message));
-        inbox_->set(zmq::sockopt::linger, 0);
-        secure(*inbox_, true);
-        inbox_->bind(tcp(*own.daemons));
+        open_inbox(*own.daemons);
         for (const auto& it : own.peers) {
-            if (it.id == own.id) {
-                continue;
+            if (it.id != own.id) {
+                connect_peer(it.id, it.address);
             }
-            zmq::socket_t out{context_, zmq::socket_type::dealer};
-            out.set(zmq::sockopt::linger, 0);
-            out.set(zmq::sockopt::immediate, 1);
-            out.set(zmq::sockopt::sndhwm, high_water);
-            out.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
-            out.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
-            secure(out, false);
-            out.connect(tcp(it.address));
-            known_[it.id] = it.address.str();
-            peers_.emplace(it.id, std::move(out));
         }
     }
     catch (const zmq::error_t& e) {
         why = {"listen", own.daemons->str(), e.what()};
         return false;
     }
+    watch_inbox();
+    return true;
+}
+
+bool mesh::start_open(const endpoint& at, reason& why)
+{
+    open_ = true;
+    try {
+        open_inbox(at);
+    }
+    catch (const zmq::error_t& e) {
+        why = {"listen", at.str(), e.what()};
+        return false;
+    }
+    watch_inbox();
+    return true;
+}
+
+void mesh::open_inbox(const endpoint& at)
+{
+    inbox_ = std::make_unique<zmq::socket_t>(context_, zmq::socket_type::router);
+    inbox_->set(zmq::sockopt::rcvhwm, high_water);
+    inbox_->set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(max_message));
+    inbox_->set(zmq::sockopt::linger, 0);
+    secure(*inbox_, true);
+    inbox_->bind(tcp(at));
+}
+
+void mesh::connect_peer(const daemon_id& peer, const endpoint& at)
+{
+    zmq::socket_t out{context_, zmq::socket_type::dealer};
+    out.set(zmq::sockopt::linger, 0);
+    out.set(zmq::sockopt::immediate, 1);
+    out.set(zmq::sockopt::sndhwm, high_water);
+    out.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
+    out.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
+    // A peer without power says nothing: the connection is given up, not waited for.
+    out.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
+    out.set(zmq::sockopt::heartbeat_ivl, heartbeat_ms);
+    out.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
+    secure(out, false);
+    out.connect(tcp(at));
+    known_[peer] = at.str();
+    peers_.emplace(peer, std::move(out));
+}
+
+void mesh::watch_inbox()
+{
     notifier_ =
         std::make_unique<QSocketNotifier>(inbox_->get(zmq::sockopt::fd), QSocketNotifier::Read);
     QObject::connect(notifier_.get(), &QSocketNotifier::activated, [this] { drain(); });
-    return true;
+}
+
+void mesh::add_peer(const daemon_id& peer)
+{
+    const auto at = endpoint::parse(peer.str());
+    if (at && !peers_.contains(peer)) {
+        connect_peer(peer, *at);
+    }
+}
+
+void mesh::remove_peer(const daemon_id& peer)
+{
+    peers_.erase(peer);
+    known_.erase(peer);
 }
 
 void mesh::send(const daemon_id& to, const wire::envelope& envelope)
@@ -129,7 +178,7 @@
         }
         wire::envelope in;
         const bool read = in.ParseFromArray(body.data(), static_cast<int>(body.size()));
-        if (read && known_.contains(daemon_id{in.from()})) {
+        if (read && (open_ || known_.contains(daemon_id{in.from()}))) {
             bytes_in_ += body.size();
             handler_(in);
         }
--- a/src/io/mesh.h
+++ b/src/io/mesh.h
@@ -27,6 +27,11 @@
     mesh& operator=(const mesh&) = delete;
 
     bool start(const settings& own, const std::string& secret_key, reason& why);
+    /// Listens at `at` for daemons that find each other: any may speak, and ids are addresses.
+    bool start_open(const endpoint& at, reason& why);
+    /// Connects to a daemon that was found. Its id is its address.
+    void add_peer(const daemon_id& peer);
+    void remove_peer(const daemon_id& peer);
     void send(const daemon_id& to, const wire::envelope& envelope);
     /// Reads all that has come. Called on the socket's event and, since that is edge-triggered,
     /// after each send and from the daemon's tick.
@@ -37,6 +42,9 @@
 
 private:
     void secure(zmq::socket_t& socket, bool server) const;
+    void open_inbox(const endpoint& at);
+    void connect_peer(const daemon_id& peer, const endpoint& at);
+    void watch_inbox();
     void answer_handshakes();
 
     handler handler_;
@@ -52,6 +60,7 @@
     std::uint64_t bytes_out_ = 0;
     std::uint64_t bytes_in_ = 0;
     bool draining_ = false;
+    bool open_ = false; ///< strangers are heard
 };
 
 } // namespace cedarpoint
--- /dev/null
+++ b/src/io/runner_connection.cpp
@@ -0,0 +1,209 @@
+#include "io/runner_connection.h"
+
+#include "io/clock.h"
+
+#include <charconv>
+
+namespace cedarpoint {
+namespace {
+
+constexpr std::size_t max_answer_head = 65536;
+
+/// The value of "timeout=N" in a Keep-Alive header.
+std::optional<seconds> read_keep_alive(std::string_view value)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto at = value.find(name);
+    if (at == std::string_view::npos) {
+        return {};
+    }
+    value.remove_prefix(at + name.size());
+    int out = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), out);
+    return error == std::errc{} ? std::optional{seconds{out}} : std::nullopt;
+}
+
+} // namespace
+
+runner_connection::runner_connection(endpoint to)
+    : to_{std::move(to)}, socket_{{[this] { on_connected(); },
+                                   [this](std::string_view fresh) { read(fresh); },
+                                   [this](socket_end how) { on_closed(how); }}}
+{
+    connect_timer_.setSingleShot(true);
+    connect(&connect_timer_, &QTimer::timeout, this,
+            [this] { end(exchange_end::unsent, "connect", "timed out"); });
+}
+
+runner_connection::~runner_connection() = default;
+
+void runner_connection::on_connected()
+{
+    connect_timer_.stop();
+    send();
+}
+
+bool runner_connection::is_reusable() const
+{
+    return !spoiled_ && !busy_ && socket_.is_connected() && socket_.unwritten() == 0;
+}
+
+void runner_connection::start(exchange_request request, exchange_handlers handlers)
+{
+    request_ = std::move(request);
+    handlers_ = std::make_shared<const exchange_handlers>(std::move(handlers));
+    parser_ = std::make_unique<http_response_parser>(max_answer_head, request_.head_only);
+    head_seen_ = false;
+    foreign_ = false;
+    busy_ = true;
+    if (socket_.is_connected()) {
+        send();
+        return;
+    }
+    connect_timer_.start(static_cast<int>(request_.connect_timeout.count()));
+    socket_.connect_to(to_);
+}
+
+void runner_connection::send()
+{
+    if (!busy_) {
+        return;
+    }
+    if (const auto handlers = handlers_; handlers->on_sent) {
+        handlers->on_sent();
+    }
+    if (!busy_) {
+        return;
+    }
+    socket_.write(request_.bytes);
+    request_.bytes.clear();
+}
+
+void runner_connection::cancel()
+{
+    busy_ = false;
+    spoiled_ = true;
+    handlers_.reset();
+    connect_timer_.stop();
+    socket_.close();
+}
+
+void runner_connection::pause(bool paused)
+{
+    socket_.set_reading(!paused);
+}
+
+void runner_connection::read(std::string_view fresh)
+{
+    if (!busy_) {
+        spoiled_ = true; // bytes that no request waits for
+        socket_.close();
+        return;
+    }
+    pending_.append(fresh);
+    while (busy_ && !pending_.empty()) {
+        read_answer();
+    }
+}
+
+void runner_connection::read_answer()
+{
+    const auto used = parser_->put(pending_);
+    pending_.erase(0, used);
+    if (parser_->is_head_done() && !head_seen_) {
+        take_head();
+    }
+    if (!busy_) {
+        return;
+    }
+    if (auto body = parser_->take_body(); !body.empty() && !foreign_) {
+        const auto handlers = handlers_;
+        handlers->on_body(std::move(body));
+    }
+    if (!busy_) {
+        return;
+    }
+    if (parser_->fault() != http_fault::none) {
+        spoiled_ = true;
+        end(exchange_end::cut, "parse", "not a valid HTTP answer");
+        return;
+    }
+    if (!parser_->is_done()) {
+        return;
+    }
+    if (foreign_) {
+        parser_ = std::make_unique<http_response_parser>(max_answer_head, request_.head_only);
+        head_seen_ = false;
+        foreign_ = false;
+        return;
+    }
+    // Bytes behind the answer belong to no request, and a body that is still going out is in the
+    // way of the next one.
+    spoiled_ = spoiled_ || !pending_.empty() || socket_.unwritten() > 0;
+    end(exchange_end::complete, "", "");
+}
+
+bool runner_connection::is_foreign(const http_head& head) const
+{
+    const auto echoed = head.fields.get(request_.id_header);
+    return !request_.id_header.empty() && !echoed.empty() && echoed != request_.id;
+}
+
+void runner_connection::take_head()
+{
+    head_seen_ = true;
+    const auto head = parser_->head();
+    if (equal_ignoring_case(head.fields.get("Connection"), "close")) {
+        spoiled_ = true;
+    }
+    if (head.fields.has("Keep-Alive")) {
+        keep_alive_ = read_keep_alive(head.fields.get("Keep-Alive"));
+    }
+    foreign_ = is_foreign(head);
+    if (!foreign_) {
+        const auto handlers = handlers_;
+        handlers->on_head(head);
+    }
+}
+
+void runner_connection::on_closed(socket_end how)
+{
+    spoiled_ = true;
+    if (!busy_) {
+        return;
+    }
+    if (connect_timer_.isActive()) {
+        const bool refused = how == socket_end::refused;
+        end(refused ? exchange_end::refused : exchange_end::unsent, "connect",
+            refused ? "refused" : "broken");
+        return;
+    }
+    if (how == socket_end::orderly && head_seen_ && !foreign_) {
+        parser_->put_eof();
+        if (parser_->is_done()) {
+            end(exchange_end::complete, "", "");
+            return;
+        }
+    }
+    end(exchange_end::cut, "read",
+        how == socket_end::orderly ? "the runner closed the connection" : "reset");
+}
+
+void runner_connection::end(exchange_end how, const char* step, const std::string& text)
+{
+    if (!busy_) {
+        return;
+    }
+    busy_ = false;
+    ++served_;
+    idle_since_ = steady_now();
+    connect_timer_.stop();
+    if (how != exchange_end::complete) {
+        spoiled_ = true;
+        socket_.close();
+    }
+    const auto handlers = std::exchange(handlers_, {});
+    handlers->on_end(how, {step, to_.str(), text});
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/io/runner_pool.cpp
@@ -0,0 +1,114 @@
+#include "io/runner_pool.h"
+
+#include "io/clock.h"
+
+#include <algorithm>
+
+namespace cedarpoint {
+namespace {
+
+constexpr int sweep_ms = 1000;
+
+/// Ends after the present call: the connection may be the one that is reporting.
+void dispose(std::unique_ptr<runner_connection> connection)
+{
+    connection.release()->deleteLater();
+}
+
+} // namespace
+
+runner_pool::runner_pool(pool_options options) : options_{options}
+{
+    QObject::connect(&sweeper_, &QTimer::timeout, [this] { sweep(); });
+    sweeper_.start(sweep_ms);
+}
+
+runner_pool::~runner_pool() = default;
+
+bool runner_pool::is_usable(const runner_connection& connection, instant now,
+                            milliseconds longest_rest) const
+{
+    if (!connection.is_reusable()) {
+        return false;
+    }
+    auto limit = longest_rest;
+    if (const auto said = connection.keep_alive()) {
+        limit = std::min<milliseconds>(limit, milliseconds{*said} - options_.keep_alive_margin);
+    }
+    return now - connection.idle_since() < limit;
+}
+
+runner_connection* runner_pool::take(const endpoint& to, milliseconds longest_rest)
+{
+    const auto now = steady_now();
+    auto& at = places_[to];
+    while (!at.idle.empty()) {
+        auto connection = std::move(at.idle.back());
+        at.idle.pop_back();
+        if (is_usable(*connection, now, longest_rest)) {
+            auto* out = connection.get();
+            at.busy.emplace(out, std::move(connection));
+            return out;
+        }
+        dispose(std::move(connection));
+    }
+    auto connection = std::make_unique<runner_connection>(to);
+    ++opened_;
+    auto* out = connection.get();
+    at.busy.emplace(out, std::move(connection));
+    return out;
+}
+
+void runner_pool::give_back(runner_connection* connection)
+{
+    auto& at = places_[connection->peer()];
+    const auto found = at.busy.find(connection);
+    if (found == at.busy.end()) {
+        return;
+    }
+    auto owned = std::move(found->second);
+    at.busy.erase(found);
+    if (owned->is_reusable()) {
+        at.idle.push_back(std::move(owned));
+    }
+    else {
+        dispose(std::move(owned));
+    }
+}
+
+std::size_t runner_pool::count(const endpoint& to) const
+{
+    const auto found = places_.find(to);
+    return found == places_.end() ? 0 : found->second.idle.size() + found->second.busy.size();
+}
+
+std::size_t runner_pool::count() const
+{
+    std::size_t out = 0;
+    for (const auto& [to, at] : places_) {
+        out += at.idle.size() + at.busy.size();
+    }
+    return out;
+}
+
+void runner_pool::sweep()
+{
+    const auto now = steady_now();
+    for (auto& [to, at] : places_) {
+        std::vector<std::unique_ptr<runner_connection>> kept;
+        for (auto& connection : at.idle) {
+            if (is_usable(*connection, now, options_.longest_rest)) {
+                kept.push_back(std::move(connection));
+            }
+            else {
+                dispose(std::move(connection));
+            }
+        }
+        at.idle = std::move(kept);
+    }
+    std::erase_if(places_, [](const auto& each) {
+        return each.second.idle.empty() && each.second.busy.empty();
+    });
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/io/simple_listeners.cpp
@@ -0,0 +1,41 @@
+#include "io/simple_listeners.h"
+
+namespace cedarpoint {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+caller_limits small_limits()
+{
+    caller_limits out;
+    out.max_connections = 32;
+    out.max_body_bytes = 4096;
+    return out;
+}
+
+} // namespace
+
+std::unique_ptr<http_listener> make_ready_listener(std::function<bool()> is_ready)
+{
+    return std::make_unique<http_listener>(
+        small_limits(), [is_ready = std::move(is_ready)](const http_request& /*request*/,
+                                                         const std::shared_ptr<http_reply>& reply) {
+            reply->send({is_ready() ? status_ok : status_unavailable, {}}, "");
+        });
+}
+
+std::unique_ptr<http_listener> make_metrics_listener(std::function<std::string()> text)
+{
+    return std::make_unique<http_listener>(
+        small_limits(), [text = std::move(text)](const http_request& request,
+                                                 const std::shared_ptr<http_reply>& reply) {
+            const bool known = request.target == "/metrics";
+            http_head head{known ? status_ok : status_not_found, {}};
+            head.fields.add("Content-Type", "text/plain; version=0.0.4");
+            reply->send(std::move(head), known ? text() : "");
+        });
+}
+
+} // namespace cedarpoint
