Fleet: runners and groups in the replicated log

Change: registrations, formed and ended groups are log entries; a head opens only after its group's entry is committed; a new leader begins with them. Also the first election of a first start is not delayed.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -51,6 +51,7 @@
         std::uint64_t sent = 0; ///< version of the latest update
     };
 
+    void expect_registered(instant now);
     void take_configuration();
     [[nodiscard]] wire::fleet_update make_update(instant now, std::uint64_t from) const;
     void add_plain_runners(instant now, std::map<std::string, wire::fleet_item>& items) const;
@@ -66,8 +67,7 @@
     std::optional<fleet_configuration> configuration_;
     view_source view_;
     std::map<std::string, follower> followers_;
-    std::map<runner_id, int> unanswered_;
-    std::map<runner_id, instant> looked_;
+    std::vector<planner_step> records_; ///< for the log
     std::uint64_t term_ = 0;
 };
 
--- a/include/cedarpoint/fleet/fleet_state.h
+++ b/include/cedarpoint/fleet/fleet_state.h
@@ -11,8 +11,9 @@
 
 namespace cedarpoint {
 
-/// What the control daemons agree on: the configuration, where the highest version holds, and the
-/// runners that have said that they leave.
+/// What the control daemons agree on: the configuration, where the highest version holds; the
+/// runners that have announced themselves, and those that have said that they leave; the groups
+/// whose head may be open. A new leader begins with these, before it has heard anyone.
 class fleet_state final : public replicated_state {
 public:
     std::string apply(const std::string& command) override;
@@ -29,10 +30,17 @@
     /// Grows with every change.
     [[nodiscard]] std::uint64_t changes() const { return changes_; }
 
+    [[nodiscard]] const std::map<runner_id, wire::registration>& registrations() const
+    {
+        return registrations_;
+    }
+    [[nodiscard]] const std::map<group_id, wire::formed_group>& groups() const { return groups_; }
+
     static std::string put_configuration(std::uint64_t version, std::string document);
     static std::string depart(const runner_id& runner, bool gone);
 
 private:
+    void note_registration(const wire::registration& in);
     void note_departure(const wire::departure& in);
 
     /// Runners have a new id at each start, so old marks only cost room.
@@ -41,6 +49,8 @@
     wire::accepted_configuration configuration_;
     std::map<runner_id, bool> departures_; ///< true: gone
     std::deque<runner_id> departure_order_;
+    std::map<runner_id, wire::registration> registrations_;
+    std::map<group_id, wire::formed_group> groups_;
     std::uint64_t changes_ = 0;
 };
 
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -45,9 +45,14 @@
 
 /// What the planner wants done.
 struct planner_step {
-    enum class kind_t { order, look };
+    enum class kind_t {
+        order,
+        look,  ///< asks a runner for its state; only `to` and `address` of the order are set
+        record ///< adds `command` to the replicated log
+    };
     kind_t kind = kind_t::order;
-    group_order order; ///< of a look only `to` and `address` are set
+    group_order order;
+    std::string command;
 };
 
 /// One change of the plan, for the log.
@@ -140,8 +145,12 @@
     void order(instant now, const group_order& order);
     void look(instant now, const runner_id& runner);
     void enter(instant now, planned_group& group, plan_phase phase, const std::string& why);
-    void finish(planned_group& group, const std::string& why);
+    void finish(instant now, planned_group& group, const std::string& why);
     void tell(const planned_group& group, const std::string& why) const;
+    void record(const wire::fleet_command& command);
+    void record_formed(const planned_group& group);
+    void inherit_groups(instant now);
+    [[nodiscard]] bool is_doubted(const runner_id& runner, int looks) const;
     [[nodiscard]] group_order order_for(const planned_group& group, order_kind kind,
                                         const runner_id& to) const;
 
@@ -158,8 +167,9 @@
     std::map<runner_id, int> unanswered_;                       ///< looks in a row
     std::map<runner_id, std::pair<model_id, instant>> staging_; ///< until when at the latest
     std::map<runner_id, model_id> last_model_;                  ///< of the latest join
-    std::set<std::pair<group_id, runner_id>> released_;         ///< memberships that bind no longer
-    std::set<group_id> finished_;                               ///< in this tick
+    /// Memberships that bind no longer, and since when.
+    std::map<std::pair<group_id, runner_id>, instant> released_;
+    std::set<group_id> finished_; ///< in this tick
     std::vector<planner_step> steps_;
     std::uint64_t term_ = 0;
     std::uint64_t formed_ = 0;
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace cedarpoint {
 
@@ -20,14 +21,16 @@
 /// everyone again within a heartbeat.
 class runner_registry {
 public:
+    /// Takes a runner from the replicated state: it counts as heard now, until it speaks itself.
+    void expect(instant now, announcement assumed);
     /// False for a heartbeat that is older than one taken before.
     bool announce(instant now, const announcement& in);
     /// A runner's own answer to a look at it.
     void note_status(instant now, const runner_id& runner, const runner_status& status);
     /// Nothing listens at the runner's address.
     void note_dead(const runner_id& runner);
-    /// Forgets runners that have been silent for `keep`.
-    void forget_silent(instant now, duration keep);
+    /// Forgets runners that have been silent for `keep`; their ids.
+    std::vector<runner_id> forget_silent(instant now, duration keep);
     void clear();
 
     [[nodiscard]] const runner_record* find(const runner_id& runner) const;
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -19,6 +19,9 @@
     if (options_.start == start_mode::first && hard_.term() == 0 && last_index() == 0) {
         hard_.set_whole(true);
         save_hard_state();
+        // Nobody leads yet: there is nothing to wait for but the others' start.
+        std::uniform_int_distribution<std::int64_t> spread(0, options_.election_timeout.count());
+        election_at_ = now + options_.heartbeat + duration{spread(random_) / 2};
     }
     const bool alone = members_.members_size() == 1 && is_voter(self_);
     if (alone) {
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -221,7 +221,12 @@
         log_line("leading").with("term", term).with("version", state_.version()).write();
     }
     for (const auto& step : leader_.tick(now)) {
-        orders_->carry_out(step);
+        if (step.kind == planner_step::kind_t::record) {
+            log_->propose(now, step.command, {});
+        }
+        else {
+            orders_->carry_out(step);
+        }
     }
     for (const auto& follower : leader_.take_lost_followers(now)) {
         log_line("dependency_lost").with("kind", "entry daemon").with("peer", follower).write();
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -1,5 +1,8 @@
 #include "cedarpoint/fleet/fleet_leader.h"
 
+#include <iterator>
+#include <utility>
+
 namespace cedarpoint {
 namespace {
 
@@ -35,10 +38,41 @@
     sightings_.clear();
     followers_.clear();
     view_ = {};
+    records_.clear();
+    expect_registered(now);
     planner_.begin_term(now, term);
     take_configuration();
 }
 
+void fleet_leader::expect_registered(instant now)
+{
+    std::map<runner_id, group_membership> memberships;
+    for (const auto& [name, group] : state_.groups()) {
+        for (int rank = 0; rank < group.members_size(); ++rank) {
+            memberships[runner_id{group.members(rank)}] = {
+                name, epoch{group.epoch()}, static_cast<std::size_t>(rank),
+                rank == 0 ? member_phase::open : member_phase::ready};
+        }
+    }
+    for (const auto& [runner, registration] : state_.registrations()) {
+        const auto address = endpoint::parse(registration.address());
+        if (!address || state_.is_gone(runner)) {
+            continue;
+        }
+        announcement assumed;
+        assumed.id = runner;
+        assumed.service = service_id{registration.service()};
+        assumed.address = *address;
+        assumed.failure_domain = failure_domain_id{registration.failure_domain()};
+        assumed.fabric_domain = fabric_domain_id{registration.fabric_domain()};
+        assumed.slots = static_cast<int>(registration.slots());
+        if (const auto found = memberships.find(runner); found != memberships.end()) {
+            assumed.membership = found->second;
+        }
+        registry_.expect(now, std::move(assumed));
+    }
+}
+
 void fleet_leader::take_configuration()
 {
     if (configuration_ && configuration_->version >= state_.version()) {
@@ -57,8 +91,16 @@
 std::vector<planner_step> fleet_leader::tick(instant now)
 {
     take_configuration();
-    registry_.forget_silent(now, forget_after);
-    return planner_.tick(now);
+    auto steps = std::exchange(records_, {});
+    for (const auto& runner : registry_.forget_silent(now, forget_after)) {
+        wire::fleet_command command;
+        command.mutable_lost()->set_runner(runner.str());
+        steps.push_back({planner_step::kind_t::record, {}, command.SerializeAsString()});
+    }
+    auto planned = planner_.tick(now);
+    steps.insert(steps.end(), std::make_move_iterator(planned.begin()),
+                 std::make_move_iterator(planned.end()));
+    return steps;
 }
 
 bool fleet_leader::announce(instant now, const announcement& in)
@@ -67,6 +109,17 @@
         return false;
     }
     planner_.on_look_answered(in.id);
+    if (!state_.registrations().contains(in.id)) {
+        wire::fleet_command command;
+        auto& out = *command.mutable_registration();
+        out.set_runner(in.id.str());
+        out.set_service(in.service.str());
+        out.set_address(in.address.str());
+        out.set_failure_domain(in.failure_domain.str());
+        out.set_fabric_domain(in.fabric_domain.str());
+        out.set_slots(static_cast<std::uint32_t>(in.slots));
+        records_.push_back({planner_step::kind_t::record, {}, command.SerializeAsString()});
+    }
     return true;
 }
 
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -29,12 +29,32 @@
         if (in.has_departure()) {
             note_departure(in.departure());
         }
+        if (in.has_registration()) {
+            note_registration(in.registration());
+        }
+        if (in.has_formed()) {
+            groups_[group_id{in.formed().name()}] = in.formed();
+        }
+        if (in.has_ended()) {
+            groups_.erase(group_id{in.ended().name()});
+        }
+        if (in.has_lost()) {
+            registrations_.erase(runner_id{in.lost().runner()});
+        }
     }
     wire::fleet_command_answer out;
     out.set_version(configuration_.revision());
     return out.SerializeAsString();
 }
 
+void fleet_state::note_registration(const wire::registration& in)
+{
+    // An address belongs to the runner that announced itself there last.
+    std::erase_if(registrations_,
+                  [&](const auto& each) { return each.second.address() == in.address(); });
+    registrations_[runner_id{in.runner()}] = in;
+}
+
 void fleet_state::note_departure(const wire::departure& in)
 {
     const runner_id runner{in.runner()};
@@ -70,6 +90,12 @@
         mark->set_runner(runner.str());
         mark->set_gone(departures_.at(runner));
     }
+    for (const auto& [runner, registration] : registrations_) {
+        *out.add_registrations() = registration;
+    }
+    for (const auto& [name, group] : groups_) {
+        *out.add_groups() = group;
+    }
     return out.SerializeAsString();
 }
 
@@ -82,6 +108,14 @@
     configuration_ = in.configuration();
     departures_.clear();
     departure_order_.clear();
+    registrations_.clear();
+    groups_.clear();
+    for (const auto& each : in.registrations()) {
+        registrations_[runner_id{each.runner()}] = each;
+    }
+    for (const auto& each : in.groups()) {
+        groups_[group_id{each.name()}] = each;
+    }
     for (const auto& mark : in.departures()) {
         note_departure(mark);
     }
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace cedarpoint {
 namespace {
@@ -46,7 +47,8 @@
 {
     term_ = term;
     formed_ = 0;
-    settled_at_ = now + options_.settle;
+    // Before the first configuration no group can have been formed by anyone.
+    settled_at_ = state_.version() == 0 ? now : now + options_.settle;
     groups_.clear();
     placed_.clear();
     ordered_.clear();
@@ -54,6 +56,54 @@
     unanswered_.clear();
     staging_.clear();
     released_.clear();
+    inherit_groups(now);
+}
+
+void group_planner::inherit_groups(instant now)
+{
+    for (const auto& [name, formed] : state_.groups()) {
+        planned_group group;
+        group.name = name;
+        group.assignment = epoch{formed.epoch()};
+        group.service = service_id{formed.service()};
+        group.model = model_id{formed.model()};
+        group.opened = true;
+        for (const auto& member : formed.members()) {
+            group.members.emplace_back(member);
+            placed_[runner_id{member}] = name;
+            last_model_[runner_id{member}] = group.model;
+        }
+        auto& kept = groups_[name] = std::move(group);
+        enter(now, kept, plan_phase::serving, "inherited");
+    }
+}
+
+void group_planner::record(const wire::fleet_command& command)
+{
+    planner_step step;
+    step.kind = planner_step::kind_t::record;
+    step.command = command.SerializeAsString();
+    steps_.push_back(std::move(step));
+}
+
+void group_planner::record_formed(const planned_group& group)
+{
+    wire::fleet_command command;
+    auto& formed = *command.mutable_formed();
+    formed.set_name(group.name.str());
+    formed.set_epoch(group.assignment.value);
+    formed.set_service(group.service.str());
+    formed.set_model(group.model.str());
+    for (const auto& member : group.members) {
+        formed.add_members(member.str());
+    }
+    record(command);
+}
+
+bool group_planner::is_doubted(const runner_id& runner, int looks) const
+{
+    const auto found = unanswered_.find(runner);
+    return found != unanswered_.end() && found->second >= looks;
 }
 
 void group_planner::set_configuration(const fleet_configuration* configuration)
@@ -68,21 +118,24 @@
 
 std::vector<planner_step> group_planner::tick(instant now)
 {
-    steps_.clear();
-    if (configuration_ == nullptr || !is_settled(now)) {
+    if (configuration_ == nullptr) {
         return {};
     }
     loads_.set_unmetered(sightings_.started() == 0);
     finished_.clear();
-    adopt(now);
+    if (is_settled(now)) {
+        adopt(now);
+    }
     for (auto& [name, group] : groups_) {
         look_after(now, group);
     }
     for (const auto& name : finished_) {
         groups_.erase(name);
     }
-    form(now);
-    return std::move(steps_);
+    if (is_settled(now)) {
+        form(now);
+    }
+    return std::exchange(steps_, {});
 }
 
 // --- groups of an earlier leader ----------------------------------------------------------------
@@ -190,11 +243,9 @@
     bool all_ready = true;
     for (const auto& member : group.members) {
         const auto health = health_of(now, group, member);
-        const auto doubts = unanswered_.find(member);
-        const bool unheard = health == member_health::silent && doubts != unanswered_.end() &&
-                             doubts->second >= looks_to_doubt;
+        const bool unheard = health == member_health::silent && is_doubted(member, looks_to_doubt);
         if (health == member_health::lost || health == member_health::draining || unheard) {
-            finish(group, "member " + member.str() + " is not to be had");
+            finish(now, group, "member " + member.str() + " is not to be had");
             return;
         }
         if (health == member_health::silent) {
@@ -212,9 +263,8 @@
         }
     }
     if (all_ready) {
-        group.opened = true;
         enter(now, group, plan_phase::opening, "all members are ready");
-        open_head(now, group);
+        record_formed(group);
     }
 }
 
@@ -230,7 +280,11 @@
         enter(now, group, plan_phase::serving, "the head is open");
         return;
     }
-    order(now, order_for(group, order_kind::open, group.members.front()));
+    // Not before every later leader will know of it: its head may be open from then on.
+    if (state_.groups().contains(group.name)) {
+        group.opened = true;
+        order(now, order_for(group, order_kind::open, group.members.front()));
+    }
 }
 
 void group_planner::look_at_members(instant now, const planned_group& group)
@@ -263,10 +317,8 @@
         if (health == member_health::silent) {
             look(now, member);
         }
-        const auto doubts = unanswered_.find(member);
-        const int unanswered = doubts == unanswered_.end() ? 0 : doubts->second;
-        const bool confirmed = outlook.stands_still && unanswered >= 1;
-        const bool silent = health == member_health::silent && unanswered >= looks_to_doubt;
+        const bool confirmed = outlook.stands_still && is_doubted(member, 1);
+        const bool silent = health == member_health::silent && is_doubted(member, looks_to_doubt);
         if (confirmed || (silent && !outlook.progresses)) {
             lose_member(now, group, "member " + member.str() + " does not answer");
             return;
@@ -303,7 +355,7 @@
     const auto& head = group.members.front();
     const auto* record = registry_.find(head);
     if (record != nullptr && health_of(now, group, head) == member_health::lost) {
-        finish(group, "the head has left");
+        finish(now, group, "the head has left");
         return;
     }
     const auto doubts = unanswered_.find(head);
@@ -326,7 +378,7 @@
     const auto* record = registry_.find(head);
     const bool gone = record != nullptr && health_of(now, group, head) == member_health::lost;
     if (gone) {
-        finish(group, "the head is gone");
+        finish(now, group, "the head is gone");
         return;
     }
     if (record != nullptr && record->heard > group.since) {
@@ -347,20 +399,25 @@
     }
     if (group.left_at ? now - *group.left_at >= options_.stall + wait_margin
                       : !any_member && now - group.since >= options_.stall + wait_margin) {
-        finish(group, "the head has broken by now");
+        finish(now, group, "the head has broken by now");
     }
 }
 
-void group_planner::finish(planned_group& group, const std::string& why)
+void group_planner::finish(instant now, planned_group& group, const std::string& why)
 {
     for (const auto& member : group.members) {
         const auto placed = placed_.find(member);
         if (placed != placed_.end() && placed->second == group.name) {
             placed_.erase(placed);
         }
-        released_.emplace(group.name, member);
+        released_[{group.name, member}] = now;
     }
     finished_.insert(group.name);
+    if (state_.groups().contains(group.name)) {
+        wire::fleet_command command;
+        command.mutable_ended()->set_name(group.name.str());
+        record(command);
+    }
     tell(group, "ended: " + why);
 }
 
@@ -406,7 +463,7 @@
     const bool bound = membership && !released_.contains({membership->group, runner});
     const bool silent = now - record.heard > options_.heartbeat * 3 / 2;
     return registry_.is_present(record) && !placed_.contains(runner) && !bound && !silent &&
-           !record.latest.draining && !state_.is_leaving(runner);
+           !is_doubted(runner, 1) && !record.latest.draining && !state_.is_leaving(runner);
 }
 
 group_planner::free_map group_planner::free_runners(instant now) const
@@ -654,7 +711,7 @@
                           result == order_result::fenced;
     if (order.kind == order_kind::leave && answered) {
         if (group.phase == plan_phase::releasing && order.to == group.members.front()) {
-            finish(group, "the head has left");
+            finish(now, group, "the head has left");
             groups_.erase(found);
         }
         else if (group.phase == plan_phase::waiting && !group.left_at) {
@@ -664,7 +721,7 @@
     }
     if (order.kind == order_kind::join && group.phase == plan_phase::joining &&
         result == order_result::fenced) {
-        finish(group, "a member has seen a newer epoch");
+        finish(now, group, "a member has seen a newer epoch");
         groups_.erase(found);
     }
 }
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -2,6 +2,13 @@
 
 namespace cedarpoint {
 
+void runner_registry::expect(instant now, announcement assumed)
+{
+    owners_[assumed.address] = assumed.id;
+    const auto id = assumed.id;
+    records_[id] = {std::move(assumed), now, now, false};
+}
+
 bool runner_registry::announce(instant now, const announcement& in)
 {
     auto [found, added] = records_.try_emplace(in.id);
@@ -40,8 +47,9 @@
     }
 }
 
-void runner_registry::forget_silent(instant now, duration keep)
+std::vector<runner_id> runner_registry::forget_silent(instant now, duration keep)
 {
+    std::vector<runner_id> out;
     std::erase_if(records_, [&](const auto& each) {
         const auto& record = each.second;
         if (now - record.heard < keep) {
@@ -51,8 +59,10 @@
         if (owner != owners_.end() && owner->second == each.first) {
             owners_.erase(owner);
         }
+        out.push_back(each.first);
         return true;
     });
+    return out;
 }
 
 void runner_registry::clear()
