Planner: joins go before staging, more loads begin ahead of traffic, progress means bytes

Cause: staging of spares took the store's places, so lost groups were not formed again; dark heads were found again and again; a request just sent counted as progress. Ruled out: the leader's change alone (groups were lost before it).

--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -123,7 +123,7 @@
         double score = 0; ///< the lowest is formed first
     };
     using free_map = std::map<fabric_domain_id, std::vector<runner_id>>;
-    [[nodiscard]] std::optional<proposal> best_proposal(const free_map& free) const;
+    [[nodiscard]] std::optional<proposal> best_proposal(instant now, const free_map& free) const;
     void begin_group(instant now, const proposal& chosen, free_map& free);
     [[nodiscard]] std::optional<proposal> propose(const fleet_service& service,
                                                   const engine_model& model,
@@ -141,7 +141,8 @@
                                                  const model_id& model) const;
     [[nodiscard]] duration join_time(const runner_record& record, const engine_model& model) const;
     [[nodiscard]] std::size_t count_groups(const model_id& model) const;
-    [[nodiscard]] std::size_t loads_running() const;
+    /// Loads of groups that are being formed; these go before staging.
+    [[nodiscard]] std::size_t joins_loading() const;
     void order(instant now, const group_order& order);
     void look(instant now, const runner_id& runner);
     void enter(instant now, planned_group& group, plan_phase phase, const std::string& why);
--- a/include/cedarpoint/fleet/target_set.h
+++ b/include/cedarpoint/fleet/target_set.h
@@ -31,6 +31,7 @@
 struct target_record {
     int in_flight = 0;
     instant waits_since; ///< the latest byte, or the first send after idleness
+    instant latest_byte;
     int unreachable = 0; ///< connections not made since the latest byte
     bool refused = false;
     int failures = 0;    ///< in a row
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -148,11 +148,14 @@
         if (!membership || !registry_.is_present(record) || groups_.contains(membership->group)) {
             continue;
         }
+        const auto released = released_.find({membership->group, runner});
+        if (released != released_.end() && record.heard <= released->second) {
+            continue; // it has said nothing since
+        }
         const bool stands_open =
             membership->rank == 0 &&
             (membership->phase == member_phase::open || membership->phase == member_phase::closing);
-        if (!stands_open &&
-            (placed_.contains(runner) || released_.contains({membership->group, runner}))) {
+        if (!stands_open && (placed_.contains(runner) || released != released_.end())) {
             continue;
         }
         found[{membership->group, membership->assignment}].emplace(membership->rank, runner);
@@ -497,9 +500,9 @@
         }));
 }
 
-std::size_t group_planner::loads_running() const
+std::size_t group_planner::joins_loading() const
 {
-    std::size_t out = staging_.size();
+    std::size_t out = 0;
     for (const auto& [name, group] : groups_) {
         out += group.phase == plan_phase::joining ? group.loads : 0;
     }
@@ -543,7 +546,8 @@
     return out;
 }
 
-std::optional<group_planner::proposal> group_planner::best_proposal(const free_map& free) const
+std::optional<group_planner::proposal> group_planner::best_proposal(instant now,
+                                                                    const free_map& free) const
 {
     std::optional<proposal> best;
     for (const auto& [domain, runners] : free) {
@@ -553,7 +557,8 @@
             }
             for (const auto& model : service.engine->models) {
                 auto next = propose(service, model, runners);
-                if (next && (!best || next->score < best->score)) {
+                const bool allowed = next && loads_.allows(now, next->loads, joins_loading());
+                if (allowed && (!best || next->score < best->score)) {
                     best = std::move(next);
                     best->domain = domain;
                 }
@@ -571,10 +576,7 @@
                contains(record->latest.staged, each.second.first);
     });
     auto free = free_runners(now);
-    for (auto chosen = best_proposal(free); chosen; chosen = best_proposal(free)) {
-        if (!loads_.allows(now, chosen->loads, loads_running())) {
-            return;
-        }
+    for (auto chosen = best_proposal(now, free); chosen; chosen = best_proposal(now, free)) {
         begin_group(now, *chosen, free);
     }
     stage_spares(now, free);
@@ -616,7 +618,7 @@
         for (const auto& runner : runners) {
             const auto& record = *registry_.find(runner);
             if (!record.latest.staged.empty() || staging_.contains(runner) ||
-                !loads_.allows(now, 1, loads_running())) {
+                !loads_.allows(now, 1, joins_loading() + staging_.size())) {
                 continue;
             }
             const auto& models =
--- a/src/fleet/load_limiter.cpp
+++ b/src/fleet/load_limiter.cpp
@@ -10,6 +10,8 @@
 constexpr duration window = seconds{6};
 constexpr double window_seconds = 5;
 constexpr double margin = 0.8;
+/// Loads that have begun before the first request are quick to their end, so more are begun.
+constexpr std::size_t ahead = 3;
 
 } // namespace
 
@@ -25,7 +27,8 @@
         return true;
     }
     // A group that needs more than the store's places still has to begin some time.
-    const bool room = running == 0 || running + count <= at_once_ + 1;
+    const auto places = unmetered_ ? at_once_ * ahead : at_once_ + 1;
+    const bool room = running == 0 || running + count <= places;
     if (unmetered_) {
         return room;
     }
--- a/src/fleet/sighting_board.cpp
+++ b/src/fleet/sighting_board.cpp
@@ -39,9 +39,7 @@
         if (waits || seen.unreachable() >= few_failures) {
             out.witnesses.insert(entry.failure_domain);
         }
-        else if (seen.in_flight() > 0) {
-            out.progresses = true;
-        }
+        out.progresses = out.progresses || seen.byte_ms() < still_ms;
     }
     out.stands_still = !out.progresses && !out.witnesses.empty();
     return out;
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -7,8 +7,10 @@
 
 constexpr double other_domain = 0.5; ///< a request in another failure domain counts as this more
 constexpr double avoided = 1000;     ///< more than any load
+constexpr std::int64_t longest_told = 1'000'000; ///< milliseconds
 constexpr duration shortest_avoidance = milliseconds{300};
 constexpr int most_doublings = 4;
+constexpr duration doubtful_silence = milliseconds{250};
 
 } // namespace
 
@@ -64,7 +66,8 @@
     if (target.failure_domain != home_) {
         out += other_domain;
     }
-    if (now < record.avoid_until) {
+    const bool still = record.in_flight > 0 && now - record.waits_since > doubtful_silence;
+    if (now < record.avoid_until || still) {
         out += avoided;
     }
     return out;
@@ -120,6 +123,7 @@
 {
     auto& record = records_[runner];
     record.waits_since = now;
+    record.latest_byte = now;
     record.unreachable = 0;
     record.refused = false;
 }
@@ -170,6 +174,9 @@
         seen->set_silent_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(silent, 0)));
         seen->set_unreachable(static_cast<std::uint32_t>(record.unreachable));
         seen->set_refused(record.refused);
+        const auto since_byte =
+            std::min<std::int64_t>(to_ms(now - record.latest_byte), longest_told);
+        seen->set_byte_ms(static_cast<std::uint32_t>(since_byte));
     }
 }
 
