Planner: wanted groups by share and pressure; the rest are spares

Cause: survivors were made into groups of the other model because that was quicker, so one model starved.

--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -125,7 +125,7 @@
     using free_map = std::map<fabric_domain_id, std::vector<runner_id>>;
     [[nodiscard]] std::optional<proposal> best_proposal(instant now, const free_map& free) const;
     void begin_group(instant now, const proposal& chosen, free_map& free);
-    [[nodiscard]] std::optional<proposal> propose(const fleet_service& service,
+    [[nodiscard]] std::optional<proposal> propose(instant now, const fleet_service& service,
                                                   const engine_model& model,
                                                   const std::vector<runner_id>& free) const;
     [[nodiscard]] bool is_free(instant now, const runner_record& record) const;
@@ -141,6 +141,13 @@
                                                  const model_id& model) const;
     [[nodiscard]] duration join_time(const runner_record& record, const engine_model& model) const;
     [[nodiscard]] std::size_t count_groups(const model_id& model) const;
+    /// Groups of a model that there should be: by its share, and more while it is under pressure.
+    [[nodiscard]] std::size_t wanted_groups(instant now, const fleet_service& service,
+                                            const engine_model& model) const;
+    /// How full a model's groups are; above 1 requests are turned away.
+    [[nodiscard]] double pressure(instant now, const fleet_service& service,
+                                  const engine_model& model) const;
+    [[nodiscard]] std::size_t count_runners(const service_id& service) const;
     /// Loads of groups that are being formed; these go before staging.
     [[nodiscard]] std::size_t joins_loading() const;
     void order(instant now, const group_order& order);
--- a/include/cedarpoint/fleet/sighting_board.h
+++ b/include/cedarpoint/fleet/sighting_board.h
@@ -28,6 +28,8 @@
     [[nodiscard]] std::size_t followers(instant now) const;
     /// Requests started for a model since the beginning, over all followers.
     [[nodiscard]] std::uint64_t started() const { return started_; }
+    /// Requests for a model that found no place, lately; a second, about.
+    [[nodiscard]] double refused_rate(instant now, const model_id& model) const;
     void clear() { words_.clear(); }
 
 private:
@@ -37,6 +39,13 @@
         std::map<runner_id, wire::runner_sighting> sightings;
     };
     std::map<std::string, words> words_;
+    struct fading_count {
+        double value = 0;
+        instant at;
+    };
+    static double faded(const fading_count& in, instant now);
+
+    std::map<model_id, fading_count> refused_;
     std::uint64_t started_ = 0;
 };
 
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace cedarpoint {
@@ -510,9 +511,12 @@
 }
 
 std::optional<group_planner::proposal>
-group_planner::propose(const fleet_service& service, const engine_model& model,
+group_planner::propose(instant now, const fleet_service& service, const engine_model& model,
                        const std::vector<runner_id>& free) const
 {
+    if (count_groups(model.name) >= wanted_groups(now, service, model)) {
+        return {};
+    }
     std::vector<std::pair<duration, runner_id>> candidates;
     for (const auto& runner : free) {
         const auto& record = *registry_.find(runner);
@@ -532,20 +536,64 @@
         out.members.push_back(runner);
         out.loads += time == model.load_time ? 1 : 0;
     }
-    // Groups of a model against its share of the work; and a long wait speaks against it.
-    constexpr double per_second_of_wait = 0.05;
+    // The fuller a model's groups, the sooner it gets one more; a long wait speaks against it.
+    constexpr double per_second_of_wait = 0.03;
     constexpr double us = 1e6;
-    constexpr double half = 0.5;
-    double groups = 1;
-    for (const auto& each : service.engine->models) {
-        groups += static_cast<double>(count_groups(each.name));
-    }
-    const auto own = static_cast<double>(count_groups(model.name)) + half;
-    out.score = own / std::max(model.share, 0.01) / groups +
+    const auto groups = static_cast<double>(count_groups(model.name));
+    const auto wanted = static_cast<double>(wanted_groups(now, service, model));
+    out.score = groups / std::max(wanted, 1.0) - pressure(now, service, model) +
                 per_second_of_wait * static_cast<double>(candidates.back().first.count()) / us;
     return out;
 }
 
+std::size_t group_planner::count_runners(const service_id& service) const
+{
+    std::size_t out = 0;
+    for (const auto& [runner, record] : registry_.records()) {
+        out += record.latest.service == service && registry_.is_present(record) &&
+                       !is_doubted(runner, 1) && !record.latest.draining
+                   ? 1
+                   : 0;
+    }
+    return out;
+}
+
+double group_planner::pressure(instant now, const fleet_service& service,
+                               const engine_model& model) const
+{
+    int in_flight = 0;
+    int places = 0;
+    for (const auto& [name, group] : groups_) {
+        if (group.model == model.name && group.phase == plan_phase::serving) {
+            in_flight += sightings_.look(now, group.members.front()).in_flight;
+            places += service.engine->slots;
+        }
+    }
+    const auto waiting = sightings_.refused_rate(now, model.name);
+    return (in_flight + waiting) / std::max(places, 1);
+}
+
+std::size_t group_planner::wanted_groups(instant now, const fleet_service& service,
+                                         const engine_model& model) const
+{
+    // The rest are spares: what a lost member is replaced with at once.
+    constexpr double used = 0.8;
+    constexpr double pressed = 0.55;
+    double runners_a_share = 0;
+    double shares = 0;
+    for (const auto& each : service.engine->models) {
+        runners_a_share += each.share * static_cast<double>(each.group_size);
+        shares += each.share;
+    }
+    const auto runners = static_cast<double>(count_runners(service.name)) * used;
+    const auto share = shares > 0 ? model.share : 1.0;
+    const auto base = static_cast<std::size_t>(
+        std::lround(std::max(1.0, runners * share / std::max(runners_a_share, 1.0))));
+    const auto groups = count_groups(model.name);
+    const bool is_pressed = groups >= base && pressure(now, service, model) > pressed;
+    return is_pressed ? groups + 1 : base;
+}
+
 std::optional<group_planner::proposal> group_planner::best_proposal(instant now,
                                                                     const free_map& free) const
 {
@@ -556,7 +604,7 @@
                 continue;
             }
             for (const auto& model : service.engine->models) {
-                auto next = propose(service, model, runners);
+                auto next = propose(now, service, model, runners);
                 const bool allowed = next && loads_.allows(now, next->loads, joins_loading());
                 if (allowed && (!best || next->score < best->score)) {
                     best = std::move(next);
--- a/src/fleet/sighting_board.cpp
+++ b/src/fleet/sighting_board.cpp
@@ -1,12 +1,15 @@
 #include "cedarpoint/fleet/sighting_board.h"
 
+#include <cmath>
+
 namespace cedarpoint {
 namespace {
 
 constexpr duration fresh = milliseconds{900};         ///< words older than this say nothing
 constexpr duration follower_age = milliseconds{2500}; ///< a follower is counted for this long
 constexpr std::uint32_t still_ms = 300;               ///< without a byte: it stands still
-constexpr std::uint32_t few_failures = 2;             ///< connections that were not made
+constexpr double fade_seconds = 1;
+constexpr std::uint32_t few_failures = 2; ///< connections that were not made
 
 } // namespace
 
@@ -21,9 +24,24 @@
     }
     for (const auto& each : in.demand()) {
         started_ += each.started() + each.refused();
+        auto& refused = refused_[model_id{each.model()}];
+        refused.value = faded(refused, now) + each.refused();
+        refused.at = now;
     }
 }
 
+double sighting_board::faded(const fading_count& in, instant now)
+{
+    const auto age = std::chrono::duration<double>(now - in.at).count();
+    return in.value * std::exp(-age / fade_seconds);
+}
+
+double sighting_board::refused_rate(instant now, const model_id& model) const
+{
+    const auto found = refused_.find(model);
+    return found == refused_.end() ? 0 : faded(found->second, now) / fade_seconds;
+}
+
 runner_outlook sighting_board::look(instant now, const runner_id& runner) const
 {
     runner_outlook out;
