--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -93,6 +93,8 @@
     void on_look_answered(const runner_id& runner);
 
     [[nodiscard]] const std::map<group_id, planned_group>& groups() const { return groups_; }
+    /// One line on what there is and what is wanted, for the log.
+    [[nodiscard]] std::string summary(instant now) const;
     /// False while a new leader still listens.
     [[nodiscard]] bool is_settled(instant now) const { return now >= settled_at_; }
     std::function<void(const planner_event&)> on_event;
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int tick_ms = 20;
+constexpr duration summary_interval = seconds{1};
 constexpr duration refresh_interval = milliseconds{40};
 constexpr duration election_timeout = milliseconds{700};
 constexpr duration raft_heartbeat = milliseconds{150};
@@ -235,6 +236,10 @@
     if (now >= next_refresh_) {
         push_view(now);
     }
+    if (now >= next_summary_) {
+        next_summary_ = now + summary_interval;
+        log_line("plan").with("term", term).with("state", leader_.planner().summary(now)).write();
+    }
 }
 
 void control_daemon::push_view(instant now)
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -71,6 +71,7 @@
     std::uint64_t led_term_ = 0; ///< the term that this process leads or led last
     daemon_id known_leader_;
     instant next_refresh_;
+    instant next_summary_;
     bool stopping_ = false;
 };
 
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <fmt/format.h>
 #include <utility>
 
 namespace cedarpoint {
@@ -694,6 +695,36 @@
     steps_.push_back({planner_step::kind_t::order, std::move(next)});
 }
 
+std::string group_planner::summary(instant now) const
+{
+    std::string out;
+    if (configuration_ == nullptr) {
+        return out;
+    }
+    for (const auto& service : configuration_->services) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const auto& model : service.engine->models) {
+            const auto serving =
+                std::count_if(groups_.begin(), groups_.end(), [&](const auto& each) {
+                    return each.second.model == model.name &&
+                           each.second.phase == plan_phase::serving;
+                });
+            out += fmt::format("{}: {} serving of {} planned of {} wanted, pressure {:.2f}; ",
+                               model.name.str(), serving, count_groups(model.name),
+                               wanted_groups(now, service, model), pressure(now, service, model));
+        }
+    }
+    std::size_t free = 0;
+    for (const auto& [domain, runners] : free_runners(now)) {
+        free += runners.size();
+        out += fmt::format("{} free in {}; ", runners.size(), domain.str());
+    }
+    return out + fmt::format("{} joins loading, {} staging, {} free", joins_loading(),
+                             staging_.size(), free);
+}
+
 // --- orders and looks ---------------------------------------------------------------------------
 
 group_order group_planner::order_for(const planned_group& group, order_kind kind,
