--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -132,7 +132,15 @@
                                                   const std::vector<runner_id>& free) const;
     [[nodiscard]] bool is_free(instant now, const runner_record& record) const;
     [[nodiscard]] free_map free_runners(instant now) const;
+    void forget_staged();
+    void stage_missing(instant now, const free_map& free);
+    void stage_for_group(instant now, const free_map& free, const engine_model& model);
     void stage_spares(instant now, const free_map& free);
+    /// The runner that takes a model's weights with the least loss; null if none should.
+    [[nodiscard]] const runner_record* find_to_stage(const std::vector<runner_id>& runners,
+                                                     const engine_model& model) const;
+    [[nodiscard]] std::size_t count_staged(const std::vector<runner_id>& runners,
+                                           const model_id& model) const;
     void stage(instant now, const runner_record& record, const engine_model& model);
 
     [[nodiscard]] member_health health_of(instant now, const planned_group& group,
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -13,8 +13,9 @@
 struct runner_record {
     announcement latest;
     instant first_heard;
-    instant heard;     ///< its latest heartbeat or answer
-    bool dead = false; ///< its address refused a connection after the latest heartbeat
+    instant heard;        ///< its latest heartbeat or answer
+    bool assumed = false; ///< taken from the replicated state; has not spoken to this leader
+    bool dead = false;    ///< its address refused a connection after the latest heartbeat
 };
 
 /// Runners that announce themselves. Soft state of the leading control daemon: a new leader hears
--- /dev/null
+++ b/src/fleet/group_placement.cpp
@@ -0,0 +1,315 @@
+// Which free runners form which groups, and which weights are brought to whom ahead of need.
+
+#include "cedarpoint/fleet/group_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+
+namespace cedarpoint {
+namespace {
+
+bool contains(const std::vector<model_id>& in, const model_id& model)
+{
+    return std::find(in.begin(), in.end(), model) != in.end();
+}
+
+} // namespace
+
+const engine_model* group_planner::find_model(const service_id& service,
+                                              const model_id& model) const
+{
+    const auto* found = configuration_->find_service(service);
+    if (found == nullptr || !found->engine) {
+        return nullptr;
+    }
+    const auto& models = found->engine->models;
+    const auto each = std::find_if(models.begin(), models.end(),
+                                   [&](const engine_model& one) { return one.name == model; });
+    return each == models.end() ? nullptr : &*each;
+}
+
+bool group_planner::is_free(instant now, const runner_record& record) const
+{
+    const auto& runner = record.latest.id;
+    const auto& membership = record.latest.membership;
+    const bool bound = membership && !released_.contains({membership->group, runner});
+    const bool silent = now - record.heard > options_.heartbeat * 3 / 2;
+    return !record.assumed && registry_.is_present(record) && !placed_.contains(runner) && !bound &&
+           !silent && !is_doubted(runner, 1) && !record.latest.draining &&
+           !state_.is_leaving(runner);
+}
+
+group_planner::free_map group_planner::free_runners(instant now) const
+{
+    free_map out;
+    for (const auto& [runner, record] : registry_.records()) {
+        const auto* service = configuration_->find_service(record.latest.service);
+        if (service != nullptr && service->engine && is_free(now, record)) {
+            out[record.latest.fabric_domain].push_back(runner);
+        }
+    }
+    return out;
+}
+
+duration group_planner::join_time(const runner_record& record, const engine_model& model) const
+{
+    constexpr duration again = milliseconds{200};
+    const auto last = last_model_.find(record.latest.id);
+    if (last != last_model_.end() && last->second == model.name) {
+        return again;
+    }
+    return contains(record.latest.staged, model.name) ? model.warm_time : model.load_time;
+}
+
+std::size_t group_planner::count_groups(const model_id& model) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(groups_.begin(), groups_.end(), [&](const auto& each) {
+            return each.second.model == model && each.second.phase <= plan_phase::serving &&
+                   !finished_.contains(each.first);
+        }));
+}
+
+std::size_t group_planner::joins_loading() const
+{
+    std::size_t out = 0;
+    for (const auto& [name, group] : groups_) {
+        out += group.phase == plan_phase::joining ? group.loads : 0;
+    }
+    return out;
+}
+
+std::optional<group_planner::proposal>
+group_planner::propose(instant now, const fleet_service& service, const engine_model& model,
+                       const std::vector<runner_id>& free) const
+{
+    if (count_groups(model.name) >= wanted_groups(now, service, model)) {
+        return {};
+    }
+    std::vector<std::pair<duration, runner_id>> candidates;
+    for (const auto& runner : free) {
+        const auto& record = *registry_.find(runner);
+        if (record.latest.service == service.name && !staging_.contains(runner)) {
+            candidates.emplace_back(join_time(record, model), runner);
+        }
+    }
+    if (candidates.size() < model.group_size) {
+        return {};
+    }
+    std::sort(candidates.begin(), candidates.end());
+    candidates.resize(model.group_size);
+    const bool has_traffic = sightings_.started() > 0;
+    if (has_traffic && candidates.back().first == model.load_time) {
+        return {}; // it would hold runners for as long as weights are read; they are staged instead
+    }
+    proposal out;
+    out.service = &service;
+    out.model = &model;
+    for (const auto& [time, runner] : candidates) {
+        out.members.push_back(runner);
+        out.loads += time == model.load_time ? 1 : 0;
+    }
+    // The fuller a model's groups, the sooner it gets one more; a long wait speaks against it.
+    constexpr double per_second_of_wait = 0.03;
+    constexpr double us = 1e6;
+    const auto groups = static_cast<double>(count_groups(model.name));
+    const auto wanted = static_cast<double>(wanted_groups(now, service, model));
+    out.score = groups / std::max(wanted, 1.0) - pressure(now, service, model) +
+                per_second_of_wait * static_cast<double>(candidates.back().first.count()) / us;
+    return out;
+}
+
+std::size_t group_planner::count_runners(const service_id& service) const
+{
+    std::size_t out = 0;
+    for (const auto& [runner, record] : registry_.records()) {
+        out += record.latest.service == service && registry_.is_present(record) &&
+                       !is_doubted(runner, 1) && !record.latest.draining
+                   ? 1
+                   : 0;
+    }
+    return out;
+}
+
+double group_planner::pressure(instant now, const fleet_service& service,
+                               const engine_model& model) const
+{
+    int in_flight = 0;
+    int places = 0;
+    for (const auto& [name, group] : groups_) {
+        if (group.model == model.name && group.phase == plan_phase::serving) {
+            in_flight += sightings_.look(now, group.members.front()).in_flight;
+            places += service.engine->slots;
+        }
+    }
+    const auto waiting = sightings_.refused_rate(now, model.name);
+    return (in_flight + waiting) / std::max(places, 1);
+}
+
+std::size_t group_planner::wanted_groups(instant now, const fleet_service& service,
+                                         const engine_model& model) const
+{
+    // The rest are spares: what a lost member is replaced with at once.
+    constexpr double used = 0.8;
+    constexpr double pressed = 0.5;
+    double runners_a_round = 0; ///< one group of each model
+    for (const auto& each : service.engine->models) {
+        runners_a_round += static_cast<double>(each.group_size);
+    }
+    const auto runners = static_cast<double>(count_runners(service.name)) * used;
+    const auto base = static_cast<std::size_t>(
+        std::lround(std::max(1.0, runners / std::max(runners_a_round, 1.0))));
+    const auto groups = count_groups(model.name);
+    const bool is_pressed = groups >= base && pressure(now, service, model) > pressed;
+    return is_pressed ? groups + 1 : base;
+}
+
+std::optional<group_planner::proposal> group_planner::best_proposal(instant now,
+                                                                    const free_map& free) const
+{
+    std::optional<proposal> best;
+    for (const auto& [domain, runners] : free) {
+        for (const auto& service : configuration_->services) {
+            if (!service.engine) {
+                continue;
+            }
+            for (const auto& model : service.engine->models) {
+                auto next = propose(now, service, model, runners);
+                const bool allowed = next && loads_.allows(now, next->loads, joins_loading());
+                if (allowed && (!best || next->score < best->score)) {
+                    best = std::move(next);
+                    best->domain = domain;
+                }
+            }
+        }
+    }
+    return best;
+}
+
+void group_planner::forget_staged()
+{
+    std::erase_if(staging_, [&](const auto& each) {
+        const auto* record = registry_.find(each.first);
+        return record == nullptr || contains(record->latest.staged, each.second.first);
+    });
+}
+
+void group_planner::form(instant now)
+{
+    forget_staged();
+    std::erase_if(staging_, [&](const auto& each) { return now >= each.second.second; });
+    auto free = free_runners(now);
+    for (auto chosen = best_proposal(now, free); chosen; chosen = best_proposal(now, free)) {
+        begin_group(now, *chosen, free);
+    }
+    stage_missing(now, free);
+    stage_spares(now, free);
+}
+
+std::size_t group_planner::count_staged(const std::vector<runner_id>& runners,
+                                        const model_id& model) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(runners.begin(), runners.end(), [&](const runner_id& runner) {
+            const auto under_way = staging_.find(runner);
+            return under_way != staging_.end()
+                       ? under_way->second.first == model
+                       : contains(registry_.find(runner)->latest.staged, model);
+        }));
+}
+
+const runner_record* group_planner::find_to_stage(const std::vector<runner_id>& runners,
+                                                  const engine_model& model) const
+{
+    const runner_record* best = nullptr;
+    for (const auto& runner : runners) {
+        const auto& record = *registry_.find(runner);
+        if (staging_.contains(runner) || contains(record.latest.staged, model.name)) {
+            continue;
+        }
+        if (record.latest.staged.empty()) {
+            return &record;
+        }
+        // Weights that others have beside it are the ones to give up.
+        const auto& other = record.latest.staged.front();
+        if (best == nullptr && count_staged(runners, other) > 1) {
+            best = &record;
+        }
+    }
+    return best;
+}
+
+void group_planner::stage_missing(instant now, const free_map& free)
+{
+    for (const auto& service : configuration_->services) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const auto& model : service.engine->models) {
+            if (count_groups(model.name) < wanted_groups(now, service, model)) {
+                stage_for_group(now, free, model);
+            }
+        }
+    }
+}
+
+void group_planner::stage_for_group(instant now, const free_map& free, const engine_model& model)
+{
+    // Where the fewest weights are missing; not more than one group's at a time.
+    const std::vector<runner_id>* best = nullptr;
+    std::size_t best_missing = 0;
+    for (const auto& [domain, runners] : free) {
+        const auto staged = count_staged(runners, model.name);
+        if (runners.size() < model.group_size || staged >= model.group_size) {
+            continue;
+        }
+        const auto missing = model.group_size - staged;
+        if (best == nullptr || missing < best_missing) {
+            best = &runners;
+            best_missing = missing;
+        }
+    }
+    for (; best != nullptr && best_missing > 0; --best_missing) {
+        const auto* record = find_to_stage(*best, model);
+        if (record == nullptr || !loads_.allows(now, 1, joins_loading() + staging_.size())) {
+            return;
+        }
+        stage(now, *record, model);
+    }
+}
+
+void group_planner::stage_spares(instant now, const free_map& free)
+{
+    for (const auto& [domain, runners] : free) {
+        for (const auto& runner : runners) {
+            const auto& record = *registry_.find(runner);
+            if (!record.latest.staged.empty() || staging_.contains(runner) ||
+                !loads_.allows(now, 1, joins_loading() + staging_.size())) {
+                continue;
+            }
+            const auto& models =
+                configuration_->find_service(record.latest.service)->engine->models;
+            const auto rarest = std::min_element(
+                models.begin(), models.end(), [&](const engine_model& a, const engine_model& b) {
+                    return count_staged(runners, a.name) < count_staged(runners, b.name);
+                });
+            stage(now, record, *rarest);
+        }
+    }
+}
+
+void group_planner::stage(instant now, const runner_record& record, const engine_model& model)
+{
+    loads_.begin(now, 1);
+    staging_[record.latest.id] = {model.name, now + model.load_time * 2};
+    group_order next;
+    next.kind = order_kind::stage;
+    next.to = record.latest.id;
+    next.address = record.latest.address;
+    next.fence = term_;
+    next.model = model.name;
+    steps_.push_back({planner_step::kind_t::order, std::move(next)});
+}
+
+} // namespace cedarpoint
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -14,11 +14,6 @@
 constexpr duration retire_shortest = milliseconds{500};
 constexpr int looks_to_doubt = 2; ///< unanswered in a row
 
-bool contains(const std::vector<model_id>& in, const model_id& model)
-{
-    return std::find(in.begin(), in.end(), model) != in.end();
-}
-
 /// The head's id stands in the name, so that a new leader knows it without having heard the head.
 group_id make_name(const runner_id& head, epoch assignment)
 {
@@ -243,6 +238,27 @@
                                                             : member_health::present;
 }
 
+void group_planner::begin_group(instant now, const proposal& chosen, free_map& free)
+{
+    planned_group group;
+    group.assignment = epoch{(term_ << term_shift) + ++formed_};
+    group.members = chosen.members;
+    group.name = make_name(group.members.front(), group.assignment);
+    group.service = chosen.service->name;
+    group.model = chosen.model->name;
+    group.loads = chosen.loads;
+    loads_.begin(now, chosen.loads);
+    auto& runners = free[chosen.domain];
+    for (const auto& member : group.members) {
+        placed_[member] = group.name;
+        last_model_[member] = group.model;
+        std::erase(runners, member);
+    }
+    auto& kept = groups_[group.name] = std::move(group);
+    enter(now, kept, plan_phase::joining, "formed");
+    join_members(now, kept);
+}
+
 void group_planner::join_members(instant now, planned_group& group)
 {
     bool all_ready = true;
@@ -446,255 +462,6 @@
     on_event(event);
 }
 
-// --- forming ------------------------------------------------------------------------------------
-
-const engine_model* group_planner::find_model(const service_id& service,
-                                              const model_id& model) const
-{
-    const auto* found = configuration_->find_service(service);
-    if (found == nullptr || !found->engine) {
-        return nullptr;
-    }
-    const auto& models = found->engine->models;
-    const auto each = std::find_if(models.begin(), models.end(),
-                                   [&](const engine_model& one) { return one.name == model; });
-    return each == models.end() ? nullptr : &*each;
-}
-
-bool group_planner::is_free(instant now, const runner_record& record) const
-{
-    const auto& runner = record.latest.id;
-    const auto& membership = record.latest.membership;
-    const bool bound = membership && !released_.contains({membership->group, runner});
-    const bool silent = now - record.heard > options_.heartbeat * 3 / 2;
-    return registry_.is_present(record) && !placed_.contains(runner) && !bound && !silent &&
-           !is_doubted(runner, 1) && !record.latest.draining && !state_.is_leaving(runner);
-}
-
-group_planner::free_map group_planner::free_runners(instant now) const
-{
-    free_map out;
-    for (const auto& [runner, record] : registry_.records()) {
-        const auto* service = configuration_->find_service(record.latest.service);
-        if (service != nullptr && service->engine && is_free(now, record)) {
-            out[record.latest.fabric_domain].push_back(runner);
-        }
-    }
-    return out;
-}
-
-duration group_planner::join_time(const runner_record& record, const engine_model& model) const
-{
-    constexpr duration again = milliseconds{200};
-    const auto last = last_model_.find(record.latest.id);
-    if (last != last_model_.end() && last->second == model.name) {
-        return again;
-    }
-    return contains(record.latest.staged, model.name) ? model.warm_time : model.load_time;
-}
-
-std::size_t group_planner::count_groups(const model_id& model) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(groups_.begin(), groups_.end(), [&](const auto& each) {
-            return each.second.model == model && each.second.phase <= plan_phase::serving &&
-                   !finished_.contains(each.first);
-        }));
-}
-
-std::size_t group_planner::joins_loading() const
-{
-    std::size_t out = 0;
-    for (const auto& [name, group] : groups_) {
-        out += group.phase == plan_phase::joining ? group.loads : 0;
-    }
-    return out;
-}
-
-std::optional<group_planner::proposal>
-group_planner::propose(instant now, const fleet_service& service, const engine_model& model,
-                       const std::vector<runner_id>& free) const
-{
-    if (count_groups(model.name) >= wanted_groups(now, service, model)) {
-        return {};
-    }
-    std::vector<std::pair<duration, runner_id>> candidates;
-    for (const auto& runner : free) {
-        const auto& record = *registry_.find(runner);
-        if (record.latest.service == service.name && !staging_.contains(runner)) {
-            candidates.emplace_back(join_time(record, model), runner);
-        }
-    }
-    if (candidates.size() < model.group_size) {
-        return {};
-    }
-    std::sort(candidates.begin(), candidates.end());
-    candidates.resize(model.group_size);
-    proposal out;
-    out.service = &service;
-    out.model = &model;
-    for (const auto& [time, runner] : candidates) {
-        out.members.push_back(runner);
-        out.loads += time == model.load_time ? 1 : 0;
-    }
-    // The fuller a model's groups, the sooner it gets one more; a long wait speaks against it.
-    constexpr double per_second_of_wait = 0.03;
-    constexpr double us = 1e6;
-    const auto groups = static_cast<double>(count_groups(model.name));
-    const auto wanted = static_cast<double>(wanted_groups(now, service, model));
-    out.score = groups / std::max(wanted, 1.0) - pressure(now, service, model) +
-                per_second_of_wait * static_cast<double>(candidates.back().first.count()) / us;
-    return out;
-}
-
-std::size_t group_planner::count_runners(const service_id& service) const
-{
-    std::size_t out = 0;
-    for (const auto& [runner, record] : registry_.records()) {
-        out += record.latest.service == service && registry_.is_present(record) &&
-                       !is_doubted(runner, 1) && !record.latest.draining
-                   ? 1
-                   : 0;
-    }
-    return out;
-}
-
-double group_planner::pressure(instant now, const fleet_service& service,
-                               const engine_model& model) const
-{
-    int in_flight = 0;
-    int places = 0;
-    for (const auto& [name, group] : groups_) {
-        if (group.model == model.name && group.phase == plan_phase::serving) {
-            in_flight += sightings_.look(now, group.members.front()).in_flight;
-            places += service.engine->slots;
-        }
-    }
-    const auto waiting = sightings_.refused_rate(now, model.name);
-    return (in_flight + waiting) / std::max(places, 1);
-}
-
-std::size_t group_planner::wanted_groups(instant now, const fleet_service& service,
-                                         const engine_model& model) const
-{
-    // The rest are spares: what a lost member is replaced with at once.
-    constexpr double used = 0.8;
-    constexpr double pressed = 0.55;
-    double runners_a_share = 0;
-    double shares = 0;
-    for (const auto& each : service.engine->models) {
-        runners_a_share += each.share * static_cast<double>(each.group_size);
-        shares += each.share;
-    }
-    const auto runners = static_cast<double>(count_runners(service.name)) * used;
-    const auto share = shares > 0 ? model.share : 1.0;
-    const auto base = static_cast<std::size_t>(
-        std::lround(std::max(1.0, runners * share / std::max(runners_a_share, 1.0))));
-    const auto groups = count_groups(model.name);
-    const bool is_pressed = groups >= base && pressure(now, service, model) > pressed;
-    return is_pressed ? groups + 1 : base;
-}
-
-std::optional<group_planner::proposal> group_planner::best_proposal(instant now,
-                                                                    const free_map& free) const
-{
-    std::optional<proposal> best;
-    for (const auto& [domain, runners] : free) {
-        for (const auto& service : configuration_->services) {
-            if (!service.engine) {
-                continue;
-            }
-            for (const auto& model : service.engine->models) {
-                auto next = propose(now, service, model, runners);
-                const bool allowed = next && loads_.allows(now, next->loads, joins_loading());
-                if (allowed && (!best || next->score < best->score)) {
-                    best = std::move(next);
-                    best->domain = domain;
-                }
-            }
-        }
-    }
-    return best;
-}
-
-void group_planner::form(instant now)
-{
-    std::erase_if(staging_, [&](const auto& each) {
-        const auto* record = registry_.find(each.first);
-        return record == nullptr || now >= each.second.second ||
-               contains(record->latest.staged, each.second.first);
-    });
-    auto free = free_runners(now);
-    for (auto chosen = best_proposal(now, free); chosen; chosen = best_proposal(now, free)) {
-        begin_group(now, *chosen, free);
-    }
-    stage_spares(now, free);
-}
-
-void group_planner::begin_group(instant now, const proposal& chosen, free_map& free)
-{
-    planned_group group;
-    group.assignment = epoch{(term_ << term_shift) + ++formed_};
-    group.members = chosen.members;
-    group.name = make_name(group.members.front(), group.assignment);
-    group.service = chosen.service->name;
-    group.model = chosen.model->name;
-    group.loads = chosen.loads;
-    loads_.begin(now, chosen.loads);
-    auto& runners = free[chosen.domain];
-    for (const auto& member : group.members) {
-        placed_[member] = group.name;
-        last_model_[member] = group.model;
-        std::erase(runners, member);
-    }
-    auto& kept = groups_[group.name] = std::move(group);
-    enter(now, kept, plan_phase::joining, "formed");
-    join_members(now, kept);
-}
-
-void group_planner::stage_spares(instant now, const free_map& free)
-{
-    for (const auto& [domain, runners] : free) {
-        std::map<model_id, std::size_t> staged;
-        for (const auto& runner : runners) {
-            for (const auto& model : registry_.find(runner)->latest.staged) {
-                ++staged[model];
-            }
-            if (const auto under_way = staging_.find(runner); under_way != staging_.end()) {
-                ++staged[under_way->second.first];
-            }
-        }
-        for (const auto& runner : runners) {
-            const auto& record = *registry_.find(runner);
-            if (!record.latest.staged.empty() || staging_.contains(runner) ||
-                !loads_.allows(now, 1, joins_loading() + staging_.size())) {
-                continue;
-            }
-            const auto& models =
-                configuration_->find_service(record.latest.service)->engine->models;
-            const auto rarest = std::min_element(models.begin(), models.end(),
-                                                 [&](const engine_model& a, const engine_model& b) {
-                                                     return staged[a.name] < staged[b.name];
-                                                 });
-            ++staged[rarest->name];
-            stage(now, record, *rarest);
-        }
-    }
-}
-
-void group_planner::stage(instant now, const runner_record& record, const engine_model& model)
-{
-    loads_.begin(now, 1);
-    staging_[record.latest.id] = {model.name, now + model.load_time * 2};
-    group_order next;
-    next.kind = order_kind::stage;
-    next.to = record.latest.id;
-    next.address = record.latest.address;
-    next.fence = term_;
-    next.model = model.name;
-    steps_.push_back({planner_step::kind_t::order, std::move(next)});
-}
-
 std::string group_planner::summary(instant now) const
 {
     std::string out;
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -6,7 +6,7 @@
 {
     owners_[assumed.address] = assumed.id;
     const auto id = assumed.id;
-    records_[id] = {std::move(assumed), now, now, false};
+    records_[id] = {std::move(assumed), now, now, true, false};
 }
 
 bool runner_registry::announce(instant now, const announcement& in)
@@ -21,6 +21,7 @@
     }
     record.latest = in;
     record.heard = now;
+    record.assumed = false;
     record.dead = false;
     owners_[in.address] = in.id;
     return true;
@@ -34,6 +35,7 @@
     }
     auto& record = found->second;
     record.heard = now;
+    record.assumed = false;
     record.dead = false;
     record.latest.models = status.models;
     record.latest.staged = status.staged;
