Leader: the first view holds what the log knows

Cause: a new leader published a view without runners until it had heard them; entry daemons refused all.

--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -207,10 +207,6 @@
     if (state_.version() > 0) {
         view_.set_configuration(state_.configuration());
     }
-    // A new leader does not know yet who is there: entry daemons go on with what they have.
-    if (!planner_.is_settled(now)) {
-        return;
-    }
     std::map<std::string, wire::fleet_item> items;
     add_plain_runners(now, items);
     add_groups(items);
