--- a/src/consensus/raft_node_elections.cpp
+++ b/src/consensus/raft_node_elections.cpp
@@ -67,6 +67,9 @@
     wire::log_entry entry;
     entry.set_term(hard_.term());
     entry.set_index(last_index() + 1);
+    if (last_index() == 0) {
+        *entry.mutable_members() = members_; // a restart knows them from the log alone
+    }
     term_start_ = entry.index();
     append_entry(std::move(entry));
     broadcast_append(now);
