Groups: a refused connection is no proof; silent heads are tried by every entry daemon

Change: members that are dark with their head stay bound; a group whose members did not leave goes on when its head is heard again; a head counts as gone when another runner has its address, or when every entry daemon that speaks has tried it and found nobody; held-up heartbeats do not take an address back.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -28,6 +28,8 @@
     bool announce(instant now, const announcement& in);
     void on_status(instant now, const runner_id& runner, const runner_status& status);
     void on_look_failed(instant now, const runner_id& runner, bool refused);
+    /// Another runner answered at the runner's address.
+    void on_other_runner(const runner_id& runner);
     void on_order_result(instant now, const group_order& order, order_result result);
 
     /// An entry daemon's word, and the answer to it.
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -24,7 +24,8 @@
     serving,   ///< the head says that it is open
     retiring,  ///< takes no new requests; ends when those in flight have ended
     releasing, ///< the head is ordered to leave; its members are not free before it has
-    waiting    ///< the head can't be asked: members have left, so it breaks in a known time
+    waiting    ///< the head can't be asked: it is free once nobody reaches it, or once members have
+               ///< left it for so long that it has broken
 };
 
 std::string_view name_of(plan_phase phase);
@@ -40,6 +41,7 @@
     instant since;                  ///< in this phase
     bool opened = false;            ///< an order to open was sent, by whomever
     std::size_t loads = 0;          ///< members that read weights from the store to join
+    bool ordered_apart = false;     ///< waiting: members were ordered to leave
     std::optional<instant> left_at; ///< waiting: when the first member's leave was acknowledged
 };
 
@@ -89,10 +91,12 @@
     [[nodiscard]] std::vector<planner_step> tick(instant now);
     void on_order_result(instant now, const group_order& order, order_result result);
     /// A look at a runner was not answered; an answer goes to the registry.
-    void on_look_failed(instant now, const runner_id& runner);
+    void on_look_failed(instant now, const runner_id& runner, bool refused);
     void on_look_answered(const runner_id& runner);
 
     [[nodiscard]] const std::map<group_id, planned_group>& groups() const { return groups_; }
+    /// Heads that can't be asked; entry daemons are to say whether they reach them.
+    [[nodiscard]] std::vector<runner_id> suspects() const;
     /// One line on what there is and what is wanted, for the log.
     [[nodiscard]] std::string summary(instant now) const;
     /// False while a new leader still listens.
@@ -112,6 +116,8 @@
     void watch_retiring(instant now, planned_group& group);
     void release_head(instant now, planned_group& group);
     void watch_waiting(instant now, planned_group& group);
+    void order_members_apart(instant now, planned_group& group);
+    void finish_dark(instant now, planned_group& group);
     void lose_member(instant now, planned_group& group, const std::string& why);
     void look_at_members(instant now, const planned_group& group);
 
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -13,9 +13,10 @@
 struct runner_record {
     announcement latest;
     instant first_heard;
-    instant heard;        ///< its latest heartbeat or answer
-    bool assumed = false; ///< taken from the replicated state; has not spoken to this leader
-    bool dead = false;    ///< its address refused a connection after the latest heartbeat
+    instant heard;           ///< its latest heartbeat or answer
+    bool assumed = false;    ///< taken from the replicated state; has not spoken to this leader
+    bool superseded = false; ///< another runner took its address for good
+    bool dead = false;       ///< another runner answered at its address, or announced itself there
 };
 
 /// Runners that announce themselves. Soft state of the leading control daemon: a new leader hears
@@ -28,7 +29,7 @@
     bool announce(instant now, const announcement& in);
     /// A runner's own answer to a look at it.
     void note_status(instant now, const runner_id& runner, const runner_status& status);
-    /// Nothing listens at the runner's address.
+    /// Another runner answered at the runner's address.
     void note_dead(const runner_id& runner);
     /// Forgets runners that have been silent for `keep`; their ids.
     std::vector<runner_id> forget_silent(instant now, duration keep);
@@ -40,11 +41,13 @@
     /// Present as far as is known: neither dead nor replaced at its address.
     [[nodiscard]] bool is_present(const runner_record& record) const
     {
-        return !record.dead && owns_address(record);
+        return !record.dead && !record.superseded && owns_address(record);
     }
     [[nodiscard]] const std::map<runner_id, runner_record>& records() const { return records_; }
 
 private:
+    [[nodiscard]] bool may_own(instant now, const announcement& in, bool news) const;
+
     std::map<runner_id, runner_record> records_;
     std::map<endpoint, runner_id> owners_;
 };
--- a/include/cedarpoint/fleet/sighting_board.h
+++ b/include/cedarpoint/fleet/sighting_board.h
@@ -13,16 +13,20 @@
 /// What the entry daemons see of one runner, taken together.
 struct runner_outlook {
     int in_flight = 0;
-    bool progresses = false;         ///< some daemon gets bytes from it
-    bool stands_still = false;       ///< none gets any, and some waits for them or can't connect
-    bool refused = false;            ///< its address refused a connection
-    std::set<std::string> witnesses; ///< failure domains whose daemons say that it stands still
+    bool progresses = false;   ///< some daemon gets bytes from it
+    bool stands_still = false; ///< none gets any, and some waits for them or can't connect
+    duration byte_age = duration::max(); ///< since any of them had a byte from it
+    bool refused = false;                ///< its address refused a connection
+    std::set<std::string> witnesses;     ///< failure domains whose daemons say that it stands still
 };
 
 /// The latest words of each entry daemon on the runners that it uses.
 class sighting_board {
 public:
     void put(instant now, const std::string& follower, const wire::fleet_follow& in);
+    /// True if every entry daemon that speaks has tried the runner since `since` and found nobody.
+    [[nodiscard]] bool is_unreachable_to_all(instant now, instant since,
+                                             const runner_id& runner) const;
     [[nodiscard]] runner_outlook look(instant now, const runner_id& runner) const;
     /// Entry daemons that have spoken lately.
     [[nodiscard]] std::size_t followers(instant now) const;
@@ -37,6 +41,7 @@
         instant at;
         std::string failure_domain;
         std::map<runner_id, wire::runner_sighting> sightings;
+        std::map<runner_id, std::pair<instant, bool>> checks; ///< when, and whether it was reached
     };
     std::map<std::string, words> words_;
     struct fading_count {
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -139,28 +139,23 @@
 bool control_daemon::open(reason& why)
 {
     orders_ = std::make_unique<runner_orders>(
-        words_, runner_orders::hooks{[this](const group_order& order, order_result result) {
-                                         figures_.count_order(name_of_order(order.kind),
-                                                              name_of_result(result));
-                                         log_line("order")
-                                             .with("kind", name_of_order(order.kind))
-                                             .with("runner", order.to.str())
-                                             .with("group", order.group.str())
-                                             .with("fence", order.fence)
-                                             .with("result", name_of_result(result))
-                                             .write();
-                                         leader_.on_order_result(steady_now(), order, result);
-                                     },
-                                     [this](const runner_id& runner, const runner_status& status) {
-                                         leader_.on_status(steady_now(), runner, status);
-                                     },
-                                     [this](const runner_id& runner, bool refused) {
-                                         log_line("look_failed")
-                                             .with("runner", runner.str())
-                                             .with("refused", refused)
-                                             .write();
-                                         leader_.on_look_failed(steady_now(), runner, refused);
-                                     }});
+        words_,
+        runner_orders::hooks{
+            [this](const group_order& order, order_result result) {
+                figures_.count_order(name_of_order(order.kind), name_of_result(result));
+                log_line("order")
+                    .with("kind", name_of_order(order.kind))
+                    .with("runner", order.to.str())
+                    .with("group", order.group.str())
+                    .with("fence", order.fence)
+                    .with("result", name_of_result(result))
+                    .write();
+                leader_.on_order_result(steady_now(), order, result);
+            },
+            [this](const runner_id& runner, const runner_status& status) {
+                leader_.on_status(steady_now(), runner, status);
+            },
+            [this](const runner_id& runner, look_failure how) { on_look_failed(runner, how); }});
     if (!open_log(why) || !mesh_.start_open(own_.address, why) || !open_listeners(why)) {
         return false;
     }
@@ -177,6 +172,20 @@
     return true;
 }
 
+void control_daemon::on_look_failed(const runner_id& runner, look_failure how)
+{
+    constexpr std::array<const char*, 3> names{"unanswered", "refused", "other runner"};
+    log_line("look_failed")
+        .with("runner", runner.str())
+        .with("how", names.at(static_cast<std::size_t>(how)))
+        .write();
+    if (how == look_failure::other_runner) {
+        leader_.on_other_runner(runner);
+        return;
+    }
+    leader_.on_look_failed(steady_now(), runner, how == look_failure::refused);
+}
+
 bool control_daemon::leads(instant now) const
 {
     return log_->raft().is_leader() && log_->raft().holds_lease(now);
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -41,6 +41,7 @@
     void lead(instant now);
     void push_view(instant now);
     void receive(const wire::envelope& in);
+    void on_look_failed(const runner_id& runner, look_failure how);
     void on_follow(instant now, const wire::envelope& in);
     void send(const daemon_id& to, wire::envelope out);
     [[nodiscard]] bool leads(instant now) const;
--- a/src/control_daemon/runner_orders.cpp
+++ b/src/control_daemon/runner_orders.cpp
@@ -150,7 +150,9 @@
         }
     }
     const bool other_runner = how == exchange_end::complete && each.status == status_misdirected;
-    hooks_.on_look_failed(runner, how == exchange_end::refused || other_runner);
+    hooks_.on_look_failed(runner, other_runner                   ? look_failure::other_runner
+                                  : how == exchange_end::refused ? look_failure::refused
+                                                                 : look_failure::unanswered);
 }
 
 void runner_orders::cancel_all()
--- a/src/control_daemon/runner_orders.h
+++ b/src/control_daemon/runner_orders.h
@@ -12,14 +12,16 @@
 
 namespace cedarpoint {
 
+/// Why a look at a runner told nothing of it.
+enum class look_failure { unanswered, refused, other_runner };
+
 /// Carries the planner's orders and looks to runners and their answers back.
 class runner_orders {
 public:
     struct hooks {
         std::function<void(const group_order&, order_result)> on_order;
         std::function<void(const runner_id&, const runner_status&)> on_status;
-        /// `refused`: nothing listens at the address, or another runner does.
-        std::function<void(const runner_id&, bool refused)> on_look_failed;
+        std::function<void(const runner_id&, look_failure)> on_look_failed;
     };
 
     runner_orders(const dialect& words, hooks hooks);
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -49,6 +49,7 @@
                  },
                  [this](wire::fleet_follow& out) { fill(out); },
                  [this](view_copy::outcome outcome) { on_view(outcome); },
+                 [this](const wire::fleet_update& update) { reach_.check(steady_now(), update); },
                  [](const daemon_id& leader, bool found) {
                      log_line(found ? "dependency_regained" : "dependency_lost")
                          .with("kind", "control leader")
@@ -93,6 +94,7 @@
             return false;
         }
     }
+    reach_.on_result = [this] { follower_.hurry(); };
     QObject::connect(&timer_, &QTimer::timeout, [this] { tick(); });
     timer_.start(tick_ms);
     log_line("started")
@@ -167,7 +169,9 @@
 
 void entry_daemon::fill(wire::fleet_follow& out)
 {
-    context_.targets.add_sightings(steady_now(), out);
+    const auto now = steady_now();
+    context_.targets.add_sightings(now, out);
+    reach_.fill(now, out);
     for (auto& [model, count] : context_.demand) {
         auto* each = out.add_demand();
         each->set_model(model.str());
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -3,6 +3,7 @@
 #include "cedarpoint/config/fleet_settings.h"
 #include "entry/entry_context.h"
 #include "entry/fleet_follower.h"
+#include "entry/reach_checker.h"
 #include "entry/relay.h"
 #include "io/http_listener.h"
 #include "io/mesh.h"
@@ -43,6 +44,7 @@
     fleet_settings own_;
     entry_context context_;
     fleet_follower follower_;
+    reach_checker reach_;
     mesh mesh_;
     std::set<std::shared_ptr<relay>> requests_;
     std::vector<std::shared_ptr<relay>> ended_; ///< kept until none of their calls is under way
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -79,6 +79,7 @@
     }
     heard_ = now;
     followers_ = std::max<std::size_t>(update.followers(), 1);
+    hooks_.on_update(update);
     if (outcome == view_copy::outcome::gap) {
         hurry();
         return;
--- a/src/entry/fleet_follower.h
+++ b/src/entry/fleet_follower.h
@@ -19,6 +19,7 @@
         std::function<void(const daemon_id&, wire::envelope)> send;
         std::function<void(wire::fleet_follow&)> fill; ///< adds what this daemon saw
         std::function<void(view_copy::outcome)> on_view;
+        std::function<void(const wire::fleet_update&)> on_update; ///< of the present leader
         /// A leader was found, or lost.
         std::function<void(const daemon_id&, bool found)> on_leader;
     };
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -131,15 +131,20 @@
 
 void fleet_leader::on_look_failed(instant now, const runner_id& runner, bool refused)
 {
-    if (refused) {
-        registry_.note_dead(runner);
-    }
-    planner_.on_look_failed(now, runner);
+    planner_.on_look_failed(now, runner, refused);
+}
+
+void fleet_leader::on_other_runner(const runner_id& runner)
+{
+    registry_.note_dead(runner);
 }
 
 void fleet_leader::on_order_result(instant now, const group_order& order, order_result result)
 {
-    if (result == order_result::unreached || result == order_result::refused) {
+    if (result == order_result::unreached) {
+        planner_.on_look_failed(now, order.to, true);
+    }
+    if (result == order_result::refused) {
         registry_.note_dead(order.to);
     }
     planner_.on_order_result(now, order, result);
@@ -219,6 +224,13 @@
     out.set_term(term_);
     out.set_leading(true);
     out.set_followers(static_cast<std::uint32_t>(sightings_.followers(now)));
+    for (const auto& runner : planner_.suspects()) {
+        if (const auto* record = registry_.find(runner); record != nullptr) {
+            auto* suspect = out.add_suspects();
+            suspect->set_runner(runner.str());
+            suspect->set_address(record->latest.address.str());
+        }
+    }
     return out;
 }
 
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -11,6 +11,8 @@
 
 constexpr unsigned term_shift = 20; ///< an epoch: the leader's term, then a counter
 constexpr duration wait_margin = milliseconds{700};
+constexpr duration check_patience = milliseconds{900}; ///< for entry daemons to try a head
+constexpr duration idle_trust = seconds{2}; ///< a silent member of a group is trusted so long
 constexpr duration retire_shortest = milliseconds{500};
 constexpr int looks_to_doubt = 2; ///< unanswered in a row
 
@@ -340,7 +342,7 @@
         }
         const bool confirmed = outlook.stands_still && is_doubted(member, 1);
         const bool silent = health == member_health::silent && is_doubted(member, looks_to_doubt);
-        if (confirmed || (silent && !outlook.progresses)) {
+        if (confirmed || (silent && (outlook.stands_still || outlook.byte_age > idle_trust))) {
             lose_member(now, group, "member " + member.str() + " does not answer");
             return;
         }
@@ -397,33 +399,70 @@
 {
     const auto& head = group.members.front();
     const auto* record = registry_.find(head);
-    const bool gone = record != nullptr && health_of(now, group, head) == member_health::lost;
-    if (gone) {
+    if (record == nullptr || health_of(now, group, head) == member_health::lost) {
         finish(now, group, "the head is gone");
         return;
     }
-    if (record != nullptr && record->heard > group.since) {
-        enter(now, group, plan_phase::releasing, "the head is heard again");
+    if (record->heard > group.since) {
+        // Where no member has left, the group may have gone on behind a cut.
+        const bool untouched = !group.left_at && !group.ordered_apart;
+        enter(now, group, untouched ? plan_phase::serving : plan_phase::releasing,
+              "the head is heard again");
         return;
     }
-    bool any_member = false;
+    if (sightings_.is_unreachable_to_all(now, group.since, head)) {
+        finish_dark(now, group);
+        return;
+    }
+    if (now - group.since >= check_patience && !group.left_at) {
+        order_members_apart(now, group);
+    }
+    if (group.left_at && now - *group.left_at >= options_.stall + wait_margin) {
+        finish(now, group, "the head has broken by now");
+    }
+}
+
+void group_planner::order_members_apart(instant now, planned_group& group)
+{
     for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
         const auto& member = group.members[rank];
         const auto health = health_of(now, group, member);
-        if (health == member_health::lost || health == member_health::silent) {
-            continue;
-        }
-        any_member = true;
-        if (!group.left_at) {
+        if (health == member_health::present || health == member_health::draining) {
+            group.ordered_apart = true;
             order(now, order_for(group, order_kind::leave, member));
         }
     }
-    if (group.left_at ? now - *group.left_at >= options_.stall + wait_margin
-                      : !any_member && now - group.since >= options_.stall + wait_margin) {
-        finish(now, group, "the head has broken by now");
+}
+
+void group_planner::finish_dark(instant now, planned_group& group)
+{
+    // Members that are dark with their head may be with it behind a cut, where the group goes on:
+    // only those that are heard are free.
+    std::vector<runner_id> heard;
+    for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+        const auto& member = group.members[rank];
+        if (health_of(now, group, member) != member_health::silent && !is_doubted(member, 1)) {
+            heard.push_back(member);
+        }
+    }
+    if (!heard.empty()) {
+        group.members.resize(1);
+        group.members.insert(group.members.end(), heard.begin(), heard.end());
+        finish(now, group, "nobody reaches the head");
     }
 }
 
+std::vector<runner_id> group_planner::suspects() const
+{
+    std::vector<runner_id> out;
+    for (const auto& [name, group] : groups_) {
+        if (group.phase == plan_phase::waiting) {
+            out.push_back(group.members.front());
+        }
+    }
+    return out;
+}
+
 void group_planner::finish(instant now, planned_group& group, const std::string& why)
 {
     for (const auto& member : group.members) {
@@ -538,9 +577,10 @@
     steps_.push_back(std::move(step));
 }
 
-void group_planner::on_look_failed(instant /*now*/, const runner_id& runner)
+void group_planner::on_look_failed(instant /*now*/, const runner_id& runner, bool refused)
 {
-    ++unanswered_[runner];
+    // A refusal comes at once, but from behind a cut as well: it is no proof of an end.
+    unanswered_[runner] += refused ? looks_to_doubt : 1;
 }
 
 void group_planner::on_look_answered(const runner_id& runner)
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -1,19 +1,37 @@
 #include "cedarpoint/fleet/runner_registry.h"
 
 namespace cedarpoint {
+namespace {
+
+constexpr duration owner_silence = seconds{4};
+constexpr std::uint64_t young_sequence = 3; ///< of a runner that has just begun
+
+} // namespace
 
 void runner_registry::expect(instant now, announcement assumed)
 {
     owners_[assumed.address] = assumed.id;
     const auto id = assumed.id;
-    records_[id] = {std::move(assumed), now, now, true, false};
+    records_[id] = {std::move(assumed), now, now, true, false, false};
+}
+
+bool runner_registry::may_own(instant now, const announcement& in, bool news) const
+{
+    const auto owner = owners_.find(in.address);
+    if (owner == owners_.end() || owner->second == in.id) {
+        return true;
+    }
+    // A heartbeat that was held up for seconds may come from one that ended before the owner began.
+    const auto* other = find(owner->second);
+    const bool owner_speaks = other != nullptr && now - other->heard < owner_silence;
+    return !owner_speaks || (news ? in.sequence <= young_sequence : true);
 }
 
 bool runner_registry::announce(instant now, const announcement& in)
 {
     auto [found, added] = records_.try_emplace(in.id);
     auto& record = found->second;
-    if (!added && in.sequence <= record.latest.sequence) {
+    if (!added && (in.sequence <= record.latest.sequence || record.superseded)) {
         return false;
     }
     if (added) {
@@ -23,7 +41,13 @@
     record.heard = now;
     record.assumed = false;
     record.dead = false;
-    owners_[in.address] = in.id;
+    if (may_own(now, in, added)) {
+        auto& owner = owners_[in.address];
+        if (const auto other = records_.find(owner); other != records_.end() && owner != in.id) {
+            other->second.superseded = true;
+        }
+        owner = in.id;
+    }
     return true;
 }
 
--- a/src/fleet/sighting_board.cpp
+++ b/src/fleet/sighting_board.cpp
@@ -1,5 +1,6 @@
 #include "cedarpoint/fleet/sighting_board.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace cedarpoint {
@@ -19,9 +20,14 @@
     entry.at = now;
     entry.failure_domain = in.failure_domain();
     entry.sightings.clear();
+    entry.checks.clear();
     for (const auto& each : in.sightings()) {
         entry.sightings[runner_id{each.runner()}] = each;
     }
+    for (const auto& each : in.checks()) {
+        entry.checks[runner_id{each.runner()}] = {now - milliseconds{each.age_ms()},
+                                                  each.reachable()};
+    }
     for (const auto& each : in.demand()) {
         started_ += each.started() + each.refused();
         auto& refused = refused_[model_id{each.model()}];
@@ -53,6 +59,7 @@
         const auto& seen = found->second;
         out.in_flight += static_cast<int>(seen.in_flight());
         out.refused = out.refused || seen.refused();
+        out.byte_age = std::min<duration>(out.byte_age, milliseconds{seen.byte_ms()});
         const bool waits = seen.in_flight() > 0 && seen.silent_ms() >= still_ms;
         if (waits || seen.unreachable() >= few_failures) {
             out.witnesses.insert(entry.failure_domain);
@@ -63,6 +70,23 @@
     return out;
 }
 
+bool sighting_board::is_unreachable_to_all(instant now, instant since,
+                                           const runner_id& runner) const
+{
+    std::size_t witnesses = 0;
+    for (const auto& [follower, entry] : words_) {
+        if (now - entry.at > fresh) {
+            continue;
+        }
+        const auto check = entry.checks.find(runner);
+        if (check == entry.checks.end() || check->second.first < since || check->second.second) {
+            return false;
+        }
+        ++witnesses;
+    }
+    return witnesses > 0;
+}
+
 std::size_t sighting_board::followers(instant now) const
 {
     std::size_t out = 0;
