Groups: members are freed on proof only

Found by reading: a look's answer is some hundred ms old and overwrote what heartbeats had told; any answer to an order to leave counted as having left; members heard before their head fell silent counted as free; what a cut held up was not taken back. Change: looks prove life only; only a taken order to leave frees; members must have spoken since; cancelled calls reset their connection.

--- a/include/cedarpoint/fleet/announcement.h
+++ b/include/cedarpoint/fleet/announcement.h
@@ -38,13 +38,6 @@
     std::optional<group_membership> membership;
 };
 
-/// What a runner answers when it is asked for its state.
-struct runner_status {
-    std::vector<model_id> models;
-    std::vector<model_id> staged;
-    std::optional<group_membership> membership;
-};
-
 /// Orders that runners of grouped services take.
 enum class order_kind { join, open, leave, stage };
 
--- a/include/cedarpoint/fleet/dialect.h
+++ b/include/cedarpoint/fleet/dialect.h
@@ -64,8 +64,6 @@
     read_configuration(std::string_view document, reason& why) const = 0;
     [[nodiscard]] virtual std::optional<announcement>
     read_announcement(const runner_id& id, std::string_view body, reason& why) const = 0;
-    [[nodiscard]] virtual std::optional<runner_status> read_status(std::string_view body,
-                                                                   reason& why) const = 0;
     [[nodiscard]] virtual std::string write_order(const group_order& order) const = 0;
 };
 
--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -26,7 +26,7 @@
     [[nodiscard]] std::vector<planner_step> tick(instant now);
 
     bool announce(instant now, const announcement& in);
-    void on_status(instant now, const runner_id& runner, const runner_status& status);
+    void on_look_answered(instant now, const runner_id& runner);
     void on_look_failed(instant now, const runner_id& runner, bool refused);
     /// Another runner answered at the runner's address.
     void on_other_runner(const runner_id& runner);
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -27,8 +27,9 @@
     void expect(instant now, announcement assumed);
     /// False for a heartbeat that is older than one taken before.
     bool announce(instant now, const announcement& in);
-    /// A runner's own answer to a look at it.
-    void note_status(instant now, const runner_id& runner, const runner_status& status);
+    /// A runner has answered a look. Only that is taken from it: the rest of its answer is some
+    /// hundred milliseconds old, and its heartbeats tell each change at once.
+    void note_alive(instant now, const runner_id& runner);
     /// Another runner answered at the runner's address.
     void note_dead(const runner_id& runner);
     /// Forgets runners that have been silent for `keep`; their ids.
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -152,9 +152,7 @@
                     .write();
                 leader_.on_order_result(steady_now(), order, result);
             },
-            [this](const runner_id& runner, const runner_status& status) {
-                leader_.on_status(steady_now(), runner, status);
-            },
+            [this](const runner_id& runner) { leader_.on_look_answered(steady_now(), runner); },
             [this](const runner_id& runner, look_failure how) { on_look_failed(runner, how); }});
     if (!open_log(why) || !mesh_.start_open(own_.address, why) || !open_listeners(why)) {
         return false;
--- a/src/control_daemon/runner_orders.cpp
+++ b/src/control_daemon/runner_orders.cpp
@@ -143,11 +143,8 @@
 {
     const auto& runner = each.step.order.to;
     if (how == exchange_end::complete && each.status == status_ok) {
-        reason why;
-        if (const auto status = words_.read_status(each.body, why)) {
-            hooks_.on_status(runner, *status);
-            return;
-        }
+        hooks_.on_look_answered(runner);
+        return;
     }
     const bool other_runner = how == exchange_end::complete && each.status == status_misdirected;
     hooks_.on_look_failed(runner, other_runner                   ? look_failure::other_runner
--- a/src/control_daemon/runner_orders.h
+++ b/src/control_daemon/runner_orders.h
@@ -20,7 +20,7 @@
 public:
     struct hooks {
         std::function<void(const group_order&, order_result)> on_order;
-        std::function<void(const runner_id&, const runner_status&)> on_status;
+        std::function<void(const runner_id&)> on_look_answered;
         std::function<void(const runner_id&, look_failure)> on_look_failed;
     };
 
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -123,9 +123,9 @@
     return true;
 }
 
-void fleet_leader::on_status(instant now, const runner_id& runner, const runner_status& status)
+void fleet_leader::on_look_answered(instant now, const runner_id& runner)
 {
-    registry_.note_status(now, runner, status);
+    registry_.note_alive(now, runner);
     planner_.on_look_answered(runner);
 }
 
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -437,15 +437,21 @@
 void group_planner::finish_dark(instant now, planned_group& group)
 {
     // Members that are dark with their head may be with it behind a cut, where the group goes on:
-    // only those that are heard are free.
+    // only those that have spoken since it fell silent are free.
     std::vector<runner_id> heard;
+    bool all_known = true;
     for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
         const auto& member = group.members[rank];
-        if (health_of(now, group, member) != member_health::silent && !is_doubted(member, 1)) {
+        const auto* record = registry_.find(member);
+        if (record != nullptr && record->heard > group.since) {
             heard.push_back(member);
         }
+        else if (record != nullptr && !is_doubted(member, 1)) {
+            all_known = false;
+            look(now, member);
+        }
     }
-    if (!heard.empty()) {
+    if (!heard.empty() && all_known) {
         group.members.resize(1);
         group.members.insert(group.members.end(), heard.begin(), heard.end());
         finish(now, group, "nobody reaches the head");
@@ -595,9 +601,8 @@
         return;
     }
     auto& group = found->second;
-    const bool answered = result == order_result::taken || result == order_result::unfit ||
-                          result == order_result::fenced;
-    if (order.kind == order_kind::leave && answered) {
+    // Any other answer proves nothing: what the runner tells of itself will show where it is.
+    if (order.kind == order_kind::leave && result == order_result::taken) {
         if (group.phase == plan_phase::releasing && order.to == group.members.front()) {
             finish(now, group, "the head has left");
             groups_.erase(found);
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -51,19 +51,11 @@
     return true;
 }
 
-void runner_registry::note_status(instant now, const runner_id& runner, const runner_status& status)
+void runner_registry::note_alive(instant now, const runner_id& runner)
 {
-    const auto found = records_.find(runner);
-    if (found == records_.end()) {
-        return;
+    if (const auto found = records_.find(runner); found != records_.end()) {
+        found->second.heard = now;
     }
-    auto& record = found->second;
-    record.heard = now;
-    record.assumed = false;
-    record.dead = false;
-    record.latest.models = status.models;
-    record.latest.staged = status.staged;
-    record.latest.membership = status.membership;
 }
 
 void runner_registry::note_dead(const runner_id& runner)
--- a/src/io/runner_connection.cpp
+++ b/src/io/runner_connection.cpp
@@ -85,7 +85,7 @@
     spoiled_ = true;
     handlers_.reset();
     connect_timer_.stop();
-    socket_.close();
+    socket_.reset();
 }
 
 void runner_connection::pause(bool paused)
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -128,6 +128,15 @@
     connected_ = false;
 }
 
+void stream_socket::reset()
+{
+    if (descriptor_ >= 0) {
+        const linger at_once{1, 0};
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+    close();
+}
+
 void stream_socket::end(socket_end how)
 {
     close();
--- a/src/io/stream_socket.h
+++ b/src/io/stream_socket.h
@@ -37,6 +37,9 @@
     void write(std::string_view bytes);
     /// Closes at once; nothing is reported.
     void close();
+    /// The same, and what was not delivered yet never will be: the network holds nothing back for
+    /// later.
+    void reset();
     void set_reading(bool reading);
 
     [[nodiscard]] bool is_connected() const { return connected_ && descriptor_ >= 0; }
