--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -38,9 +38,11 @@
     model_id model;
     std::vector<runner_id> members; ///< the head first
     plan_phase phase = plan_phase::joining;
-    instant since;                  ///< in this phase
-    bool opened = false;            ///< an order to open was sent, by whomever
-    std::size_t loads = 0;          ///< members that read weights from the store to join
+    instant since;         ///< in this phase
+    bool opened = false;   ///< an order to open was sent, by whomever
+    std::size_t loads = 0; ///< members that read weights from the store to join
+    /// Waiting: members that were heard since the head fell silent, and when.
+    std::map<runner_id, instant> spoken;
     bool ordered_apart = false;     ///< waiting: members were ordered to leave
     std::optional<instant> left_at; ///< waiting: when the first member's leave was acknowledged
 };
@@ -117,6 +119,8 @@
     void release_head(instant now, planned_group& group);
     void watch_waiting(instant now, planned_group& group);
     void order_members_apart(instant now, planned_group& group);
+    void ask_members(instant now, planned_group& group);
+    [[nodiscard]] bool is_dark(instant now, const planned_group& group) const;
     void finish_dark(instant now, planned_group& group);
     void lose_member(instant now, planned_group& group, const std::string& why);
     void look_at_members(instant now, const planned_group& group);
--- a/include/cedarpoint/fleet/sighting_board.h
+++ b/include/cedarpoint/fleet/sighting_board.h
@@ -28,6 +28,9 @@
     [[nodiscard]] bool is_unreachable_to_all(instant now, instant since,
                                              const runner_id& runner) const;
     [[nodiscard]] runner_outlook look(instant now, const runner_id& runner) const;
+    /// Requests in flight at each runner, as the followers other than `asker` say.
+    [[nodiscard]] std::map<runner_id, int> loads_without(instant now,
+                                                         const std::string& asker) const;
     /// Entry daemons that have spoken lately.
     [[nodiscard]] std::size_t followers(instant now) const;
     /// Requests started for a model since the beginning, over all followers.
--- a/include/cedarpoint/fleet/target_set.h
+++ b/include/cedarpoint/fleet/target_set.h
@@ -30,6 +30,7 @@
 /// What this daemon has seen of a target by its own requests.
 struct target_record {
     int in_flight = 0;
+    int others = 0;      ///< in flight from other entry daemons, as told last
     instant waits_since; ///< the latest byte, or the first send after idleness
     instant latest_byte;
     int unreachable = 0; ///< connections not made since the latest byte
@@ -46,6 +47,9 @@
     /// Takes over the runners and groups of a view.
     void update(const std::map<std::string, wire::fleet_item>& items);
 
+    /// Takes over what the other entry daemons have in flight.
+    void update_loads(const wire::fleet_update& update);
+
     /// Why there is no target.
     enum class lack { none, absent, full };
     /// The best target for a service and, where it has groups, a model; null with `why`.
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -49,7 +49,10 @@
                  },
                  [this](wire::fleet_follow& out) { fill(out); },
                  [this](view_copy::outcome outcome) { on_view(outcome); },
-                 [this](const wire::fleet_update& update) { reach_.check(steady_now(), update); },
+                 [this](const wire::fleet_update& update) {
+                     reach_.check(steady_now(), update);
+                     context_.targets.update_loads(update);
+                 },
                  [](const daemon_id& leader, bool found) {
                      log_line(found ? "dependency_regained" : "dependency_lost")
                          .with("kind", "control leader")
--- a/src/entry/reach_checker.cpp
+++ b/src/entry/reach_checker.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr int patience_ms = 300;
-constexpr duration repeat_after = seconds{2};
+constexpr duration repeat_after = milliseconds{600};
 
 } // namespace
 
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -242,7 +242,13 @@
     entry.heard = now;
     const auto has = in.term() == term_ ? in.version() : 0;
     entry.sent = view_.version();
-    return make_update(now, has);
+    auto out = make_update(now, has);
+    for (const auto& [runner, count] : sightings_.loads_without(now, name)) {
+        auto* load = out.add_loads();
+        load->set_runner(runner.str());
+        load->set_in_flight(static_cast<std::uint32_t>(count));
+    }
+    return out;
 }
 
 std::vector<std::pair<std::string, wire::fleet_update>> fleet_leader::pending_updates(instant now)
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -410,7 +410,8 @@
               "the head is heard again");
         return;
     }
-    if (sightings_.is_unreachable_to_all(now, group.since, head)) {
+    ask_members(now, group);
+    if (is_dark(now, group)) {
         finish_dark(now, group);
         return;
     }
@@ -434,35 +435,49 @@
     }
 }
 
-void group_planner::finish_dark(instant now, planned_group& group)
+void group_planner::ask_members(instant now, planned_group& group)
 {
-    // Members that are dark with their head may be with it behind a cut, where the group goes on:
-    // only those that have spoken since it fell silent are free.
-    std::vector<runner_id> heard;
-    bool all_known = true;
     for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
         const auto& member = group.members[rank];
         const auto* record = registry_.find(member);
-        if (record != nullptr && record->heard > group.since) {
-            heard.push_back(member);
+        if (record == nullptr || group.spoken.contains(member)) {
+            continue;
+        }
+        if (record->heard > group.since) {
+            group.spoken.emplace(member, now);
         }
-        else if (record != nullptr && !is_doubted(member, 1)) {
-            all_known = false;
+        else {
             look(now, member);
         }
     }
-    if (!heard.empty() && all_known) {
-        group.members.resize(1);
-        group.members.insert(group.members.end(), heard.begin(), heard.end());
-        finish(now, group, "nobody reaches the head");
+}
+
+bool group_planner::is_dark(instant now, const planned_group& group) const
+{
+    // Members that are dark with their head may be with it behind a cut, where the group goes on.
+    // So the head must have been tried after a member was heard: the way there was open then.
+    instant since = group.since;
+    for (const auto& [member, at] : group.spoken) {
+        since = std::max(since, at);
+    }
+    return !group.spoken.empty() &&
+           sightings_.is_unreachable_to_all(now, since, group.members.front());
+}
+
+void group_planner::finish_dark(instant now, planned_group& group)
+{
+    group.members.resize(1);
+    for (const auto& [member, at] : group.spoken) {
+        group.members.push_back(member);
     }
+    finish(now, group, "nobody reaches the head");
 }
 
 std::vector<runner_id> group_planner::suspects() const
 {
     std::vector<runner_id> out;
     for (const auto& [name, group] : groups_) {
-        if (group.phase == plan_phase::waiting) {
+        if (group.phase == plan_phase::waiting && !group.spoken.empty()) {
             out.push_back(group.members.front());
         }
     }
@@ -492,6 +507,7 @@
 {
     group.phase = phase;
     group.since = now;
+    group.spoken.clear();
     tell(group, why);
 }
 
--- a/src/fleet/sighting_board.cpp
+++ b/src/fleet/sighting_board.cpp
@@ -87,6 +87,20 @@
     return witnesses > 0;
 }
 
+std::map<runner_id, int> sighting_board::loads_without(instant now, const std::string& asker) const
+{
+    std::map<runner_id, int> out;
+    for (const auto& [follower, entry] : words_) {
+        if (follower == asker || now - entry.at > fresh) {
+            continue;
+        }
+        for (const auto& [runner, seen] : entry.sightings) {
+            out[runner] += static_cast<int>(seen.in_flight());
+        }
+    }
+    return out;
+}
+
 std::size_t sighting_board::followers(instant now) const
 {
     std::size_t out = 0;
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -10,6 +10,7 @@
 constexpr std::int64_t longest_told = 1'000'000; ///< milliseconds
 constexpr duration shortest_avoidance = milliseconds{300};
 constexpr int most_doublings = 4;
+constexpr int short_queue = 3; ///< requests that may wait at a runner: a place frees soon
 constexpr duration doubtful_silence = milliseconds{250};
 
 } // namespace
@@ -58,11 +59,27 @@
     });
 }
 
+void target_set::update_loads(const wire::fleet_update& update)
+{
+    if (update.loads_size() == 0 && update.items_size() > 0) {
+        return; // a pushed change; loads come with the answers to this daemon's words
+    }
+    for (auto& [runner, record] : records_) {
+        record.others = 0;
+    }
+    for (const auto& load : update.loads()) {
+        const runner_id runner{load.runner()};
+        if (targets_.contains(runner)) {
+            records_[runner].others = static_cast<int>(load.in_flight());
+        }
+    }
+}
+
 double target_set::score(instant now, const fleet_target& target)
 {
     const auto& record = records_[target.runner];
     std::uniform_real_distribution<double> spread(0, 0.5);
-    double out = record.in_flight + spread(random_);
+    double out = record.in_flight + record.others + spread(random_);
     if (target.failure_domain != home_) {
         out += other_domain;
     }
@@ -89,7 +106,8 @@
         if (!target.accepting || tried.contains(runner)) {
             continue;
         }
-        if (records_[runner].in_flight >= target.slots) {
+        const auto& record = records_[runner];
+        if (record.in_flight + record.others >= target.slots + short_queue) {
             why = lack::full;
             continue;
         }
--- a/tests/daemon/bad_input_test.cpp
+++ b/tests/daemon/bad_input_test.cpp
@@ -180,7 +180,7 @@
 
 TEST(keys_and_prompts, stay_out_of_the_log)
 {
-    testing::internal::CaptureStderr();
+    testing::internal::CaptureStdout();
     {
         site at{{}};
         at.wait_serving();
@@ -189,7 +189,7 @@
         caller.wait_for("[DONE]");
         answer_to(at, chat_request({.text = "a private prompt", .key = "guess"}));
     }
-    const auto log = testing::internal::GetCapturedStderr();
+    const auto log = testing::internal::GetCapturedStdout();
     EXPECT_NE(log.find("event=decision"), std::string::npos);
     EXPECT_EQ(log.find("secret"), std::string::npos);
     EXPECT_EQ(log.find("guess"), std::string::npos);
