--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -25,7 +25,7 @@
 constexpr int gateway_timeout = 504;
 constexpr int misdirected = 421;
 constexpr int most_engine_priority = 9;
-constexpr const char* come_back_seconds = "1";
+constexpr const char* come_back_seconds = "0.25";
 
 /// Headers that concern one connection only, or that this daemon writes itself.
 bool is_hop_header(std::string_view name)
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -79,7 +79,7 @@
 {
     const auto& record = records_[target.runner];
     std::uniform_real_distribution<double> spread(0, 0.5);
-    double out = record.in_flight + record.others + spread(random_);
+    double out = record.in_flight + spread(random_);
     if (target.failure_domain != home_) {
         out += other_domain;
     }
@@ -107,6 +107,8 @@
             continue;
         }
         const auto& record = records_[runner];
+        // Others' requests are told late: they bound a target's load, but chosen by them all
+        // daemons would run to the same one.
         if (record.in_flight + record.others >= target.slots + short_queue) {
             why = lack::full;
             continue;
--- a/src/io/runner_pool.cpp
+++ b/src/io/runner_pool.cpp
@@ -17,6 +17,8 @@
 
 } // namespace
 
+runner_pool::runner_pool() : runner_pool{pool_options{}} {}
+
 runner_pool::runner_pool(pool_options options) : options_{options}
 {
     QObject::connect(&sweeper_, &QTimer::timeout, [this] { sweep(); });
--- a/src/io/runner_pool.h
+++ b/src/io/runner_pool.h
@@ -19,7 +19,8 @@
 /// Connections to runners, kept for the next request.
 class runner_pool {
 public:
-    explicit runner_pool(pool_options options = {});
+    runner_pool();
+    explicit runner_pool(pool_options options);
     ~runner_pool();
     runner_pool(const runner_pool&) = delete;
     runner_pool& operator=(const runner_pool&) = delete;
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -255,5 +255,63 @@
     EXPECT_EQ(at.it->commit(), 5U);
 }
 
+TEST(a_first_start, needs_no_more_than_a_quorum)
+{
+    raft_options options;
+    options.start = start_mode::first;
+    raft_node node{start, a, three(), {}, options, 1};
+    node.tick(start + seconds{3});
+    msg granted;
+    granted.set_kind(msg::pre_vote_reply);
+    granted.set_ok(true);
+    node.receive(start + seconds{3}, b, granted);
+    granted.set_kind(msg::vote_reply);
+    granted.set_term(node.term());
+    node.receive(start + seconds{3}, b, granted);
+    EXPECT_TRUE(node.is_leader()) << "the third may be dead";
+    const auto out = node.take_output();
+    ASSERT_GE(out.batch.entries_size(), 1);
+    EXPECT_EQ(out.batch.entries(0).members().members_size(), 3)
+        << "a restart knows the members from the log alone";
+}
+
+TEST(a_voter_that_lost_its_disk, begins_no_log_once_the_system_has_run)
+{
+    raft_options options;
+    options.start = start_mode::later;
+    raft_node node{start, a, three(), {}, options, 1};
+    node.tick(start + seconds{10});
+    EXPECT_TRUE(node.take_output().messages.empty());
+    node.receive(start + seconds{10}, b, ask_vote(1, 0, 0));
+    const auto out = node.take_output();
+    ASSERT_EQ(out.messages.size(), 1U);
+    EXPECT_FALSE(out.messages.front().message.ok());
+}
+
+TEST(a_leader_that_stood_still, sends_nothing_as_a_leader)
+{
+    raft_options options;
+    options.start = start_mode::first;
+    raft_node node{start, a, three(), {}, options, 1};
+    node.tick(start + seconds{3});
+    msg granted;
+    granted.set_kind(msg::pre_vote_reply);
+    granted.set_ok(true);
+    node.receive(start + seconds{3}, b, granted);
+    granted.set_kind(msg::vote_reply);
+    granted.set_term(node.term());
+    node.receive(start + seconds{3}, b, granted);
+    ASSERT_TRUE(node.is_leader());
+    node.take_output();
+    EXPECT_FALSE(node.propose(start + seconds{9}, "x").has_value()) << "before its next tick";
+    msg late;
+    late.set_kind(msg::append_reply);
+    late.set_term(node.term());
+    late.set_ok(true);
+    node.receive(start + seconds{9}, b, late);
+    EXPECT_FALSE(node.is_leader());
+    EXPECT_TRUE(node.take_output().messages.empty());
+}
+
 } // namespace
 } // namespace cedarpoint
--- /dev/null
+++ b/tests/fleet/fleet_state_test.cpp
@@ -0,0 +1,141 @@
+#include "cedarpoint/fleet/fleet_state.h"
+#include "cedarpoint/fleet/fleet_view.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+wire::fleet_command registration(const std::string& runner, const std::string& address)
+{
+    wire::fleet_command out;
+    out.mutable_registration()->set_runner(runner);
+    out.mutable_registration()->set_address(address);
+    return out;
+}
+
+wire::fleet_item runner_item(const std::string& id, bool accepting)
+{
+    wire::fleet_item out;
+    out.mutable_runner()->set_id(id);
+    out.mutable_runner()->set_accepting(accepting);
+    return out;
+}
+
+TEST(a_configuration_of_a_fleet, holds_by_its_version_alone)
+{
+    fleet_state state;
+    state.apply(fleet_state::put_configuration(7, "seven"));
+    state.apply(fleet_state::put_configuration(5, "five"));
+    state.apply(fleet_state::put_configuration(7, "another seven"));
+    EXPECT_EQ(state.version(), 7U);
+    EXPECT_EQ(state.configuration().text(), "seven");
+    state.apply(fleet_state::put_configuration(9, "nine"));
+    EXPECT_EQ(state.configuration().text(), "nine");
+}
+
+TEST(a_departure, is_never_taken_back_and_outlives_a_snapshot)
+{
+    fleet_state state;
+    state.apply(fleet_state::depart(runner_id{"i-1"}, true));
+    state.apply(fleet_state::depart(runner_id{"i-1"}, false));
+    state.apply(fleet_state::depart(runner_id{"i-2"}, false));
+    fleet_state copy;
+    ASSERT_TRUE(copy.restore(state.save()));
+    EXPECT_TRUE(copy.is_gone(runner_id{"i-1"}));
+    EXPECT_TRUE(copy.is_leaving(runner_id{"i-2"}));
+    EXPECT_FALSE(copy.is_gone(runner_id{"i-2"}));
+    EXPECT_FALSE(copy.is_leaving(runner_id{"i-3"}));
+}
+
+TEST(a_registration, takes_the_address_from_the_runner_before)
+{
+    fleet_state state;
+    state.apply(registration("i-1", "10.0.0.1:80").SerializeAsString());
+    state.apply(registration("i-2", "10.0.0.1:80").SerializeAsString());
+    EXPECT_FALSE(state.registrations().contains(runner_id{"i-1"}));
+    EXPECT_TRUE(state.registrations().contains(runner_id{"i-2"}));
+    fleet_state copy;
+    ASSERT_TRUE(copy.restore(state.save()));
+    EXPECT_EQ(copy.save(), state.save());
+    EXPECT_FALSE(copy.restore("not a snapshot"));
+}
+
+TEST(a_command_of_a_newer_version, changes_nothing)
+{
+    fleet_state state;
+    state.apply("\xff\xff\xff");
+    EXPECT_EQ(state.version(), 0U);
+}
+
+class a_view : public testing::Test {
+protected:
+    view_copy::outcome follow(std::uint64_t term)
+    {
+        auto update = source.since(term == copy.term() ? copy.version() : 0);
+        update.set_term(term);
+        return copy.take(update);
+    }
+    view_source source;
+    view_copy copy;
+};
+
+TEST_F(a_view, is_told_in_changes)
+{
+    source.replace({{"runner/1", runner_item("1", true)}, {"runner/2", runner_item("2", true)}});
+    EXPECT_EQ(follow(1), view_copy::outcome::applied);
+    EXPECT_EQ(copy.items().size(), 2U);
+    source.replace({{"runner/2", runner_item("2", false)}});
+    const auto change = source.since(copy.version());
+    EXPECT_EQ(change.items_size(), 2) << "one removed, one changed";
+    EXPECT_EQ(follow(1), view_copy::outcome::applied);
+    ASSERT_EQ(copy.items().size(), 1U);
+    EXPECT_FALSE(copy.items().at("runner/2").runner().accepting());
+    EXPECT_EQ(follow(1), view_copy::outcome::unchanged);
+    source.replace({{"runner/2", runner_item("2", false)}});
+    EXPECT_EQ(follow(1), view_copy::outcome::unchanged) << "the same content is no change";
+}
+
+TEST_F(a_view, never_goes_to_an_older_leader_or_version)
+{
+    source.replace({{"runner/1", runner_item("1", true)}});
+    ASSERT_EQ(follow(5), view_copy::outcome::applied);
+    auto old = source.since(0);
+    old.set_term(4);
+    EXPECT_EQ(copy.take(old), view_copy::outcome::stale);
+    wire::fleet_update older;
+    older.set_term(5);
+    older.set_to(copy.version() - 1);
+    EXPECT_EQ(copy.take(older), view_copy::outcome::stale);
+}
+
+TEST_F(a_view, with_a_gap_is_not_guessed_at)
+{
+    source.replace({{"runner/1", runner_item("1", true)}});
+    ASSERT_EQ(follow(1), view_copy::outcome::applied);
+    wire::fleet_update later;
+    later.set_term(1);
+    later.set_from(copy.version() + 3);
+    later.set_to(copy.version() + 4);
+    EXPECT_EQ(copy.take(later), view_copy::outcome::gap);
+}
+
+TEST_F(a_view, keeps_the_highest_configuration_under_a_new_leader)
+{
+    wire::accepted_configuration newer;
+    newer.set_revision(8);
+    source.set_configuration(newer);
+    ASSERT_EQ(follow(1), view_copy::outcome::applied);
+    view_source behind;
+    wire::accepted_configuration older;
+    older.set_revision(6);
+    behind.set_configuration(older);
+    auto update = behind.since(0);
+    update.set_term(2);
+    ASSERT_EQ(copy.take(update), view_copy::outcome::applied);
+    ASSERT_NE(copy.configuration(), nullptr);
+    EXPECT_EQ(copy.configuration()->revision(), 8U);
+}
+
+} // namespace
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/fleet/group_planner_test.cpp
@@ -0,0 +1,198 @@
+// The leader's plan against runners that die, fall silent, drain, and carry orders out late.
+
+#include "fleet/planner_world.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::planner_world;
+
+std::string told(const std::vector<std::string>& lines)
+{
+    std::string out;
+    for (const auto& line : lines) {
+        out += line + "\n";
+    }
+    return out;
+}
+
+TEST(a_leader, forms_a_group_of_each_size_in_a_domain_and_keeps_spares)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{6});
+    EXPECT_EQ(world.serving("large"), 1U);
+    EXPECT_EQ(world.serving("small"), 1U);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST(a_group, that_loses_a_member_serves_again_with_a_spare)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{12});
+    ASSERT_EQ(world.serving("large"), 1U);
+    world.kill(world.members_of_some_group("large").back());
+    world.run(seconds{1});
+    EXPECT_EQ(world.serving("large"), 0U);
+    world.run(seconds{4});
+    EXPECT_EQ(world.serving("large"), 1U);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST(a_group, whose_head_is_dark_serves_again_once_every_entry_daemon_has_tried_it)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{12});
+    ASSERT_EQ(world.serving("large"), 1U);
+    world.kill(world.members_of_some_group("large").front());
+    world.run(seconds{6});
+    EXPECT_EQ(world.serving("large"), 1U);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST(a_group, whose_head_only_the_leader_does_not_reach_goes_on)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{12});
+    const auto members = world.members_of_some_group("large");
+    ASSERT_EQ(members.size(), 4U);
+    world.set_cut(members.front(), true);
+    world.run(seconds{8});
+    EXPECT_EQ(world.members_of_some_group("large"), members);
+    world.set_cut(members.front(), false);
+    world.run(seconds{3});
+    EXPECT_EQ(world.members_of_some_group("large"), members);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST(a_cut_domain, that_comes_back_finds_no_member_given_away)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.add_runners("b-0", 9);
+    world.run(seconds{12});
+    const auto everyone = world.alive();
+    for (std::size_t at = 0; at < 9; ++at) {
+        world.set_cut(everyone[at], true);
+    }
+    world.in_flight = 0; // nobody on this side of the cut uses them
+    world.run(seconds{7});
+    for (std::size_t at = 0; at < 9; ++at) {
+        world.set_cut(everyone[at], false);
+    }
+    world.run(seconds{5});
+    EXPECT_EQ(told(world.broken()), "");
+    EXPECT_EQ(world.serving("large"), 2U);
+}
+
+TEST(a_new_leader, ends_no_group_that_serves)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{12});
+    const auto members = world.members_of_some_group("small");
+    world.change_leader();
+    world.run(seconds{4});
+    EXPECT_EQ(world.members_of_some_group("small"), members);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST(a_draining_member, ends_its_group_once_that_is_idle)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{12});
+    const auto leaving = world.members_of_some_group("large").back();
+    world.drain(leaving);
+    world.run(seconds{2});
+    EXPECT_EQ(world.serving("large"), 1U) << "requests are still in flight";
+    world.in_flight = 0;
+    world.run(seconds{4});
+    world.in_flight = 4;
+    world.run(seconds{1});
+    const auto members = world.members_of_some_group("large");
+    EXPECT_EQ(members.size(), 4U);
+    EXPECT_EQ(std::count(members.begin(), members.end(), leaving), 0);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST(a_model, whose_requests_are_turned_away_may_get_a_group_over_two_domains)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.add_runners("a-1", 9);
+    world.run(seconds{12});
+    world.in_flight = 26;
+    const auto first = world.members_of_some_group("large");
+    for (int round = 0; round < 3; ++round) {
+        const auto members = world.members_of_some_group("large");
+        world.kill(members.back());
+        world.run(seconds{4});
+    }
+    EXPECT_EQ(told(world.broken()), "");
+    EXPECT_GE(world.serving("large") + world.serving("small"), 3U);
+}
+
+class random_plans : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(random_plans, keep_the_rules_while_runners_and_leaders_come_and_go)
+{
+    planner_world world{{.seed = GetParam(), .late_orders = 0.35}};
+    world.add_runners("a-0", 9);
+    world.add_runners("a-1", 9);
+    world.add_runners("b-0", 9);
+    std::mt19937_64 random{GetParam() * 7919};
+    world.run(seconds{10});
+    std::vector<runner_id> cut;
+    for (int round = 0; round < 60; ++round) {
+        const auto alive = world.alive();
+        const auto& one = alive[random() % alive.size()];
+        switch (random() % 8) {
+        case 0:
+            world.kill(one);
+            world.add_runners(round % 2 == 0 ? "a-0" : "b-0", 1);
+            break;
+        case 1:
+            world.set_cut(one, true);
+            cut.push_back(one);
+            break;
+        case 2:
+            for (const auto& each : cut) {
+                world.set_cut(each, false);
+            }
+            cut.clear();
+            break;
+        case 3:
+            world.change_leader();
+            break;
+        case 4:
+            world.in_flight = static_cast<int>(random() % 30);
+            break;
+        case 5:
+            world.drain(one);
+            world.add_runners("a-1", 1);
+            break;
+        default:
+            break;
+        }
+        world.run(milliseconds{200 + random() % 1500});
+        ASSERT_EQ(told(world.broken()), "") << "seed " << GetParam() << " round " << round;
+    }
+    for (const auto& each : cut) {
+        world.set_cut(each, false);
+    }
+    world.in_flight = 4;
+    world.run(seconds{40});
+    EXPECT_EQ(told(world.broken()), "");
+    EXPECT_GE(world.serving("large") + world.serving("small"), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, random_plans, testing::Range<std::uint64_t>(1, 41));
+
+} // namespace
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/fleet/planner_world.cpp
@@ -0,0 +1,351 @@
+#include "fleet/planner_world.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace cedarpoint::testing_support {
+namespace {
+
+constexpr duration tick = milliseconds{20};
+constexpr duration heartbeat = milliseconds{1200};
+constexpr duration stall = seconds{4};
+
+std::string list_key(const group_id& group, std::uint64_t epoch_value)
+{
+    return group.str() + "@" + std::to_string(epoch_value);
+}
+
+} // namespace
+
+std::string two_model_document(std::uint64_t version)
+{
+    return fmt::format(R"({{"version":{},"routes":[{{"name":"r","host":"h.example",
+        "pathPrefix":"/a/","kind":"streaming","timeoutMs":5000,"service":"pool"}}],
+        "services":[{{"name":"pool","engine":{{"slots":26,"loadsPerS":4.5,"loads_at_once":6,
+        "formMs":300,"models":[{{"name":"large","size":4,"share":0.5,"loadS":16,"warmS":1.6}},
+        {{"name":"small","size":3,"share":0.5,"loadS":12,"warmS":1.1}}]}}}}]}})",
+                       version);
+}
+
+planner_world::planner_world(options options) : options_{options}, random_{options.seed}
+{
+    state_.apply(fleet_state::put_configuration(1, two_model_document(1)));
+    change_leader();
+}
+
+void planner_world::change_leader()
+{
+    planner_options times;
+    times.heartbeat = heartbeat;
+    times.stall = stall;
+    leader_.emplace(times, installed_dialect(), state_);
+    leader_->begin_term(now_, ++term_);
+}
+
+void planner_world::add_runners(const std::string& domain, int count)
+{
+    for (int made = 0; made < count; ++made) {
+        const auto id = fmt::format("i-{:03}", ++made_);
+        fake_runner next;
+        next.told.id = runner_id{id};
+        next.told.service = service_id{"pool"};
+        next.told.address = *endpoint::parse(fmt::format("10.0.0.{}:80", made_));
+        next.told.failure_domain = failure_domain_id{"zone-" + domain.substr(0, 1)};
+        next.told.fabric_domain = fabric_domain_id{domain};
+        next.next_heartbeat = now_ + milliseconds{17 * (made_ % 60)};
+        runners_.emplace(runner_id{id}, std::move(next));
+    }
+}
+
+fake_runner* planner_world::find(const runner_id& runner)
+{
+    const auto found = runners_.find(runner);
+    return found == runners_.end() ? nullptr : &found->second;
+}
+
+void planner_world::kill(const runner_id& runner)
+{
+    find(runner)->alive = false;
+}
+
+void planner_world::set_cut(const runner_id& runner, bool cut)
+{
+    find(runner)->cut = cut;
+}
+
+void planner_world::drain(const runner_id& runner)
+{
+    find(runner)->told.draining = true;
+    find(runner)->next_heartbeat = now_;
+}
+
+std::vector<runner_id> planner_world::alive() const
+{
+    std::vector<runner_id> out;
+    for (const auto& [id, runner] : runners_) {
+        if (runner.alive) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
+void planner_world::run(duration time)
+{
+    for (const auto end = now_ + time; now_ < end;) {
+        now_ += tick;
+        step();
+    }
+}
+
+void planner_world::step()
+{
+    for (auto& [id, runner] : runners_) {
+        auto& membership = runner.told.membership;
+        if (!runner.alive || !membership) {
+            continue;
+        }
+        if (membership->phase == member_phase::joining && now_ >= runner.ready_at) {
+            membership->phase = member_phase::ready;
+            runner.ready_epochs[membership->assignment.value] = true;
+            runner.next_heartbeat = now_;
+        }
+        if (runner.opening && now_ >= runner.open_at) {
+            runner.opening = false;
+            membership->phase = member_phase::open;
+            runner.next_heartbeat = now_;
+        }
+    }
+    for (std::size_t at = 0; at < late_.size();) {
+        if (late_[at].at <= now_) {
+            const auto order = late_[at].order;
+            late_.erase(late_.begin() + static_cast<std::ptrdiff_t>(at));
+            carry_out(order);
+        }
+        else {
+            ++at;
+        }
+    }
+    heartbeats();
+    tell_sightings();
+    for (const auto& next : leader_->tick(now_)) {
+        perform(next);
+    }
+    leader_->refresh_view(now_);
+}
+
+void planner_world::heartbeats()
+{
+    for (auto& [id, runner] : runners_) {
+        if (runner.alive && !runner.cut && now_ >= runner.next_heartbeat) {
+            ++runner.told.sequence;
+            runner.next_heartbeat = now_ + heartbeat;
+            leader_->announce(now_, runner.told);
+        }
+    }
+}
+
+bool planner_world::group_moves(const fake_runner& head) const
+{
+    const auto& membership = *head.told.membership;
+    const auto list = lists_.find(list_key(membership.group, membership.assignment.value));
+    return list != lists_.end() &&
+           std::all_of(list->second.begin(), list->second.end(), [&](const runner_id& member) {
+               const auto& runner = runners_.at(member);
+               return runner.alive && runner.told.membership &&
+                      runner.told.membership->group == membership.group;
+           });
+}
+
+void planner_world::tell_sightings()
+{
+    wire::fleet_follow word;
+    word.set_term(term_);
+    word.set_failure_domain("zone-a");
+    auto* demand = word.add_demand();
+    demand->set_model("large");
+    demand->set_started(now_ > instant{seconds{1008}} ? 1 : 0);
+    for (const auto& [id, runner] : runners_) {
+        const auto& membership = runner.told.membership;
+        const bool open = membership && membership->phase == member_phase::open;
+        if (open && in_flight > 0) {
+            const bool moves = runner.alive && group_moves(runner);
+            auto* seen = word.add_sightings();
+            seen->set_runner(id.str());
+            seen->set_in_flight(static_cast<std::uint32_t>(in_flight));
+            seen->set_silent_ms(moves ? 10 : 500);
+            seen->set_byte_ms(moves ? 10 : 500);
+        }
+        if (!runner.alive) {
+            auto* check = word.add_checks();
+            check->set_runner(id.str());
+            check->set_reachable(false);
+        }
+    }
+    leader_->on_follow(now_, "entry-1", word);
+}
+
+void planner_world::perform(const planner_step& step)
+{
+    if (step.kind == planner_step::kind_t::record) {
+        state_.apply(step.command);
+        return;
+    }
+    auto* runner = find(step.order.to);
+    const bool reached = runner != nullptr && runner->alive && !runner->cut;
+    if (step.kind == planner_step::kind_t::look) {
+        if (reached) {
+            leader_->on_look_answered(now_, step.order.to);
+        }
+        else {
+            leader_->on_look_failed(now_, step.order.to, false);
+        }
+        return;
+    }
+    std::uniform_real_distribution<double> draw(0, 1);
+    if (!reached) {
+        leader_->on_order_result(now_, step.order, order_result::unknown);
+    }
+    else if (draw(random_) < options_.late_orders) {
+        std::uniform_int_distribution<int> delay(2000, 12'000);
+        late_.push_back({now_ + milliseconds{delay(random_)}, step.order});
+        leader_->on_order_result(now_, step.order, order_result::unknown);
+    }
+    else {
+        leader_->on_order_result(now_, step.order, carry_out(step.order));
+    }
+}
+
+order_result planner_world::carry_out(const group_order& order)
+{
+    auto* runner = find(order.to);
+    if (runner == nullptr || !runner->alive) {
+        return order_result::unknown;
+    }
+    if (order.kind == order_kind::stage) {
+        runner->told.staged = {order.model};
+        return order_result::taken;
+    }
+    if (order.kind == order_kind::join) {
+        return join(*runner, order);
+    }
+    auto& membership = runner->told.membership;
+    const bool fits = membership && membership->group == order.group &&
+                      membership->assignment == order.assignment;
+    if (!fits) {
+        return order_result::unfit;
+    }
+    runner->next_heartbeat = now_;
+    if (order.kind == order_kind::leave) {
+        membership.reset();
+        runner->opening = false;
+        return order_result::taken;
+    }
+    if (membership->phase != member_phase::ready) {
+        return membership->phase == member_phase::open ? order_result::taken : order_result::unfit;
+    }
+    check_open(*runner, order);
+    runner->opening = true;
+    runner->open_at = now_ + milliseconds{300};
+    return order_result::taken;
+}
+
+order_result planner_world::join(fake_runner& runner, const group_order& order)
+{
+    if (order.assignment.value < runner.highest_epoch) {
+        return order_result::fenced;
+    }
+    auto& membership = runner.told.membership;
+    if (membership && membership->group == order.group &&
+        membership->assignment == order.assignment) {
+        return order_result::taken;
+    }
+    check_join(order);
+    lists_[list_key(order.group, order.assignment.value)] = order.members;
+    runner.highest_epoch = order.assignment.value;
+    group_membership next;
+    next.group = order.group;
+    next.assignment = order.assignment;
+    next.rank = static_cast<std::size_t>(
+        std::find(order.members.begin(), order.members.end(), order.to) - order.members.begin());
+    membership = next;
+    runner.opening = false;
+    const bool staged = std::find(runner.told.staged.begin(), runner.told.staged.end(),
+                                  order.model) != runner.told.staged.end();
+    runner.ready_at =
+        now_ + (staged || options_.weights_at_once ? milliseconds{1600} : milliseconds{16'000});
+    runner.told.staged = {order.model};
+    runner.told.models = {order.model};
+    runner.next_heartbeat = now_;
+    return order_result::taken;
+}
+
+void planner_world::check_join(const group_order& order)
+{
+    for (const auto& [id, head] : runners_) {
+        const auto& membership = head.told.membership;
+        const bool serves = head.alive && membership && membership->rank == 0 &&
+                            (membership->phase == member_phase::open || head.opening);
+        if (!serves || membership->group == order.group) {
+            continue;
+        }
+        const auto& members = lists_[list_key(membership->group, membership->assignment.value)];
+        const auto& own = find(order.to)->told.membership;
+        const bool belongs = own && own->group == membership->group &&
+                             std::find(members.begin(), members.end(), order.to) != members.end();
+        if (belongs) {
+            broken_.push_back(fmt::format("{} joined {} while {} is open", order.to.str(),
+                                          order.group.str(), membership->group.str()));
+        }
+    }
+}
+
+void planner_world::check_open(const fake_runner& head, const group_order& order)
+{
+    const auto& members = lists_[list_key(order.group, order.assignment.value)];
+    for (const auto& member : members) {
+        if (!runners_.at(member).ready_epochs.contains(order.assignment.value)) {
+            broken_.push_back(
+                fmt::format("{} opened before {} was ready", head.told.id.str(), member.str()));
+        }
+    }
+}
+
+std::size_t planner_world::serving(const std::string& model) const
+{
+    std::size_t out = 0;
+    for (const auto& [id, runner] : runners_) {
+        const auto& membership = runner.told.membership;
+        const bool open = runner.alive && membership && membership->phase == member_phase::open &&
+                          runner.told.models == std::vector{model_id{model}};
+        out += open && group_moves(runner) ? 1 : 0;
+    }
+    return out;
+}
+
+std::vector<runner_id> planner_world::members_of_some_group(const std::string& model) const
+{
+    for (const auto& [id, runner] : runners_) {
+        const auto& membership = runner.told.membership;
+        if (runner.alive && membership && membership->phase == member_phase::open &&
+            runner.told.models == std::vector{model_id{model}}) {
+            return lists_.at(list_key(membership->group, membership->assignment.value));
+        }
+    }
+    return {};
+}
+
+std::size_t planner_world::spread_groups() const
+{
+    std::size_t out = 0;
+    for (const auto& [key, members] : lists_) {
+        std::map<fabric_domain_id, int> domains;
+        for (const auto& member : members) {
+            ++domains[runners_.at(member).told.fabric_domain];
+        }
+        out += domains.size() > 1 ? 1 : 0;
+    }
+    return out;
+}
+
+} // namespace cedarpoint::testing_support
--- /dev/null
+++ b/tests/fleet/planner_world.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "cedarpoint/fleet/fleet_leader.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cedarpoint::testing_support {
+
+/// A runner that keeps the group rules of the engines: epochs, phases, weights on its host.
+struct fake_runner {
+    announcement told; ///< what its next heartbeat says
+    bool alive = true;
+    bool cut = false; ///< the leader's side does not reach it, nor it the leader's side
+    instant next_heartbeat;
+    instant ready_at;
+    instant open_at;
+    bool opening = false;
+    std::uint64_t highest_epoch = 0;
+    std::map<std::uint64_t, bool> ready_epochs; ///< assignments that it was ready in
+};
+
+/// Runners, entry daemons and the leader's decisions in simulated time. Checks at every step that
+/// no group serves without all its members and that no runner is joined while its head is open.
+class planner_world {
+public:
+    struct options {
+        std::uint64_t seed = 1;
+        double late_orders = 0; ///< share that is not answered and carried out seconds later
+        bool weights_at_once = true;
+    };
+
+    explicit planner_world(options options);
+
+    void add_runners(const std::string& domain, int count);
+    /// Lets `time` pass in steps of 20 ms.
+    void run(duration time);
+    /// A new leader, which knows what the log holds.
+    void change_leader();
+    void kill(const runner_id& runner);
+    void set_cut(const runner_id& runner, bool cut);
+    void drain(const runner_id& runner);
+
+    [[nodiscard]] std::size_t serving(const std::string& model) const;
+    [[nodiscard]] std::vector<runner_id> members_of_some_group(const std::string& model) const;
+    [[nodiscard]] std::vector<runner_id> alive() const;
+    [[nodiscard]] const std::vector<std::string>& broken() const { return broken_; }
+    [[nodiscard]] std::size_t spread_groups() const;
+    [[nodiscard]] instant now() const { return now_; }
+    /// Requests in flight at each open head, as the entry daemons tell it.
+    int in_flight = 4;
+
+private:
+    struct late_order {
+        instant at;
+        group_order order;
+    };
+
+    void step();
+    void heartbeats();
+    void tell_sightings();
+    void perform(const planner_step& step);
+    order_result carry_out(const group_order& order);
+    order_result join(fake_runner& runner, const group_order& order);
+    void check_join(const group_order& order);
+    void check_open(const fake_runner& head, const group_order& order);
+    [[nodiscard]] bool group_moves(const fake_runner& head) const;
+    fake_runner* find(const runner_id& runner);
+
+    options options_;
+    std::mt19937_64 random_;
+    instant now_{seconds{1000}};
+    fleet_state state_;
+    std::optional<fleet_leader> leader_;
+    std::uint64_t term_ = 0;
+    std::map<runner_id, fake_runner> runners_;
+    std::map<std::string, std::vector<runner_id>> lists_; ///< members by group and epoch
+    std::vector<late_order> late_;
+    std::vector<std::string> broken_;
+    int made_ = 0;
+};
+
+/// A configuration with a service of groups of 4 and of 3.
+std::string two_model_document(std::uint64_t version);
+
+} // namespace cedarpoint::testing_support
--- /dev/null
+++ b/tests/fleet/route_table_test.cpp
@@ -0,0 +1,91 @@
+#include "cedarpoint/fleet/attempt_policy.h"
+#include "cedarpoint/fleet/route_table.h"
+#include "cedarpoint/fleet/window_budget.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+fleet_route route_at(const std::string& host, const std::string& prefix)
+{
+    fleet_route out;
+    out.name = host + prefix;
+    out.host = host;
+    out.path_prefix = prefix;
+    out.targets = {{service_id{"one"}, 90}, {service_id{"two"}, 10}};
+    return out;
+}
+
+route_table table()
+{
+    fleet_configuration in;
+    in.routes = {route_at("a.example", "/x/"), route_at("a.example", "/x/y/"),
+                 route_at("b.example", "/x/")};
+    in.accounts = {{client_account_id{"till"}, {"k1", "k2"}, 1}};
+    return route_table{std::move(in)};
+}
+
+TEST(a_route, is_the_one_with_the_longest_prefix_of_its_host)
+{
+    const auto routes = table();
+    EXPECT_EQ(routes.find_route("a.example", "/x/y/z")->name, "a.example/x/y/");
+    EXPECT_EQ(routes.find_route("A.Example:80", "/x/z")->name, "a.example/x/");
+    EXPECT_EQ(routes.find_route("b.example", "/x/y/z")->name, "b.example/x/");
+    EXPECT_EQ(routes.find_route("a.example", "/x"), nullptr);
+    EXPECT_EQ(routes.find_route("c.example", "/x/"), nullptr);
+}
+
+TEST(a_key, names_its_account_whichever_of_its_keys_it_is)
+{
+    const auto routes = table();
+    ASSERT_NE(routes.find_account("k2"), nullptr);
+    EXPECT_EQ(routes.find_account("k2")->name.str(), "till");
+    EXPECT_EQ(routes.find_account("k3"), nullptr);
+}
+
+TEST(a_route, splits_its_requests_by_weight)
+{
+    const auto route = route_at("a", "/");
+    EXPECT_EQ(route_table::choose_target(route, 0.0).service.str(), "one");
+    EXPECT_EQ(route_table::choose_target(route, 0.89).service.str(), "one");
+    EXPECT_EQ(route_table::choose_target(route, 0.91).service.str(), "two");
+    auto none_for_the_last = route;
+    none_for_the_last.targets.back().weight = 0;
+    EXPECT_EQ(route_table::choose_target(none_for_the_last, 0.999).service.str(), "one");
+}
+
+TEST(a_budget, allows_a_share_of_the_traffic_and_of_the_slack)
+{
+    window_budget budget{{.ratio = 0.2, .window = milliseconds{10'000}, .slack = 20, .safety = 1}};
+    const instant now{seconds{100}};
+    for (int sent = 0; sent < 50; ++sent) {
+        budget.on_first_attempt(now);
+    }
+    int taken = 0;
+    while (budget.take(now, 2)) {
+        ++taken;
+    }
+    EXPECT_EQ(taken, 20) << "a fifth of 50, and half of the slack of 20";
+    EXPECT_FALSE(budget.take(now + seconds{9}, 2));
+    EXPECT_TRUE(budget.take(now + seconds{11}, 2)) << "the window has passed";
+}
+
+TEST(a_request_that_may_run_once, is_sent_again_only_if_it_did_not_run)
+{
+    attempt_facts facts{.repeat = repeat_policy::at_most_once, .sent = 1, .max_attempts = 2};
+    EXPECT_TRUE(may_send_again(facts, attempt_outcome::not_run));
+    EXPECT_FALSE(may_send_again(facts, attempt_outcome::may_have_run));
+    EXPECT_FALSE(may_send_again(facts, attempt_outcome::failed));
+    facts.may_have_run = true;
+    EXPECT_FALSE(may_promise_not_run(facts));
+    facts.repeat = repeat_policy::stream;
+    EXPECT_FALSE(may_send_again(facts, attempt_outcome::may_have_run)) << "it can't be resumed";
+    facts.resumable = true;
+    EXPECT_TRUE(may_send_again(facts, attempt_outcome::may_have_run));
+    facts.sent = 2;
+    EXPECT_FALSE(may_send_again(facts, attempt_outcome::not_run)) << "its attempts are spent";
+}
+
+} // namespace
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/io/runner_connection_test.cpp
@@ -0,0 +1,211 @@
+// Kept connections to runners that answer late, too much, or not at all.
+
+#include "daemon/site.h"
+#include "io/log_sink.h"
+#include "io/runner_pool.h"
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::wait_until;
+
+/// Answers each request with the next of its texts, as they stand.
+class scripted_runner {
+public:
+    explicit scripted_runner(std::vector<std::string> answers) : answers_{std::move(answers)}
+    {
+        server_.listen(QHostAddress::LocalHost);
+        QObject::connect(&server_, &QTcpServer::newConnection, [this] {
+            auto* socket = server_.nextPendingConnection();
+            ++connections;
+            QObject::connect(socket, &QTcpSocket::readyRead, [this, socket] { answer(socket); });
+        });
+    }
+
+    [[nodiscard]] endpoint at() const { return {"127.0.0.1", server_.serverPort()}; }
+    int connections = 0;
+    bool reset_after = false;
+    bool close_after = false;
+
+private:
+    void answer(QTcpSocket* socket)
+    {
+        socket->readAll();
+        if (next_ >= answers_.size()) {
+            return;
+        }
+        socket->write(answers_[next_++].c_str());
+        socket->flush();
+        if (reset_after) {
+            const linger at_once{1, 0};
+            const auto descriptor = static_cast<int>(socket->socketDescriptor());
+            ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+            socket->abort();
+        }
+        else if (close_after) {
+            socket->disconnectFromHost();
+        }
+    }
+
+    std::vector<std::string> answers_;
+    std::size_t next_ = 0;
+    QTcpServer server_;
+};
+
+/// One exchange and what became of it.
+struct outcome {
+    std::optional<exchange_end> end;
+    int status = 0;
+    std::string body;
+};
+
+void run_exchange(runner_pool& pool, const endpoint& to, outcome& out, const std::string& id = "r1")
+{
+    auto* connection = pool.take(to);
+    exchange_request request;
+    request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    request.id_header = "X-Id";
+    request.id = id;
+    exchange_handlers handlers;
+    handlers.on_head = [&](const http_head& head) { out.status = head.status; };
+    handlers.on_body = [&](const std::string& bytes) { out.body += bytes; };
+    handlers.on_end = [&, connection](exchange_end how, const reason&) {
+        out.end = how;
+        pool.give_back(connection);
+    };
+    connection->start(std::move(request), std::move(handlers));
+    ASSERT_TRUE(wait_until([&] { return out.end.has_value(); }));
+}
+
+const std::string whole = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok";
+
+TEST(a_kept_connection, serves_one_request_after_the_other)
+{
+    scripted_runner runner{{whole, whole}};
+    runner_pool pool;
+    outcome first;
+    outcome second;
+    run_exchange(pool, runner.at(), first);
+    run_exchange(pool, runner.at(), second);
+    EXPECT_EQ(second.body, "ok");
+    EXPECT_EQ(runner.connections, 1);
+}
+
+TEST(a_kept_connection, is_not_used_again_after_bytes_that_nobody_asked_for)
+{
+    scripted_runner runner{{whole + whole, whole}};
+    runner_pool pool;
+    outcome first;
+    outcome second;
+    run_exchange(pool, runner.at(), first);
+    EXPECT_EQ(first.body, "ok");
+    run_exchange(pool, runner.at(), second);
+    EXPECT_EQ(runner.connections, 2);
+}
+
+TEST(an_answer, to_an_earlier_request_is_passed_over)
+{
+    scripted_runner runner{
+        {"HTTP/1.1 200 OK\r\nX-Id: r0\r\nContent-Length: 5\r\n\r\nwrong" + whole}};
+    runner_pool pool;
+    outcome out;
+    run_exchange(pool, runner.at(), out);
+    EXPECT_EQ(*out.end, exchange_end::complete);
+    EXPECT_EQ(out.body, "ok");
+}
+
+TEST(an_answer, without_a_length_is_whole_only_if_its_connection_ends_in_order)
+{
+    const std::string unframed = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nhalf or whole";
+    outcome out;
+    {
+        scripted_runner runner{{unframed}};
+        runner.close_after = true;
+        runner_pool pool;
+        run_exchange(pool, runner.at(), out);
+        EXPECT_EQ(*out.end, exchange_end::complete);
+    }
+    outcome broken;
+    scripted_runner runner{{unframed}};
+    runner.reset_after = true;
+    runner_pool pool;
+    run_exchange(pool, runner.at(), broken);
+    EXPECT_EQ(*broken.end, exchange_end::cut);
+}
+
+TEST(an_answer, that_ends_early_is_cut)
+{
+    scripted_runner runner{{"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 9\r\n\r\nok"}};
+    runner.close_after = true;
+    runner_pool pool;
+    outcome out;
+    run_exchange(pool, runner.at(), out);
+    EXPECT_EQ(*out.end, exchange_end::cut);
+}
+
+TEST(an_address, where_nothing_listens_is_told_from_a_cut_answer)
+{
+    endpoint nowhere;
+    {
+        QTcpServer server;
+        server.listen(QHostAddress::LocalHost);
+        nowhere = {"127.0.0.1", server.serverPort()};
+    }
+    runner_pool pool;
+    outcome out;
+    run_exchange(pool, nowhere, out);
+    EXPECT_EQ(*out.end, exchange_end::refused);
+}
+
+TEST(a_log, never_waits_for_a_reader)
+{
+    std::array<int, 2> pipe_ends{};
+    ASSERT_EQ(::pipe(pipe_ends.data()), 0);
+    log_sink sink{pipe_ends[1]};
+    const std::string line(100, 'x');
+    const auto begun = std::chrono::steady_clock::now();
+    for (int count = 0; count < 20'000; ++count) {
+        sink.write(line + "\n");
+    }
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds{2});
+    EXPECT_GT(sink.dropped(), 1000U);
+    std::string read;
+    std::array<char, 65536> buffer{};
+    ::fcntl(pipe_ends[0], F_SETFL, O_NONBLOCK);
+    for (int round = 0; round < 200 && read.find("log_lines_dropped") == std::string::npos;
+         ++round) {
+        const auto count = ::read(pipe_ends[0], buffer.data(), buffer.size());
+        if (count > 0) {
+            read.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+        sink.write("more\n");
+    }
+    EXPECT_NE(read.find("event=log_lines_dropped count="), std::string::npos);
+    ::close(pipe_ends[0]);
+    ::close(pipe_ends[1]);
+}
+
+TEST(lines_of_one_kind, are_bounded_and_counted)
+{
+    log_rate rate{10};
+    int written = 0;
+    for (int count = 0; count < 100; ++count) {
+        written += rate.take(1000) ? 1 : 0;
+    }
+    EXPECT_EQ(written, 10);
+    EXPECT_EQ(rate.take_suppressed(), 90U);
+    EXPECT_TRUE(rate.take(1200));
+}
+
+} // namespace
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/platform/platform_dialect_test.cpp
@@ -0,0 +1,166 @@
+// What the platform says and hears, held against the shapes that its pages give.
+
+#include "cedarpoint/fleet/dialect.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace cedarpoint {
+namespace {
+
+using nlohmann::json;
+
+json valid_document()
+{
+    return json::parse(R"({"version":7,
+        "routes":[
+            {"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"streaming","timeoutMs":8000,
+             "targetLatencyMs":300,"priority":1,"maxAttempts":2,"public":false,"resumable":true,
+             "targetGapMs":250,
+             "trafficSplit":[{"service":"pool","weight":90},{"service":"shop","weight":10}]},
+            {"name":"r2","host":"h.example","pathPrefix":"/b/","kind":"safe","timeoutMs":600,
+             "service":"shop"}],
+        "services":[
+            {"name":"pool","maxConnections":314,"engine":{"slots":26,"formMs":300.0,
+             "loadsPerS":4.5,"loads_at_once":6,
+             "models":[{"name":"m","size":4,"share":0.57,"pace":1.0,"loadS":16.0,"warmS":1.6}]}},
+            {"name":"shop","maxConnections":110}],
+        "tenants":[{"name":"till","apiKeys":["k1","k2"],"priority":1}]})");
+}
+
+std::optional<fleet_configuration> read(const json& document)
+{
+    reason why;
+    return installed_dialect().read_configuration(document.dump(), why);
+}
+
+TEST(a_document, is_read_into_the_products_words)
+{
+    const auto out = read(valid_document());
+    ASSERT_TRUE(out.has_value());
+    EXPECT_EQ(out->version, 7U);
+    ASSERT_EQ(out->routes.size(), 2U);
+    EXPECT_EQ(out->routes[0].repeat, repeat_policy::stream);
+    EXPECT_TRUE(out->routes[0].resumable);
+    EXPECT_EQ(out->routes[0].timeout, milliseconds{8000});
+    EXPECT_EQ(out->routes[0].target_gap, milliseconds{250});
+    EXPECT_EQ(out->routes[0].targets.size(), 2U);
+    EXPECT_EQ(out->routes[1].repeat, repeat_policy::any_number);
+    EXPECT_EQ(out->routes[1].targets.front().service.str(), "shop");
+    const auto* pool = out->find_service(service_id{"pool"});
+    ASSERT_NE(pool, nullptr);
+    ASSERT_TRUE(pool->engine.has_value());
+    EXPECT_EQ(pool->engine->models.front().group_size, 4U);
+    EXPECT_EQ(pool->engine->models.front().warm_time, milliseconds{1600});
+    EXPECT_TRUE(out->requires_keys);
+    EXPECT_EQ(out->accounts.front().keys.size(), 2U);
+}
+
+TEST(a_document, is_refused_as_a_whole_for_each_fault)
+{
+    const std::vector<std::pair<std::string, std::function<void(json&)>>> faults{
+        {"an unknown service", [](json& in) { in["routes"][1]["service"] = "nobody"; }},
+        {"two routes at one place", [](json& in) { in["routes"][1]["pathPrefix"] = "/a/"; }},
+        {"weights of 0",
+         [](json& in) {
+             in["routes"][0]["trafficSplit"][0]["weight"] = 0;
+             in["routes"][0]["trafficSplit"][1]["weight"] = 0;
+         }},
+        {"a negative weight", [](json& in) { in["routes"][0]["trafficSplit"][0]["weight"] = -1; }},
+        {"no time", [](json& in) { in["routes"][1]["timeoutMs"] = 0; }},
+        {"a prefix without its slash", [](json& in) { in["routes"][1]["pathPrefix"] = "/b"; }},
+        {"no version", [](json& in) { in.erase("version"); }},
+        {"a version of another type", [](json& in) { in["version"] = "seven"; }},
+        {"no routes", [](json& in) { in.erase("routes"); }},
+        {"a shared key",
+         [](json& in) {
+             in["tenants"].push_back({{"name", "other"}, {"apiKeys", {"k2"}}});
+         }},
+    };
+    for (const auto& [name, spoil] : faults) {
+        auto document = valid_document();
+        spoil(document);
+        EXPECT_FALSE(read(document).has_value()) << name;
+    }
+    reason why;
+    const auto whole = valid_document().dump();
+    EXPECT_FALSE(installed_dialect()
+                     .read_configuration(std::string_view{whole}.substr(0, whole.size() / 2), why)
+                     .has_value());
+    EXPECT_FALSE(why.text.empty());
+}
+
+TEST(a_heartbeat, tells_the_runner_and_its_group)
+{
+    reason why;
+    const auto out = installed_dialect().read_announcement(
+        runner_id{"i-7"},
+        R"({"service":"pool","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":26,
+            "state":"draining","models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,
+            "domain":"z1-d0","staged":["m"],
+            "group":{"name":"g","epoch":12,"rank":2,"state":"ready"}})",
+        why);
+    ASSERT_TRUE(out.has_value()) << why.str();
+    EXPECT_TRUE(out->draining);
+    EXPECT_EQ(out->address.str(), "10.0.0.9:8080");
+    EXPECT_EQ(out->fabric_domain.str(), "z1-d0");
+    EXPECT_EQ(out->staged, std::vector{model_id{"m"}});
+    ASSERT_TRUE(out->membership.has_value());
+    EXPECT_EQ(out->membership->assignment.value, 12U);
+    EXPECT_EQ(out->membership->rank, 2U);
+    EXPECT_EQ(out->membership->phase, member_phase::ready);
+}
+
+TEST(a_heartbeat, that_makes_no_sense_is_refused)
+{
+    reason why;
+    const auto& words = installed_dialect();
+    for (
+        const auto* body :
+        {"", "{}", R"({"service":"s","address":"nowhere"})",
+         R"({"service":1,"address":"1.1.1.1:1"})",
+         R"({"service":"s","address":"1.1.1.1:1","group":{"name":"g","epoch":1,"state":"odd"}})"}) {
+        EXPECT_FALSE(words.read_announcement(runner_id{"i"}, body, why).has_value()) << body;
+    }
+}
+
+TEST(a_call, is_known_by_its_method_and_path)
+{
+    const auto& words = installed_dialect();
+    EXPECT_EQ(words.read_call("POST", "/cedarpoint/config/put").call,
+              control_call::put_configuration);
+    EXPECT_EQ(words.read_call("GET", "/cedarpoint/config/get").call,
+              control_call::get_configuration);
+    const auto beat = words.read_call("POST", "/cedarpoint/instances/i-7/heartbeat");
+    EXPECT_EQ(beat.call, control_call::heartbeat);
+    EXPECT_EQ(beat.runner.str(), "i-7");
+    EXPECT_EQ(words.read_call("POST", "/cedarpoint/instances/i-7/deregister").call,
+              control_call::deregister);
+    EXPECT_EQ(words.read_call("GET", "/cedarpoint/config/put").call, control_call::unknown);
+    EXPECT_EQ(words.read_call("POST", "/cedarpoint/instances/i-7").call, control_call::unknown);
+}
+
+TEST(an_order, carries_its_fence_and_names_its_group)
+{
+    group_order order;
+    order.kind = order_kind::join;
+    order.group = group_id{"g"};
+    order.assignment = epoch{12};
+    order.fence = 3;
+    order.model = model_id{"m"};
+    order.members = {runner_id{"i-1"}, runner_id{"i-2"}};
+    const auto& words = installed_dialect();
+    EXPECT_EQ(json::parse(words.write_order(order)),
+              json::parse(R"({"op":"join","group":"g","epoch":12,"model":"m",
+                              "members":["i-1","i-2"],"fencingToken":3})"));
+    order.kind = order_kind::leave;
+    EXPECT_EQ(json::parse(words.write_order(order)),
+              json::parse(R"({"op":"leave","group":"g","epoch":12,"fencingToken":3})"));
+    order.kind = order_kind::stage;
+    EXPECT_EQ(json::parse(words.write_order(order)),
+              json::parse(R"({"op":"stage","model":"m","fencingToken":3})"));
+}
+
+} // namespace
+} // namespace cedarpoint
