--- a/include/cedarpoint/fleet/fleet_view.h
+++ b/include/cedarpoint/fleet/fleet_view.h
@@ -13,7 +13,7 @@
 class view_source {
 public:
     /// Replaces runners and groups; only records that differ get a new version.
-    void replace(std::map<std::string, wire::fleet_item> items);
+    void replace(const std::map<std::string, wire::fleet_item>& items);
     void set_configuration(const wire::accepted_configuration& configuration);
     [[nodiscard]] std::uint64_t version() const { return version_; }
     /// What has changed since `from`; the whole view if that is 0 or unknown here.
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -149,6 +149,8 @@
     /// The runner that takes a model's weights with the least loss; null if none should.
     [[nodiscard]] const runner_record* find_to_stage(const std::vector<runner_id>& runners,
                                                      const engine_model& model) const;
+    [[nodiscard]] const engine_model& rarest_model(const std::vector<engine_model>& models,
+                                                   const std::vector<runner_id>& runners) const;
     [[nodiscard]] std::size_t count_staged(const std::vector<runner_id>& runners,
                                            const model_id& model) const;
     void stage(instant now, const runner_record& record, const engine_model& model);
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -27,14 +27,20 @@
 constexpr int most_engine_priority = 9;
 constexpr const char* come_back_seconds = "0.25";
 
+template <std::size_t Size>
+bool is_one_of(const std::array<std::string_view, Size>& names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view each) { return equal_ignoring_case(each, name); });
+}
+
 /// Headers that concern one connection only, or that this daemon writes itself.
 bool is_hop_header(std::string_view name)
 {
     constexpr std::array<std::string_view, 9> hop{
         "Connection", "Keep-Alive",        "Proxy-Connection", "TE", "Trailer", "Upgrade",
         "Expect",     "Transfer-Encoding", "Content-Length"};
-    return std::any_of(hop.begin(), hop.end(),
-                       [&](std::string_view each) { return equal_ignoring_case(each, name); });
+    return is_one_of(hop, name);
 }
 
 std::optional<std::int64_t> read_number(std::string_view text)
@@ -199,7 +205,7 @@
         }
     };
     handlers.on_head = [this](const http_head& head) { on_head(head); };
-    handlers.on_body = [this](std::string bytes) { on_body(std::move(bytes)); };
+    handlers.on_body = [this](const std::string& bytes) { on_body(bytes); };
     handlers.on_end = [weak](exchange_end how, const reason& why) {
         if (const auto self = weak.lock()) {
             self->on_attempt_end(how, why);
@@ -219,10 +225,7 @@
         out.append(name).append(": ").append(value).append("\r\n");
     };
     for (const auto& [name, value] : request_.fields.all()) {
-        const bool is_own = std::any_of(own.begin(), own.end(), [&](std::string_view each) {
-            return equal_ignoring_case(each, name);
-        });
-        if (!is_own && !is_hop_header(name)) {
+        if (!is_one_of(own, name) && !is_hop_header(name)) {
             add(name, value);
         }
     }
@@ -261,7 +264,7 @@
            !head.fields.has("Content-Encoding");
 }
 
-void relay::on_body(std::string bytes)
+void relay::on_body(const std::string& bytes)
 {
     context_.targets.on_byte(steady_now(), runner_);
     if (!streaming_) {
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -42,7 +42,7 @@
     void send_to(const fleet_target& target);
     [[nodiscard]] std::string serialize_for(const fleet_target& target, milliseconds left) const;
     void on_head(const http_head& head);
-    void on_body(std::string bytes);
+    void on_body(const std::string& bytes);
     void on_event(std::string_view event);
     void on_attempt_end(exchange_end how, const reason& why);
     void judge_answer();
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -215,7 +215,7 @@
     std::map<std::string, wire::fleet_item> items;
     add_plain_runners(now, items);
     add_groups(items);
-    view_.replace(std::move(items));
+    view_.replace(items);
 }
 
 wire::fleet_update fleet_leader::make_update(instant now, std::uint64_t from) const
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -35,7 +35,7 @@
     existing.item = std::move(item);
 }
 
-void view_source::replace(std::map<std::string, wire::fleet_item> items)
+void view_source::replace(const std::map<std::string, wire::fleet_item>& items)
 {
     std::size_t removed = 0;
     for (auto& [key, existing] : records_) {
@@ -49,8 +49,8 @@
             put(key, std::move(gone));
         }
     }
-    for (auto& [key, item] : items) {
-        put(key, std::move(item));
+    for (const auto& [key, item] : items) {
+        put(key, item);
     }
     if (removed > most_removed) {
         std::erase_if(records_, [](const auto& each) { return each.second.item.removed(); });
--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -279,6 +279,15 @@
     }
 }
 
+const engine_model& group_planner::rarest_model(const std::vector<engine_model>& models,
+                                                const std::vector<runner_id>& runners) const
+{
+    return *std::min_element(
+        models.begin(), models.end(), [&](const engine_model& a, const engine_model& b) {
+            return count_staged(runners, a.name) < count_staged(runners, b.name);
+        });
+}
+
 void group_planner::stage_spares(instant now, const free_map& free)
 {
     for (const auto& [domain, runners] : free) {
@@ -290,11 +299,7 @@
             }
             const auto& models =
                 configuration_->find_service(record.latest.service)->engine->models;
-            const auto rarest = std::min_element(
-                models.begin(), models.end(), [&](const engine_model& a, const engine_model& b) {
-                    return count_staged(runners, a.name) < count_staged(runners, b.name);
-                });
-            stage(now, record, *rarest);
+            stage(now, record, rarest_model(models, runners));
         }
     }
 }
--- /dev/null
+++ b/tests/fleet/fleet_site.cpp
@@ -0,0 +1,297 @@
+#include "fleet/fleet_site.h"
+
+#include "daemon/site.h"
+
+#include <QTcpServer>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace cedarpoint::testing_support {
+namespace {
+
+using nlohmann::json;
+
+constexpr int heartbeat_ms = 150;
+
+std::uint16_t free_port()
+{
+    QTcpServer server;
+    server.listen(QHostAddress::LocalHost);
+    return server.serverPort();
+}
+
+caller_limits runner_limits()
+{
+    caller_limits out;
+    out.max_connections = 100;
+    return out;
+}
+
+} // namespace
+
+http_answer call(const endpoint& to, const std::string& method, const std::string& target,
+                 const std::string& headers, const std::string& body)
+{
+    runner_connection connection{to};
+    http_answer out;
+    bool done = false;
+    exchange_request request;
+    request.bytes =
+        fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\n{}Content-Length: {}\r\n\r\n{}", method,
+                    target, headers, body.size(), body);
+    exchange_handlers handlers;
+    handlers.on_head = [&](const http_head& head) { out.head = head; };
+    handlers.on_body = [&](const std::string& bytes) { out.body += bytes; };
+    handlers.on_end = [&](exchange_end how, const reason&) {
+        out.end = how;
+        done = true;
+    };
+    connection.start(std::move(request), std::move(handlers));
+    wait_until([&] { return done; });
+    return out;
+}
+
+platform_runner::platform_runner(std::string id, std::string service,
+                                 std::vector<endpoint> controls)
+    : id_{std::move(id)}, service_{std::move(service)}, controls_{std::move(controls)},
+      listener_{runner_limits(),
+                [this](const http_request& request, const std::shared_ptr<http_reply>& reply) {
+                    on_request(request, reply);
+                }}
+{
+    reason why;
+    listener_.start({"127.0.0.1", 0}, why);
+    QObject::connect(&timer_, &QTimer::timeout, [this] { announce(); });
+    timer_.start(heartbeat_ms);
+}
+
+std::string platform_runner::announcement_text()
+{
+    json out{{"service", service_},
+             {"address", listener_.address().str()},
+             {"zone", "z"},
+             {"slots", 4},
+             {"state", draining_ ? "draining" : "ready"},
+             {"sequence", ++sequence_},
+             {"domain", "z-d0"},
+             {"staged", {"small"}},
+             {"models", json::array({{{"name", "small"}, {"version", 1}}})}};
+    if (!group_.empty()) {
+        out["group"] = {{"name", group_}, {"epoch", epoch_}, {"rank", rank_}, {"state", state_}};
+    }
+    return out.dump();
+}
+
+void platform_runner::announce()
+{
+    if (announcing_) {
+        return;
+    }
+    announcing_ = true;
+    const auto body = announcement_text();
+    const bool tells_drain = draining_;
+    exchange_request request;
+    request.bytes = fmt::format("POST /cedarpoint/instances/{}/heartbeat HTTP/1.1\r\n"
+                                "Host: h\r\nContent-Length: {}\r\n\r\n{}",
+                                id_, body.size(), body);
+    auto* connection = pool_.take(controls_[control_]);
+    const auto status = std::make_shared<int>(0);
+    exchange_handlers handlers;
+    handlers.on_head = [status](const http_head& head) { *status = head.status; };
+    handlers.on_body = [](const std::string&) {};
+    handlers.on_end = [this, connection, status, tells_drain](exchange_end, const reason&) {
+        pool_.give_back(connection);
+        announcing_ = false;
+        if (*status == 200) {
+            drain_acknowledged_ = drain_acknowledged_ || tells_drain;
+            return;
+        }
+        control_ = (control_ + 1) % controls_.size();
+    };
+    connection->start(std::move(request), std::move(handlers));
+}
+
+void platform_runner::drain()
+{
+    draining_ = true;
+}
+
+void platform_runner::on_request(const http_request& request,
+                                 const std::shared_ptr<http_reply>& reply)
+{
+    if (request.target == "/cedarpoint/report") {
+        reply->send({200, {}}, "{}");
+        return;
+    }
+    if (request.target == "/cedarpoint/order") {
+        take_order(request, reply);
+        return;
+    }
+    accounts.emplace_back(request.fields.get("X-Cedarpoint-Tenant"));
+    http_head head{200, {}};
+    head.fields.add("X-Cedarpoint-Request-Id",
+                    std::string{request.fields.get("X-Cedarpoint-Request-Id")});
+    if (request.fields.get("X-Cedarpoint-Expect-Instance") != id_) {
+        head.status = 421;
+        reply->send(std::move(head), "");
+        return;
+    }
+    head.fields.add("X-Cedarpoint-Instance-Signature", "signed-by-" + id_);
+    ++served_;
+    if (service_ == "pool") {
+        stream(request, reply);
+        return;
+    }
+    if (fail_next > 0) {
+        --fail_next;
+        head.status = 500;
+    }
+    reply->send(std::move(head), "plain " + request.body);
+}
+
+void platform_runner::stream(const http_request& request, const std::shared_ptr<http_reply>& reply)
+{
+    http_head head{200, {}};
+    head.fields.add("X-Cedarpoint-Request-Id",
+                    std::string{request.fields.get("X-Cedarpoint-Request-Id")});
+    head.fields.add("X-Cedarpoint-Instance-Signature", "signed-by-" + id_);
+    head.fields.add("Content-Type", "text/event-stream");
+    reply->begin(std::move(head));
+    const std::string after{request.fields.get("Last-Event-Id")};
+    for (int event = after.empty() ? 1 : std::stoi(after) + 1; event <= 3; ++event) {
+        reply->write(fmt::format("id: {}\ndata: token {}\n\n", event, event));
+        if (cut_stream) {
+            cut_stream = false;
+            reply->write("id: 2\nda");
+            QTimer::singleShot(20, [reply] { reply->abort(); });
+            return;
+        }
+    }
+    reply->finish();
+}
+
+void platform_runner::take_order(const http_request& request,
+                                 const std::shared_ptr<http_reply>& reply)
+{
+    const auto order = json::parse(request.body);
+    const auto op = order.at("op").get<std::string>();
+    int status = 202;
+    if (op == "join") {
+        group_ = order.at("group").get<std::string>();
+        epoch_ = order.at("epoch").get<std::uint64_t>();
+        const auto members = order.at("members").get<std::vector<std::string>>();
+        rank_ = static_cast<std::size_t>(std::find(members.begin(), members.end(), id_) -
+                                         members.begin());
+        state_ = "ready";
+    }
+    else if (op != "stage" && (order.at("group") != group_ || order.at("epoch") != epoch_)) {
+        status = 409;
+    }
+    else if (op == "open") {
+        state_ = "open";
+    }
+    else if (op == "leave") {
+        group_.clear();
+        state_.clear();
+    }
+    reply->send({status, {}}, "");
+    announce();
+}
+
+fleet_site::fleet_site()
+{
+    const auto mesh_port = free_port();
+    const auto control_port = free_port();
+    for (const auto* ip : {"127.0.0.11", "127.0.0.12", "127.0.0.13"}) {
+        controls_.push_back({ip, control_port});
+    }
+    for (const auto& at : controls_) {
+        fleet_settings own;
+        own.role = fleet_role::control;
+        own.name = at.ip;
+        own.failure_domain = failure_domain_id{"z"};
+        own.address = {at.ip, mesh_port};
+        own.control = at;
+        own.data_folder = folder_.path().toStdString() + "/" + at.ip;
+        own.seeds = controls_;
+        own.heartbeat = milliseconds{heartbeat_ms};
+        settings_.push_back(own);
+    }
+    daemons_.resize(controls_.size());
+    for (std::size_t which = 0; which < controls_.size(); ++which) {
+        start_control(which, true);
+    }
+    entry_settings_.role = fleet_role::entry;
+    entry_settings_.name = "entry";
+    entry_settings_.failure_domain = failure_domain_id{"z"};
+    entry_settings_.address = {"127.0.0.21", mesh_port};
+    entry_settings_.callers = endpoint{"127.0.0.21", free_port()};
+    entry_settings_.ready = endpoint{"127.0.0.21", free_port()};
+    entry_settings_.seeds = controls_;
+    reason why;
+    entry_ = entry_daemon::start(entry_settings_, why);
+}
+
+fleet_site::~fleet_site() = default;
+
+void fleet_site::start_control(std::size_t which, bool first)
+{
+    auto own = settings_[which];
+    own.first_start = first;
+    reason why;
+    daemons_[which] = control_daemon::start(own, why);
+    if (daemons_[which] != nullptr) {
+        daemons_[which]->on_stopped = [](int) {};
+    }
+}
+
+void fleet_site::stop_control(std::size_t which)
+{
+    daemons_[which].reset();
+}
+
+http_answer fleet_site::call_leader(const std::string& method, const std::string& target,
+                                    const std::string& body)
+{
+    http_answer out;
+    wait_until([&] {
+        for (const auto& at : controls_) {
+            out = call(at, method, target, "", body);
+            const bool elsewhere = out.head.status == 307 || out.head.status == 503;
+            if (out.end == exchange_end::complete && !elsewhere) {
+                return true;
+            }
+        }
+        return false;
+    });
+    return out;
+}
+
+int fleet_site::put(const std::string& document)
+{
+    return call_leader("POST", "/cedarpoint/config/put", document).head.status;
+}
+
+std::string fleet_site::get()
+{
+    return call_leader("GET", "/cedarpoint/config/get", "").body;
+}
+
+std::optional<std::size_t> fleet_site::leader()
+{
+    for (std::size_t which = 0; which < controls_.size(); ++which) {
+        const auto answer = call(controls_[which], "GET", "/cedarpoint/config/get", "", "");
+        if (answer.head.status == 200) {
+            return which;
+        }
+    }
+    return {};
+}
+
+bool fleet_site::is_ready()
+{
+    return call(ready(), "GET", "/cedarpoint/readyz", "", "").head.status == 200;
+}
+
+} // namespace cedarpoint::testing_support
--- /dev/null
+++ b/tests/fleet/fleet_site.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "control_daemon/control_daemon.h"
+#include "entry/entry_daemon.h"
+#include "io/http_listener.h"
+#include "io/runner_pool.h"
+
+#include <QTemporaryDir>
+#include <QTimer>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cedarpoint::testing_support {
+
+/// An answer as a caller reads it.
+struct http_answer {
+    exchange_end end = exchange_end::cut;
+    http_head head;
+    std::string body;
+};
+
+/// Sends one request to `to` and runs the event loop until it has ended.
+http_answer call(const endpoint& to, const std::string& method, const std::string& target,
+                 const std::string& headers, const std::string& body);
+
+/// A runner that speaks the platform's words: announces itself, takes orders, answers requests
+/// with three events or a plain text.
+class platform_runner {
+public:
+    platform_runner(std::string id, std::string service, std::vector<endpoint> controls);
+    platform_runner(const platform_runner&) = delete;
+    platform_runner& operator=(const platform_runner&) = delete;
+    ~platform_runner() = default;
+
+    [[nodiscard]] int served() const { return served_; }
+    [[nodiscard]] bool is_open() const { return state_ == "open"; }
+    [[nodiscard]] const std::string& id() const { return id_; }
+    void drain();
+    [[nodiscard]] bool drain_acknowledged() const { return drain_acknowledged_; }
+    int fail_next = 0;                 ///< plain requests that are answered with 500
+    bool cut_stream = false;           ///< the next stream breaks off after its first event
+    std::vector<std::string> accounts; ///< that requests were passed on for
+
+private:
+    void on_request(const http_request& request, const std::shared_ptr<http_reply>& reply);
+    void take_order(const http_request& request, const std::shared_ptr<http_reply>& reply);
+    void stream(const http_request& request, const std::shared_ptr<http_reply>& reply);
+    void announce();
+    [[nodiscard]] std::string announcement_text();
+
+    std::string id_;
+    std::string service_;
+    std::vector<endpoint> controls_;
+    std::size_t control_ = 0;
+    http_listener listener_;
+    runner_pool pool_;
+    QTimer timer_;
+    bool announcing_ = false;
+    bool draining_ = false;
+    bool drain_acknowledged_ = false;
+    std::uint64_t sequence_ = 0;
+    int served_ = 0;
+    std::string group_;
+    std::uint64_t epoch_ = 0;
+    std::size_t rank_ = 0;
+    std::string state_;
+};
+
+/// Three control daemons and an entry daemon in this process, on addresses of the loopback range.
+class fleet_site {
+public:
+    fleet_site();
+    ~fleet_site();
+    fleet_site(const fleet_site&) = delete;
+    fleet_site& operator=(const fleet_site&) = delete;
+
+    [[nodiscard]] const std::vector<endpoint>& controls() const { return controls_; }
+    [[nodiscard]] endpoint callers() const { return *entry_settings_.callers; }
+    [[nodiscard]] endpoint ready() const { return *entry_settings_.ready; }
+    /// Puts a document at the leader, wherever that is; the last status.
+    int put(const std::string& document);
+    /// The configuration as the leader reads it; empty while there is none.
+    std::string get();
+    [[nodiscard]] std::optional<std::size_t> leader();
+    void stop_control(std::size_t which);
+    void start_control(std::size_t which, bool first);
+    [[nodiscard]] bool is_ready();
+    entry_daemon& entry() { return *entry_; }
+
+private:
+    http_answer call_leader(const std::string& method, const std::string& target,
+                            const std::string& body);
+
+    QTemporaryDir folder_;
+    std::vector<endpoint> controls_;
+    std::vector<fleet_settings> settings_;
+    std::vector<std::unique_ptr<control_daemon>> daemons_;
+    fleet_settings entry_settings_;
+    std::unique_ptr<entry_daemon> entry_;
+};
+
+} // namespace cedarpoint::testing_support
