Placement: each fabric domain holds one model's weights

Ruled out: more loads at a time (each takes longer), groups over two domains (slower). Change: a domain's runners all hold the same weights, each failure domain gets every model.

--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -149,8 +149,6 @@
     /// The runner that takes a model's weights with the least loss; null if none should.
     [[nodiscard]] const runner_record* find_to_stage(const std::vector<runner_id>& runners,
                                                      const engine_model& model) const;
-    [[nodiscard]] const engine_model& rarest_model(const std::vector<engine_model>& models,
-                                                   const std::vector<runner_id>& runners) const;
     [[nodiscard]] std::size_t count_staged(const std::vector<runner_id>& runners,
                                            const model_id& model) const;
     void stage(instant now, const runner_record& record, const engine_model& model);
@@ -169,6 +167,10 @@
     /// How full a model's groups are; above 1 requests are turned away.
     [[nodiscard]] double pressure(instant now, const fleet_service& service,
                                   const engine_model& model) const;
+    /// Gives each fabric domain the model whose weights its runners hold: then any of them can
+    /// stand in for any other. Each failure domain gets every model if it can.
+    void assign_homes();
+    [[nodiscard]] bool is_home(const fabric_domain_id& domain, const model_id& model) const;
     [[nodiscard]] std::size_t count_runners(const service_id& service) const;
     /// Loads of groups that are being formed; these go before staging.
     [[nodiscard]] std::size_t joins_loading() const;
@@ -196,7 +198,8 @@
     std::map<runner_id, instant> looked_;
     std::map<runner_id, int> unanswered_;                       ///< looks in a row
     std::map<runner_id, std::pair<model_id, instant>> staging_; ///< until when at the latest
-    std::map<runner_id, model_id> last_model_;                  ///< of the latest join
+    std::map<fabric_domain_id, model_id> homes_;
+    std::map<runner_id, model_id> last_model_; ///< of the latest join
     /// Memberships that bind no longer, and since when.
     std::map<std::pair<group_id, runner_id>, instant> released_;
     std::set<group_id> finished_; ///< in this tick
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -145,6 +145,7 @@
                 figures_.count_order(name_of_order(order.kind), name_of_result(result));
                 log_line("order")
                     .with("kind", name_of_order(order.kind))
+                    .with("model", order.model.str())
                     .with("runner", order.to.str())
                     .with("group", order.group.str())
                     .with("fence", order.fence)
--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <set>
 
 namespace cedarpoint {
 namespace {
@@ -175,7 +176,11 @@
                 continue;
             }
             for (const auto& model : service.engine->models) {
+                // Elsewhere only with weights that are there already.
                 auto next = propose(now, service, model, runners);
+                if (next && next->loads > 0 && !is_home(domain, model.name)) {
+                    next.reset();
+                }
                 const bool allowed = next && loads_.allows(now, next->loads, joins_loading());
                 if (allowed && (!best || next->score < best->score)) {
                     best = std::move(next);
@@ -195,8 +200,50 @@
     });
 }
 
+void group_planner::assign_homes()
+{
+    std::map<std::pair<failure_domain_id, service_id>, std::set<fabric_domain_id>> zones;
+    for (const auto& [runner, record] : registry_.records()) {
+        const auto* service = configuration_->find_service(record.latest.service);
+        if (service != nullptr && service->engine) {
+            zones[{record.latest.failure_domain, service->name}].insert(
+                record.latest.fabric_domain);
+        }
+    }
+    homes_.clear();
+    std::map<model_id, double> given; ///< domains, against what the model's share asks for
+    for (const auto& [zone, domains] : zones) {
+        const auto& models = configuration_->find_service(zone.second)->engine->models;
+        std::set<model_id> here;
+        for (const auto& domain : domains) {
+            const auto* chosen = &models.front();
+            double best = 0;
+            for (const auto& model : models) {
+                const auto need =
+                    std::max(model.share, 0.01) * static_cast<double>(model.group_size);
+                const auto missing = here.contains(model.name) ? 0.0 : 1.0;
+                const auto score = missing * 1000 + need / (given[model.name] + 1);
+                if (score > best) {
+                    best = score;
+                    chosen = &model;
+                }
+            }
+            homes_[domain] = chosen->name;
+            here.insert(chosen->name);
+            given[chosen->name] += 1;
+        }
+    }
+}
+
+bool group_planner::is_home(const fabric_domain_id& domain, const model_id& model) const
+{
+    const auto found = homes_.find(domain);
+    return found == homes_.end() || found->second == model;
+}
+
 void group_planner::form(instant now)
 {
+    assign_homes();
     forget_staged();
     std::erase_if(staging_, [&](const auto& each) { return now >= each.second.second; });
     auto free = free_runners(now);
@@ -261,6 +308,9 @@
     std::size_t best_missing = 0;
     for (const auto& [domain, runners] : free) {
         const auto staged = count_staged(runners, model.name);
+        if (!is_home(domain, model.name)) {
+            continue;
+        }
         if (runners.size() < model.group_size || staged >= model.group_size) {
             continue;
         }
@@ -279,15 +329,6 @@
     }
 }
 
-const engine_model& group_planner::rarest_model(const std::vector<engine_model>& models,
-                                                const std::vector<runner_id>& runners) const
-{
-    return *std::min_element(
-        models.begin(), models.end(), [&](const engine_model& a, const engine_model& b) {
-            return count_staged(runners, a.name) < count_staged(runners, b.name);
-        });
-}
-
 void group_planner::stage_spares(instant now, const free_map& free)
 {
     for (const auto& [domain, runners] : free) {
@@ -299,7 +340,11 @@
             }
             const auto& models =
                 configuration_->find_service(record.latest.service)->engine->models;
-            stage(now, record, rarest_model(models, runners));
+            const auto home =
+                std::find_if(models.begin(), models.end(), [&](const engine_model& each) {
+                    return is_home(record.latest.fabric_domain, each.name);
+                });
+            stage(now, record, home == models.end() ? models.front() : *home);
         }
     }
 }
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -46,8 +46,7 @@
 {
     term_ = term;
     formed_ = 0;
-    // Before the first configuration no group can have been formed by anyone.
-    settled_at_ = state_.version() == 0 ? now : now + options_.settle;
+    settled_at_ = now + options_.settle;
     groups_.clear();
     placed_.clear();
     ordered_.clear();
@@ -547,7 +546,13 @@
     std::size_t free = 0;
     for (const auto& [domain, runners] : free_runners(now)) {
         free += runners.size();
-        out += fmt::format("{} free in {}; ", runners.size(), domain.str());
+        const auto* service =
+            configuration_->find_service(registry_.find(runners.front())->latest.service);
+        out += fmt::format("{}: {} free", domain.str(), runners.size());
+        for (const auto& model : service->engine->models) {
+            out += fmt::format(", {} with {}", count_staged(runners, model.name), model.name.str());
+        }
+        out += "; ";
     }
     return out + fmt::format("{} joins loading, {} staging, {} free", joins_loading(),
                              staging_.size(), free);
