--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -13,8 +13,8 @@
 constexpr int tick_ms = 20;
 constexpr duration summary_interval = seconds{1};
 constexpr duration refresh_interval = milliseconds{40};
-constexpr duration election_timeout = milliseconds{700};
-constexpr duration raft_heartbeat = milliseconds{150};
+constexpr duration election_timeout = milliseconds{500};
+constexpr duration raft_heartbeat = milliseconds{100};
 constexpr int disk_failed_exit = 5;
 constexpr std::size_t most_control_connections = 1500;
 constexpr std::size_t most_control_body = 16 << 20;
