Control daemons beyond the seeds join; a model without a domain of its own shares them

Cause: with six control nodes only the three seeds voted (grown sites bear the loss of two). Change: a daemon that is no member asks to join, follows as a learner, and is made a voter in pairs up to 2 x losses + 1 (next_promotion). Left: voters that are gone for good are not replaced yet.

--- a/include/cedarpoint/config/fleet_settings.h
+++ b/include/cedarpoint/config/fleet_settings.h
@@ -29,13 +29,14 @@
     std::optional<endpoint> ready;   ///< entry: the balancer's questions
     std::optional<endpoint> control; ///< control: operators' and runners' calls
     std::optional<endpoint> metrics;
-    std::string data_folder;       ///< control: where state lasts
-    std::vector<endpoint> seeds;   ///< `control` addresses of some control daemons
-    bool first_start = false;      ///< the whole system starts for the first time
-    milliseconds heartbeat{1200};  ///< between two heartbeats of a runner
-    milliseconds stall{4000};      ///< a head without its members breaks after this
-    milliseconds stop_bound{8000}; ///< a planned stop ends within this
-    budget_options budget;         ///< entry: repeats beyond first attempts
+    std::string data_folder;          ///< control: where state lasts
+    std::vector<endpoint> seeds;      ///< `control` addresses of some control daemons
+    std::size_t tolerated_losses = 1; ///< control: voters that may be lost at once
+    bool first_start = false;         ///< the whole system starts for the first time
+    milliseconds heartbeat{1200};     ///< between two heartbeats of a runner
+    milliseconds stall{4000};         ///< a head without its members breaks after this
+    milliseconds stop_bound{8000};    ///< a planned stop ends within this
+    budget_options budget;            ///< entry: repeats beyond first attempts
     bool json_logs = false;
 
     /// Reads a settings file. Empty if anything is wrong; `out` then names every fault.
--- /dev/null
+++ b/include/cedarpoint/consensus/membership_policy.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "cedarpoint/consensus/raft_node.h"
+
+#include <cstddef>
+#include <optional>
+
+namespace cedarpoint {
+
+/// Voters that a log needs so that `losses` of them may be lost at once.
+[[nodiscard]] constexpr std::size_t voters_for(std::size_t losses)
+{
+    return 2 * losses + 1;
+}
+
+/// The learner that the leader should make a voter now; empty while there is none. Only a learner
+/// that follows closely, and only while voters are wanted; an odd number is never left for an even
+/// one unless a second learner is there to follow.
+[[nodiscard]] std::optional<member_id> next_promotion(instant now, const raft_node& leader,
+                                                      std::size_t wanted_voters);
+
+} // namespace cedarpoint
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -170,6 +170,13 @@
     /// Gives each fabric domain the model whose weights its runners hold: then any of them can
     /// stand in for any other. Each failure domain gets every model if it can.
     void assign_homes();
+    [[nodiscard]] static const engine_model& choose_home(const std::vector<engine_model>& models,
+                                                         const std::set<model_id>& here,
+                                                         const std::map<model_id, double>& given);
+    void drop_homes_if_short(const std::map<model_id, double>& given);
+    [[nodiscard]] const engine_model& rarest_home(const std::vector<engine_model>& models,
+                                                  const fabric_domain_id& domain,
+                                                  const std::vector<runner_id>& runners) const;
     [[nodiscard]] bool is_home(const fabric_domain_id& domain, const model_id& model) const;
     [[nodiscard]] std::size_t count_runners(const service_id& service) const;
     /// Loads of groups that are being formed; these go before staging.
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::int64_t longest_ms = 86'400'000;
+constexpr std::int64_t most_tolerated_losses = 4;
 
 std::optional<endpoint> read_endpoint(json_reader& in, const char* key, bool needed)
 {
@@ -79,6 +80,8 @@
     }
     read_seeds(in, own);
     own.first_start = in.boolean_or("first_start", false);
+    own.tolerated_losses =
+        static_cast<std::size_t>(in.integer_or("tolerated_losses", 1, {0, most_tolerated_losses}));
     own.heartbeat = read_ms(in, "heartbeat_ms", own.heartbeat);
     own.stall = read_ms(in, "stall_ms", own.stall);
     own.stop_bound = read_ms(in, "stop_bound_ms", own.stop_bound);
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -1,9 +1,11 @@
 #include "control_daemon/control_daemon.h"
 
+#include "cedarpoint/consensus/membership_policy.h"
 #include "io/clock.h"
 #include "io/log_line.h"
 #include "io/simple_listeners.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -12,6 +14,7 @@
 
 constexpr int tick_ms = 20;
 constexpr duration summary_interval = seconds{1};
+constexpr duration membership_interval = milliseconds{500};
 constexpr duration refresh_interval = milliseconds{40};
 constexpr duration election_timeout = milliseconds{500};
 constexpr duration raft_heartbeat = milliseconds{100};
@@ -210,6 +213,7 @@
             .write();
         known_leader_ = leader;
     }
+    keep_members(now);
     figures_.set_leader(leads(now));
     figures_.set_version(static_cast<double>(state_.version()));
     if (leads(now)) {
@@ -221,6 +225,60 @@
     mesh_.drain();
 }
 
+void control_daemon::keep_members(instant now)
+{
+    if (now < next_membership_) {
+        return;
+    }
+    next_membership_ = now + membership_interval;
+    if (!leads(now)) {
+        ask_to_join();
+        return;
+    }
+    const auto next = next_promotion(now, log_->raft(), voters_for(own_.tolerated_losses));
+    if (next && log_->change_membership(now, *next, true, true)) {
+        log_line("member").with("member", next->str()).with("voter", true).write();
+    }
+}
+
+void control_daemon::ask_to_join()
+{
+    const auto& members = log_->raft().members().members();
+    const bool is_member = std::any_of(members.begin(), members.end(),
+                                       [&](const auto& each) { return each.id() == id_.str(); });
+    if (is_member || !log_->raft().leader().empty()) {
+        return;
+    }
+    for (const auto& seed : own_.seeds) {
+        wire::envelope out;
+        out.mutable_join()->set_log(log_name);
+        out.mutable_join()->set_member(id_.str());
+        send(daemon_id{endpoint{seed.ip, own_.address.port}.str()}, std::move(out));
+    }
+}
+
+void control_daemon::on_join(instant now, const wire::envelope& in)
+{
+    const member_id member{in.join().member()};
+    const auto& members = log_->raft().members().members();
+    const bool known = std::any_of(members.begin(), members.end(),
+                                   [&](const auto& each) { return each.id() == member.str(); });
+    if (!leads(now)) {
+        // The seeds may not name the leader: pass it on once.
+        const daemon_id leader{log_->raft().leader().str()};
+        if (!leader.empty() && in.from() == member.str()) {
+            wire::envelope out;
+            *out.mutable_join() = in.join();
+            send(leader, std::move(out));
+        }
+        return;
+    }
+    if (!known && endpoint::parse(member.str()) &&
+        log_->change_membership(now, member, true, false)) {
+        log_line("member").with("member", member.str()).with("voter", false).write();
+    }
+}
+
 void control_daemon::lead(instant now)
 {
     const auto term = log_->raft().term();
@@ -275,7 +333,10 @@
     if (log_ == nullptr) {
         return;
     }
-    if (in.has_raft()) {
+    if (in.has_join()) {
+        on_join(now, in);
+    }
+    else if (in.has_raft()) {
         log_->receive(now, member_id{in.from_member()}, in.raft().message());
     }
     else if (in.has_follow()) {
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -40,6 +40,9 @@
     void tick();
     void lead(instant now);
     void push_view(instant now);
+    void keep_members(instant now);
+    void ask_to_join();
+    void on_join(instant now, const wire::envelope& in);
     void receive(const wire::envelope& in);
     void on_look_failed(const runner_id& runner, look_failure how);
     void on_follow(instant now, const wire::envelope& in);
@@ -71,6 +74,7 @@
     QTimer timer_;
     std::uint64_t led_term_ = 0; ///< the term that this process leads or led last
     daemon_id known_leader_;
+    instant next_membership_;
     instant next_refresh_;
     instant next_summary_;
     bool stopping_ = false;
--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <limits>
 #include <set>
 
 namespace cedarpoint {
@@ -216,21 +217,42 @@
         const auto& models = configuration_->find_service(zone.second)->engine->models;
         std::set<model_id> here;
         for (const auto& domain : domains) {
-            const auto* chosen = &models.front();
-            double best = 0;
-            for (const auto& model : models) {
-                const auto need =
-                    std::max(model.share, 0.01) * static_cast<double>(model.group_size);
-                const auto missing = here.contains(model.name) ? 0.0 : 1.0;
-                const auto score = missing * 1000 + need / (given[model.name] + 1);
-                if (score > best) {
-                    best = score;
-                    chosen = &model;
-                }
-            }
-            homes_[domain] = chosen->name;
-            here.insert(chosen->name);
-            given[chosen->name] += 1;
+            const auto& chosen = choose_home(models, here, given);
+            homes_[domain] = chosen.name;
+            here.insert(chosen.name);
+            given[chosen.name] += 1;
+        }
+    }
+    drop_homes_if_short(given);
+}
+
+const engine_model& group_planner::choose_home(const std::vector<engine_model>& models,
+                                               const std::set<model_id>& here,
+                                               const std::map<model_id, double>& given)
+{
+    constexpr double smallest_share = 0.01;
+    constexpr double absent_here = 1000; ///< goes before every share
+    const auto score = [&](const engine_model& model) {
+        const auto need =
+            std::max(model.share, smallest_share) * static_cast<double>(model.group_size);
+        const auto has = given.find(model.name);
+        return (here.contains(model.name) ? 0 : absent_here) +
+               need / ((has == given.end() ? 0 : has->second) + 1);
+    };
+    return *std::max_element(
+        models.begin(), models.end(),
+        [&](const engine_model& a, const engine_model& b) { return score(a) < score(b); });
+}
+
+void group_planner::drop_homes_if_short(const std::map<model_id, double>& given)
+{
+    for (const auto& service : configuration_->services) {
+        const bool short_of_domains =
+            service.engine &&
+            std::any_of(service.engine->models.begin(), service.engine->models.end(),
+                        [&](const auto& model) { return !given.contains(model.name); });
+        if (short_of_domains) {
+            homes_.clear(); // some model would have no place: the domains are shared
         }
     }
 }
@@ -329,6 +351,22 @@
     }
 }
 
+const engine_model& group_planner::rarest_home(const std::vector<engine_model>& models,
+                                               const fabric_domain_id& domain,
+                                               const std::vector<runner_id>& runners) const
+{
+    const engine_model* out = &models.front();
+    std::size_t fewest = std::numeric_limits<std::size_t>::max();
+    for (const auto& model : models) {
+        const auto staged = count_staged(runners, model.name);
+        if (is_home(domain, model.name) && staged < fewest) {
+            out = &model;
+            fewest = staged;
+        }
+    }
+    return *out;
+}
+
 void group_planner::stage_spares(instant now, const free_map& free)
 {
     for (const auto& [domain, runners] : free) {
@@ -340,11 +378,7 @@
             }
             const auto& models =
                 configuration_->find_service(record.latest.service)->engine->models;
-            const auto home =
-                std::find_if(models.begin(), models.end(), [&](const engine_model& each) {
-                    return is_home(record.latest.fabric_domain, each.name);
-                });
-            stage(now, record, home == models.end() ? models.front() : *home);
+            stage(now, record, rarest_home(models, record.latest.fabric_domain, runners));
         }
     }
 }
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -1,5 +1,6 @@
 // Single promises of one member, message by message. Whole groups are in tests/control.
 
+#include "cedarpoint/consensus/membership_policy.h"
 #include "cedarpoint/consensus/raft_node.h"
 
 #include <gtest/gtest.h>
@@ -313,5 +314,69 @@
     EXPECT_TRUE(node.take_output().messages.empty());
 }
 
+class a_log_that_grows : public testing::Test {
+protected:
+    a_log_that_grows()
+    {
+        raft_options options;
+        options.start = start_mode::first;
+        leader.emplace(start, a, three(), raft_state{}, options, 1);
+        leader->tick(now);
+        msg granted;
+        granted.set_kind(msg::pre_vote_reply);
+        granted.set_ok(true);
+        leader->receive(now, b, granted);
+        granted.set_kind(msg::vote_reply);
+        granted.set_term(leader->term());
+        leader->receive(now, b, granted);
+        answer(b);
+        answer(c);
+    }
+    void answer(const member_id& from)
+    {
+        msg reply;
+        reply.set_kind(msg::append_reply);
+        reply.set_term(leader->term());
+        reply.set_ok(true);
+        reply.set_match(leader->last_index());
+        reply.set_leader_stamp(now.time_since_epoch().count());
+        leader->receive(now, from, reply);
+        leader->take_output();
+    }
+    void add_learner(const member_id& member)
+    {
+        ASSERT_TRUE(leader->change_membership(now, member, true, false));
+        answer(b);
+        answer(c);
+    }
+    instant now = start + seconds{3};
+    std::optional<raft_node> leader;
+};
+
+TEST_F(a_log_that_grows, promotes_learners_in_pairs_up_to_what_losses_ask_for)
+{
+    const member_id d{"d"};
+    const member_id e{"e"};
+    add_learner(d);
+    answer(d);
+    EXPECT_FALSE(next_promotion(now, *leader, voters_for(2)).has_value())
+        << "four voters bear no more than three";
+    add_learner(e);
+    EXPECT_FALSE(next_promotion(now, *leader, voters_for(2)).has_value())
+        << "e has not followed yet";
+    answer(d);
+    answer(e);
+    EXPECT_FALSE(next_promotion(now, *leader, voters_for(1)).has_value()) << "three are enough";
+    const auto first = next_promotion(now, *leader, voters_for(2));
+    ASSERT_TRUE(first.has_value());
+    ASSERT_TRUE(leader->change_membership(now, *first, true, true));
+    for (const auto& each : {b, c, d, e}) {
+        answer(each);
+    }
+    const auto second = next_promotion(now, *leader, voters_for(2));
+    ASSERT_TRUE(second.has_value());
+    EXPECT_NE(*second, *first);
+}
+
 } // namespace
 } // namespace cedarpoint
--- a/tests/fleet/group_planner_test.cpp
+++ b/tests/fleet/group_planner_test.cpp
@@ -28,6 +28,18 @@
     EXPECT_EQ(told(world.broken()), "");
 }
 
+TEST(a_fabric_domain, holds_one_models_weights_where_there_are_domains_for_all)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.add_runners("a-1", 9);
+    world.run(seconds{12});
+    EXPECT_EQ(world.serving("large"), 2U);
+    EXPECT_GE(world.serving("small"), 2U);
+    EXPECT_EQ(world.mixed_domains(), 0U);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
 TEST(a_group, that_loses_a_member_serves_again_with_a_spare)
 {
     planner_world world{{}};
--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 
 namespace cedarpoint::testing_support {
 namespace {
@@ -335,6 +336,17 @@
     return {};
 }
 
+std::size_t planner_world::mixed_domains() const
+{
+    std::map<fabric_domain_id, std::set<model_id>> held;
+    for (const auto& [id, runner] : runners_) {
+        held[runner.told.fabric_domain].insert(runner.told.staged.begin(),
+                                               runner.told.staged.end());
+    }
+    return static_cast<std::size_t>(std::count_if(
+        held.begin(), held.end(), [](const auto& each) { return each.second.size() > 1; }));
+}
+
 std::size_t planner_world::spread_groups() const
 {
     std::size_t out = 0;
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -49,6 +49,8 @@
     [[nodiscard]] std::vector<runner_id> alive() const;
     [[nodiscard]] const std::vector<std::string>& broken() const { return broken_; }
     [[nodiscard]] std::size_t spread_groups() const;
+    /// Fabric domains whose runners hold the weights of more than one model.
+    [[nodiscard]] std::size_t mixed_domains() const;
     [[nodiscard]] instant now() const { return now_; }
     /// Requests in flight at each open head, as the entry daemons tell it.
     int in_flight = 4;
