--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,5 +1,7 @@
 #include "cli/commands.h"
 
+#include "cedarpoint/config/fleet_settings.h"
+
 #include "cedarpoint/config/configuration.h"
 #include "cedarpoint/config/json_reader.h"
 #include "cedarpoint/config/settings.h"
@@ -60,11 +62,31 @@
 }
 
 /// Which kind of file it is shows in its keys: only settings name a callers' listener.
-bool looks_like_settings(const std::string& text)
+/// The kinds of file that `check` knows.
+enum class file_kind { settings, fleet_settings, declarative };
+
+file_kind kind_of(const std::string& text)
 {
     faults ignored;
     const auto value = parse_json(text, ignored);
-    return value && value->is_object() && value->contains("callers");
+    const bool is_object = value && value->is_object();
+    if (is_object && value->contains("role") && value->contains("seeds")) {
+        return file_kind::fleet_settings;
+    }
+    return is_object && value->contains("callers") ? file_kind::settings : file_kind::declarative;
+}
+
+/// True if `text` is a valid file of its kind; names every fault.
+bool is_valid(file_kind kind, const std::string& text, faults& out)
+{
+    switch (kind) {
+    case file_kind::settings:
+        return settings::parse(text, out).has_value();
+    case file_kind::fleet_settings:
+        return fleet_settings::parse(text, out).has_value();
+    default:
+        return configuration::parse(text, out).has_value();
+    }
 }
 
 /// The revision that a daemon has in force, if it answers.
@@ -109,12 +131,12 @@
         return to_int(exit_code::bad_file);
     }
     faults found;
-    const bool is_settings = looks_like_settings(*text);
-    const bool fine = is_settings ? settings::parse(*text, found).has_value()
-                                  : configuration::parse(*text, found).has_value();
+    const auto kind = kind_of(*text);
+    const bool fine = is_valid(kind, *text, found);
     print_faults(file, found);
     if (fine) {
-        fmt::print("{}: valid {}\n", file, is_settings ? "settings" : "declarative file");
+        fmt::print("{}: valid {}\n", file,
+                   kind == file_kind::declarative ? "declarative file" : "settings");
     }
     return to_int(fine ? exit_code::done : exit_code::bad_file);
 }
--- a/tests/daemon/command_line_test.cpp
+++ b/tests/daemon/command_line_test.cpp
@@ -26,6 +26,28 @@
     return {it.exitCode(), it.readAll().toStdString()};
 }
 
+TEST(the_command_line, checks_the_settings_of_a_fleets_daemon)
+{
+    QTemporaryDir folder;
+    const auto write = [&](const char* name, const std::string& text) {
+        const auto path = folder.path().toStdString() + "/" + name;
+        std::ofstream{path} << text;
+        return QString::fromStdString(path);
+    };
+    const auto good = write("good.json", R"({"role": "entry", "name": "e", "failure_domain": "z",
+        "address": "10.0.0.1:7000", "callers": "10.0.0.1:80", "ready": "10.0.0.1:81",
+        "seeds": ["10.0.0.9:90"], "retry_budget": {"ratio": 0.2}})");
+    EXPECT_EQ(run({"check", good}).code, 0);
+    const auto bad = write("bad.json", R"({"role": "control", "name": "c", "failure_domain": "z",
+        "address": "somewhere", "control": "10.0.0.1:80", "seeds": [], "odd": 1})");
+    const auto out = run({"check", bad});
+    EXPECT_EQ(out.code, 2);
+    for (const auto* fault : {"/address", "/data_folder", "/seeds", "/odd"}) {
+        EXPECT_NE(out.text.find(fault), std::string::npos) << fault;
+    }
+    EXPECT_EQ(run({"fleet", "--settings", bad}).code, 2);
+}
+
 TEST(the_command_line, exits_as_documented)
 {
     site at{{}};
