Fault soak of real processes; a silent handshake is given up after 1.5 s

Soak: three control and two entry processes, proxies between control daemons that delay, reset, silence and cut one way, SIGKILL, SIGSTOP, SIGTERM, SIGHUP in series; checks that a request that may run once does so, that a refused one did not, that answers are whole and the caller's, that no read is older than what was acknowledged, and that service is back within 12 s. Cause found on the way: ZeroMQ waits 30 s for a peer that took the connection and does not speak; mesh_test failed first (30.1 s) and passes now (1.6 s). Tidied: a member that nobody read, one way to copy a runner's head, one way to elect a leader in tests.

--- a/include/cedarpoint/config/fleet_settings.h
+++ b/include/cedarpoint/config/fleet_settings.h
@@ -25,6 +25,7 @@
     std::string name; ///< for logs
     failure_domain_id failure_domain;
     endpoint address;                ///< for other daemons; its port is the same on all of them
+    std::optional<endpoint> bind;    ///< where it listens for them, if not at `address`
     std::optional<endpoint> callers; ///< entry: callers' requests
     std::optional<endpoint> ready;   ///< entry: the balancer's questions
     std::optional<endpoint> control; ///< control: operators' and runners' calls
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -39,7 +39,6 @@
     std::vector<runner_id> members; ///< the head first
     plan_phase phase = plan_phase::joining;
     instant since;         ///< in this phase
-    bool opened = false;   ///< an order to open was sent, by whomever
     std::size_t loads = 0; ///< members that read weights from the store to join
     /// Waiting: members that were heard since the head fell silent, and when.
     std::map<runner_id, instant> spoken;
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -12,7 +12,6 @@
 /// One incarnation of a runner, as its own heartbeats and answers told it.
 struct runner_record {
     announcement latest;
-    instant first_heard;
     instant heard;           ///< its latest heartbeat or answer
     bool assumed = false;    ///< taken from the replicated state; has not spoken to this leader
     bool superseded = false; ///< another runner took its address for good
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -70,6 +70,7 @@
     own.name = in.string("name");
     own.failure_domain = failure_domain_id{in.string("failure_domain")};
     own.address = read_endpoint(in, "address", true).value_or(endpoint{});
+    own.bind = read_endpoint(in, "bind", false);
     own.callers = read_endpoint(in, "callers", !is_control);
     own.ready = read_endpoint(in, "ready", !is_control);
     own.control = read_endpoint(in, "control", is_control);
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -158,7 +158,8 @@
             },
             [this](const runner_id& runner) { leader_.on_look_answered(steady_now(), runner); },
             [this](const runner_id& runner, look_failure how) { on_look_failed(runner, how); }});
-    if (!open_log(why) || !mesh_.start_open(own_.address, why) || !open_listeners(why)) {
+    if (!open_log(why) || !mesh_.start_open(own_.bind.value_or(own_.address), why) ||
+        !open_listeners(why)) {
         return false;
     }
     QObject::connect(&timer_, &QTimer::timeout, [this] { tick(); });
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -80,7 +80,7 @@
 
 bool entry_daemon::open(reason& why)
 {
-    if (!mesh_.start_open(own_.address, why)) {
+    if (!mesh_.start_open(own_.bind.value_or(own_.address), why)) {
         return false;
     }
     callers_ = std::make_unique<http_listener>(
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -43,6 +43,18 @@
     return is_one_of(hop, name);
 }
 
+/// A runner's head as the caller gets it.
+http_head without_hop_headers(const http_head& head)
+{
+    http_head out{head.status, {}};
+    for (const auto& [name, value] : head.fields.all()) {
+        if (!is_hop_header(name)) {
+            out.fields.add(name, value);
+        }
+    }
+    return out;
+}
+
 std::optional<std::int64_t> read_number(std::string_view text)
 {
     std::int64_t out = 0;
@@ -302,12 +314,7 @@
     }
     if (!begun_) {
         begun_ = true;
-        http_head out{head_->status, {}};
-        for (const auto& [name, value] : head_->fields.all()) {
-            if (!is_hop_header(name)) {
-                out.fields.add(name, value);
-            }
-        }
+        auto out = without_hop_headers(*head_);
         reply_->begin(std::move(out));
         context_.figures.observe_first_byte(now - arrived_);
     }
@@ -471,12 +478,7 @@
         reply_->finish();
     }
     else {
-        http_head out{head_->status, {}};
-        for (const auto& [name, value] : head_->fields.all()) {
-            if (!is_hop_header(name)) {
-                out.fields.add(name, value);
-            }
-        }
+        auto out = without_hop_headers(*head_);
         reply_->send(std::move(out), body_);
         context_.figures.observe_first_byte(now - arrived_);
     }
@@ -498,12 +500,7 @@
         if (!promises || is_repeatable(facts_)) {
             head_ = failure_;
             body_ = failure_body_;
-            http_head out{head_->status, {}};
-            for (const auto& [name, value] : head_->fields.all()) {
-                if (!is_hop_header(name)) {
-                    out.fields.add(name, value);
-                }
-            }
+            auto out = without_hop_headers(*head_);
             reply_->send(std::move(out), body_);
             finish("failed_at_runner", why);
             return;
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -65,7 +65,6 @@
         group.assignment = epoch{formed.epoch()};
         group.service = service_id{formed.service()};
         group.model = model_id{formed.model()};
-        group.opened = true;
         for (const auto& member : formed.members()) {
             group.members.emplace_back(member);
             placed_[runner_id{member}] = name;
@@ -163,7 +162,6 @@
         group.name = key.first;
         group.assignment = key.second;
         group.since = now;
-        group.opened = true;
         adopt_group(now, std::move(group), ranks);
     }
 }
@@ -304,7 +302,6 @@
     }
     // Not before every later leader will know of it: its head may be open from then on.
     if (state_.groups().contains(group.name)) {
-        group.opened = true;
         order(now, order_for(group, order_kind::open, group.members.front()));
     }
 }
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -12,7 +12,7 @@
 {
     owners_[assumed.address] = assumed.id;
     const auto id = assumed.id;
-    records_[id] = {std::move(assumed), now, now, true, false, false};
+    records_[id] = {std::move(assumed), now, true, false, false};
 }
 
 bool runner_registry::may_own(instant now, const announcement& in, bool news) const
@@ -34,9 +34,6 @@
     if (!added && (in.sequence <= record.latest.sequence || record.superseded)) {
         return false;
     }
-    if (added) {
-        record.first_heard = now;
-    }
     record.latest = in;
     record.heard = now;
     record.assumed = false;
--- a/src/io/mesh.cpp
+++ b/src/io/mesh.cpp
@@ -11,6 +11,7 @@
 constexpr int reconnect_ms = 50;
 constexpr int reconnect_max_ms = 1000;
 constexpr int connect_timeout_ms = 1000;
+constexpr int handshake_ms = 1500;
 constexpr int heartbeat_ms = 1000;
 constexpr int heartbeat_timeout_ms = 2500;
 constexpr std::size_t max_message = 64 << 20;
@@ -114,6 +115,8 @@
     out.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
     // A peer without power says nothing: the connection is given up, not waited for.
     out.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
+    // Nor is one waited for that takes the connection and does not speak.
+    out.set(zmq::sockopt::handshake_ivl, handshake_ms);
     out.set(zmq::sockopt::heartbeat_ivl, heartbeat_ms);
     out.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
     secure(out, false);
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -256,19 +256,25 @@
     EXPECT_EQ(at.it->commit(), 5U);
 }
 
-TEST(a_first_start, needs_no_more_than_a_quorum)
+/// Makes `node` the leader with the vote of b.
+void elect(raft_node& node, instant now)
 {
-    raft_options options;
-    options.start = start_mode::first;
-    raft_node node{start, a, three(), {}, options, 1};
-    node.tick(start + seconds{3});
+    node.tick(now);
     msg granted;
     granted.set_kind(msg::pre_vote_reply);
     granted.set_ok(true);
-    node.receive(start + seconds{3}, b, granted);
+    node.receive(now, b, granted);
     granted.set_kind(msg::vote_reply);
     granted.set_term(node.term());
-    node.receive(start + seconds{3}, b, granted);
+    node.receive(now, b, granted);
+}
+
+TEST(a_first_start, needs_no_more_than_a_quorum)
+{
+    raft_options options;
+    options.start = start_mode::first;
+    raft_node node{start, a, three(), {}, options, 1};
+    elect(node, start + seconds{3});
     EXPECT_TRUE(node.is_leader()) << "the third may be dead";
     const auto out = node.take_output();
     ASSERT_GE(out.batch.entries_size(), 1);
@@ -294,14 +300,7 @@
     raft_options options;
     options.start = start_mode::first;
     raft_node node{start, a, three(), {}, options, 1};
-    node.tick(start + seconds{3});
-    msg granted;
-    granted.set_kind(msg::pre_vote_reply);
-    granted.set_ok(true);
-    node.receive(start + seconds{3}, b, granted);
-    granted.set_kind(msg::vote_reply);
-    granted.set_term(node.term());
-    node.receive(start + seconds{3}, b, granted);
+    elect(node, start + seconds{3});
     ASSERT_TRUE(node.is_leader());
     node.take_output();
     EXPECT_FALSE(node.propose(start + seconds{9}, "x").has_value()) << "before its next tick";
@@ -321,14 +320,7 @@
         raft_options options;
         options.start = start_mode::first;
         leader.emplace(start, a, three(), raft_state{}, options, 1);
-        leader->tick(now);
-        msg granted;
-        granted.set_kind(msg::pre_vote_reply);
-        granted.set_ok(true);
-        leader->receive(now, b, granted);
-        granted.set_kind(msg::vote_reply);
-        granted.set_term(leader->term());
-        leader->receive(now, b, granted);
+        elect(*leader, now);
         answer(b);
         answer(c);
     }
--- a/tests/io/mesh_test.cpp
+++ b/tests/io/mesh_test.cpp
@@ -4,6 +4,7 @@
 #include "io/mesh.h"
 
 #include <QTcpServer>
+#include <QTcpSocket>
 
 #include <array>
 #include <gtest/gtest.h>
@@ -163,5 +164,35 @@
     EXPECT_EQ(it.at_a, 0);
 }
 
+TEST(a_peer, that_takes_the_connection_and_does_not_speak_is_tried_again)
+{
+    auto silent = std::make_unique<QTcpServer>();
+    ASSERT_TRUE(silent->listen(QHostAddress::LocalHost));
+    const endpoint at{"127.0.0.1", silent->serverPort()};
+    reason why;
+    mesh sender{[](const wire::envelope&) {}};
+    ASSERT_TRUE(sender.start_open({"127.0.0.1", 0}, why)) << why.str();
+    const daemon_id peer{at.str()};
+    sender.add_peer(peer);
+    std::unique_ptr<QTcpSocket> taken;
+    ASSERT_TRUE(wait_until([&] {
+        taken.reset(silent->nextPendingConnection());
+        return taken != nullptr;
+    }));
+    silent->close(); // what it took stays open, as at a machine that stands still
+    bool heard = false;
+    mesh receiver{[&](const wire::envelope&) { heard = true; }};
+    ASSERT_TRUE(receiver.start_open(at, why)) << why.str();
+    wire::envelope word;
+    word.set_from("sender");
+    const auto begun = std::chrono::steady_clock::now();
+    ASSERT_TRUE(wait_until([&] {
+        sender.send(peer, word);
+        receiver.drain();
+        return heard;
+    }));
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds{10});
+}
+
 } // namespace
 } // namespace cedarpoint
--- /dev/null
+++ b/tests/soak/fleet_soak_test.cpp
@@ -0,0 +1,331 @@
+// A seeded soak: real processes, a proxy between control daemons and all others, signals from
+// outside, requests and changes all the while. By hand:
+//     SOAK_FIRST=100 SOAK_COUNT=50 build/cedarpoint_tests --gtest_filter='*fleet_soak*'
+// A seed that ever failed is added to `kept_seeds` with a line on the cause.
+
+#include "daemon/site.h"
+#include "fleet/fleet_site.h"
+#include "io/clock.h"
+#include "soak/loopback_proxy.h"
+
+#include <QProcess>
+
+#include <csignal>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::call;
+using testing_support::loopback_proxy;
+using testing_support::platform_runner;
+using testing_support::wait_until;
+
+constexpr int control_count = 3;
+constexpr int entry_count = 2;
+constexpr int rounds = 14;
+constexpr std::uint16_t mesh_port = 17'340;
+constexpr std::uint16_t control_port = 18'229;
+constexpr std::uint16_t callers_port = 18'230;
+constexpr std::uint16_t ready_port = 18'231;
+
+/// Seeds that failed once, each with its cause.
+const std::vector<std::uint64_t> kept_seeds{
+    150, // once: no leader for 60 s after all control daemons were killed; see docs/RULES-KEPT.md
+};
+
+std::uint64_t number_from_environment(const char* name, std::uint64_t fallback)
+{
+    const char* text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+std::vector<std::uint64_t> seeds()
+{
+    auto out = kept_seeds;
+    const auto first = number_from_environment("SOAK_FIRST", 1);
+    for (std::uint64_t at = 0; at < number_from_environment("SOAK_COUNT", 2); ++at) {
+        out.push_back(first + at);
+    }
+    return out;
+}
+
+std::string document(int version)
+{
+    return fmt::format(R"({{"version":{},
+        "routes":[{{"name":"stream","host":"h.example","pathPrefix":"/ask/","kind":"streaming",
+                    "timeoutMs":3000,"service":"pool","maxAttempts":2,"resumable":true,
+                    "targetLatencyMs":300,"targetGapMs":300}},
+                  {{"name":"once","host":"h.example","pathPrefix":"/once/","kind":"unsafe",
+                    "timeoutMs":2000,"service":"shop","maxAttempts":2}}],
+        "services":[{{"name":"pool","engine":{{"slots":4,"loadsPerS":100,"loads_at_once":50,
+                      "formMs":10,"models":[{{"name":"small","size":3,"share":1,"loadS":0.5,
+                      "warmS":0.1}}]}}}},{{"name":"shop"}}]}})",
+                       version);
+}
+
+/// One process of the real program.
+class daemon_process {
+public:
+    daemon_process(const std::string& file, const std::string& log)
+    {
+        process_.setProcessChannelMode(QProcess::MergedChannels);
+        process_.setStandardOutputFile(QString::fromStdString(log), QIODevice::Append);
+        process_.start(BINARY_DIR "/cedarpoint",
+                       {"fleet", "--settings", QString::fromStdString(file)});
+        process_.waitForStarted();
+    }
+    ~daemon_process()
+    {
+        signal(SIGCONT);
+        signal(SIGKILL);
+        process_.waitForFinished();
+    }
+    daemon_process(const daemon_process&) = delete;
+    daemon_process& operator=(const daemon_process&) = delete;
+    void signal(int number) const
+    {
+        if (process_.state() == QProcess::Running) {
+            ::kill(static_cast<pid_t>(process_.processId()), number);
+        }
+    }
+    [[nodiscard]] bool is_running() const { return process_.state() == QProcess::Running; }
+
+private:
+    QProcess process_;
+};
+
+class fleet_soak : public testing::TestWithParam<std::uint64_t> {
+protected:
+    fleet_soak() : random_{GetParam()}, net_{static_cast<int>(GetParam() % 200) + 20}
+    {
+        for (int which = 0; which < control_count; ++which) {
+            controls_.push_back({fmt::format("127.{}.1.{}", net_, which + 1), control_port});
+        }
+        for (int which = 0; which < control_count; ++which) {
+            const auto& at = controls_[static_cast<std::size_t>(which)];
+            const endpoint real{fmt::format("127.{}.2.{}", net_, which + 1), mesh_port};
+            proxies_.push_back(std::make_unique<loopback_proxy>(endpoint{at.ip, mesh_port}, real));
+        }
+        daemons_.resize(control_count + entry_count);
+        for (int which = 0; which < control_count + entry_count; ++which) {
+            start(which, true);
+        }
+        for (int made = 0; made < 4; ++made) {
+            runners_.push_back(
+                std::make_unique<platform_runner>(fmt::format("i-{}", made), "pool", controls_));
+        }
+        for (int made = 0; made < 2; ++made) {
+            runners_.push_back(
+                std::make_unique<platform_runner>(fmt::format("s-{}", made), "shop", controls_));
+        }
+    }
+
+    [[nodiscard]] std::string ip_of_entry(int which) const
+    {
+        return fmt::format("127.{}.3.{}", net_, which - control_count + 1);
+    }
+
+    void start(int which, bool first)
+    {
+        nlohmann::json own{{"name", fmt::format("d-{}", which)}, {"failure_domain", "z"}};
+        for (const auto& at : controls_) {
+            own["seeds"].push_back(at.str());
+        }
+        const bool control = which < control_count;
+        if (control) {
+            const auto& at = controls_[static_cast<std::size_t>(which)];
+            own["role"] = "control";
+            own["address"] = endpoint{at.ip, mesh_port}.str();
+            own["bind"] = fmt::format("127.{}.2.{}:{}", net_, which + 1, mesh_port);
+            own["control"] = at.str();
+            own["data_folder"] = fmt::format("{}/data-{}", folder_.path().toStdString(), which);
+            own["first_start"] = first;
+            own["heartbeat_ms"] = 150;
+        }
+        else {
+            own["role"] = "entry";
+            own["address"] = endpoint{ip_of_entry(which), mesh_port}.str();
+            own["callers"] = endpoint{ip_of_entry(which), callers_port}.str();
+            own["ready"] = endpoint{ip_of_entry(which), ready_port}.str();
+        }
+        const auto file = fmt::format("{}/d-{}.json", folder_.path().toStdString(), which);
+        std::ofstream{file} << own.dump();
+        const auto log = fmt::format("{}/soak-{}-{}.log", BINARY_DIR, GetParam(), which);
+        daemons_[static_cast<std::size_t>(which)] = std::make_unique<daemon_process>(file, log);
+    }
+
+    void pass_time(milliseconds time)
+    {
+        wait_until([until = steady_now() + time] { return steady_now() > until; });
+    }
+
+    std::string harm()
+    {
+        const auto which = static_cast<int>(random_() % daemons_.size());
+        auto& daemon = *daemons_[static_cast<std::size_t>(which)];
+        auto& proxy = *proxies_[random_() % proxies_.size()];
+        switch (random_() % 9) {
+        case 0:
+            daemon.signal(SIGKILL);
+            pass_time(milliseconds{random_() % 600});
+            start(which, false);
+            return fmt::format("killed {}", which);
+        case 1:
+            daemon.signal(SIGSTOP);
+            pass_time(milliseconds{300 + random_() % 1800});
+            daemon.signal(SIGCONT);
+            return fmt::format("paused {}", which);
+        case 2:
+            daemon.signal(SIGTERM);
+            wait_until([&] { return !daemon.is_running(); });
+            start(which, false);
+            return fmt::format("restarted {}", which);
+        case 3:
+            daemon.signal(SIGHUP);
+            return fmt::format("reloaded {}", which);
+        case 4:
+            proxy.set_silent(true);
+            pass_time(milliseconds{500 + random_() % 1500});
+            proxy.set_silent(false);
+            proxy.reset_all();
+            return "silenced a proxy";
+        case 5:
+            proxy.reset_all();
+            return "reset a proxy";
+        case 6:
+            proxy.set_one_way(true);
+            pass_time(milliseconds{500 + random_() % 1500});
+            proxy.set_one_way(false);
+            proxy.reset_all();
+            return "cut a proxy one way";
+        case 7:
+            proxy.set_delay(static_cast<int>(random_() % 80));
+            return "delayed a proxy";
+        default:
+            for (int each = 0; each < control_count; ++each) {
+                daemons_[static_cast<std::size_t>(each)]->signal(SIGKILL);
+            }
+            for (int each = 0; each < control_count; ++each) {
+                start(each, false);
+            }
+            return "killed all control daemons";
+        }
+    }
+
+    void change_configuration()
+    {
+        const int version = ++sent_version_;
+        const auto& at = controls_[random_() % controls_.size()];
+        const auto answer = call(at, "POST", "/cedarpoint/config/put", "", document(version));
+        if (answer.end == exchange_end::complete && answer.head.status == 200) {
+            acknowledged_ = std::max(acknowledged_, version);
+        }
+    }
+
+    void read_configuration()
+    {
+        const int least = acknowledged_;
+        for (const auto& at : controls_) {
+            const auto answer = call(at, "GET", "/cedarpoint/config/get", "", "");
+            if (answer.end != exchange_end::complete || answer.head.status != 200) {
+                continue;
+            }
+            const auto read = nlohmann::json::parse(answer.body, nullptr, false);
+            ASSERT_TRUE(read.is_object()) << answer.body;
+            const int version = read.at("version").get<int>();
+            EXPECT_GE(version, least) << "acknowledged before the read";
+            EXPECT_EQ(answer.body, document(version)) << "read back as it was sent";
+        }
+    }
+
+    bool send_request()
+    {
+        const auto entry = ip_of_entry(control_count + static_cast<int>(random_() % entry_count));
+        const bool once = random_() % 2 == 0;
+        const auto id = fmt::format("r{}", ++requests_);
+        const auto headers = "X-Cedarpoint-Request-Id: " + id +
+                             "\r\nX-Cedarpoint-Deadline-Ms: 3000\r\nX-Cedarpoint-Model: small\r\n";
+        const auto served = served_total();
+        const auto answer =
+            call({entry, callers_port}, "POST", once ? "/once/x" : "/ask/x", headers, id);
+        const bool whole = answer.end == exchange_end::complete && answer.head.status == 200;
+        if (whole) {
+            EXPECT_EQ(answer.head.fields.get("X-Cedarpoint-Request-Id"), id);
+            EXPECT_EQ(answer.body,
+                      once ? "plain " + id
+                           : "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token "
+                             "3\n\n");
+        }
+        if (once) {
+            EXPECT_LE(served_total() - served, 1) << id << " ran more than once";
+        }
+        const bool refused = answer.end == exchange_end::complete &&
+                             (answer.head.status == 503 || answer.head.status == 429);
+        if (once && refused) {
+            EXPECT_EQ(served_total(), served) << id << " was refused and ran";
+        }
+        return whole;
+    }
+
+    [[nodiscard]] int served_total() const
+    {
+        int out = 0;
+        for (const auto& runner : runners_) {
+            out += runner->served();
+        }
+        return out;
+    }
+
+    std::mt19937_64 random_;
+    int net_;
+    QTemporaryDir folder_;
+    std::vector<endpoint> controls_;
+    std::vector<std::unique_ptr<loopback_proxy>> proxies_;
+    std::vector<std::unique_ptr<daemon_process>> daemons_;
+    std::vector<std::unique_ptr<platform_runner>> runners_;
+    int sent_version_ = 0;
+    int acknowledged_ = 0;
+    int requests_ = 0;
+};
+
+TEST_P(fleet_soak, keeps_its_promises_under_signals_and_cuts)
+{
+    ASSERT_TRUE(wait_until([&] {
+        change_configuration();
+        return acknowledged_ > 0;
+    }));
+    std::string story;
+    for (int round = 0; round < rounds; ++round) {
+        story += harm() + "; ";
+        SCOPED_TRACE(story);
+        change_configuration();
+        read_configuration();
+        send_request();
+        send_request();
+        ASSERT_FALSE(HasFailure()) << "seed " << GetParam();
+    }
+    for (const auto& proxy : proxies_) {
+        proxy->set_delay(0);
+    }
+    const auto calm = steady_now();
+    ASSERT_TRUE(wait_until([&] { return send_request(); }))
+        << "seed " << GetParam() << ": " << story;
+    EXPECT_LT(steady_now() - calm, seconds{12});
+    const int before = acknowledged_;
+    ASSERT_TRUE(wait_until([&] {
+        change_configuration();
+        return acknowledged_ > before;
+    }));
+    read_configuration();
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, fleet_soak, testing::ValuesIn(seeds()));
+
+} // namespace
+} // namespace cedarpoint
