--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -102,49 +102,49 @@
 
 class fleet_soak : public testing::TestWithParam<std::uint64_t> {
 protected:
-    fleet_soak() : random_{GetParam()}, net_{static_cast<int>(GetParam() % 200) + 20}
+    fleet_soak() : random{GetParam()}, net{static_cast<int>(GetParam() % 200) + 20}
     {
         for (int which = 0; which < control_count; ++which) {
-            controls_.push_back({fmt::format("127.{}.1.{}", net_, which + 1), control_port});
+            controls.push_back({fmt::format("127.{}.1.{}", net, which + 1), control_port});
         }
         for (int which = 0; which < control_count; ++which) {
-            const auto& at = controls_[static_cast<std::size_t>(which)];
-            const endpoint real{fmt::format("127.{}.2.{}", net_, which + 1), mesh_port};
-            proxies_.push_back(std::make_unique<loopback_proxy>(endpoint{at.ip, mesh_port}, real));
+            const auto& at = controls[static_cast<std::size_t>(which)];
+            const endpoint real{fmt::format("127.{}.2.{}", net, which + 1), mesh_port};
+            proxies.push_back(std::make_unique<loopback_proxy>(endpoint{at.ip, mesh_port}, real));
         }
-        daemons_.resize(control_count + entry_count);
+        daemons.resize(control_count + entry_count);
         for (int which = 0; which < control_count + entry_count; ++which) {
             start(which, true);
         }
         for (int made = 0; made < 4; ++made) {
-            runners_.push_back(
-                std::make_unique<platform_runner>(fmt::format("i-{}", made), "pool", controls_));
+            runners.push_back(
+                std::make_unique<platform_runner>(fmt::format("i-{}", made), "pool", controls));
         }
         for (int made = 0; made < 2; ++made) {
-            runners_.push_back(
-                std::make_unique<platform_runner>(fmt::format("s-{}", made), "shop", controls_));
+            runners.push_back(
+                std::make_unique<platform_runner>(fmt::format("s-{}", made), "shop", controls));
         }
     }
 
     [[nodiscard]] std::string ip_of_entry(int which) const
     {
-        return fmt::format("127.{}.3.{}", net_, which - control_count + 1);
+        return fmt::format("127.{}.3.{}", net, which - control_count + 1);
     }
 
     void start(int which, bool first)
     {
         nlohmann::json own{{"name", fmt::format("d-{}", which)}, {"failure_domain", "z"}};
-        for (const auto& at : controls_) {
+        for (const auto& at : controls) {
             own["seeds"].push_back(at.str());
         }
         const bool control = which < control_count;
         if (control) {
-            const auto& at = controls_[static_cast<std::size_t>(which)];
+            const auto& at = controls[static_cast<std::size_t>(which)];
             own["role"] = "control";
             own["address"] = endpoint{at.ip, mesh_port}.str();
-            own["bind"] = fmt::format("127.{}.2.{}:{}", net_, which + 1, mesh_port);
+            own["bind"] = fmt::format("127.{}.2.{}:{}", net, which + 1, mesh_port);
             own["control"] = at.str();
-            own["data_folder"] = fmt::format("{}/data-{}", folder_.path().toStdString(), which);
+            own["data_folder"] = fmt::format("{}/data-{}", folder.path().toStdString(), which);
             own["first_start"] = first;
             own["heartbeat_ms"] = 150;
         }
@@ -154,10 +154,10 @@
             own["callers"] = endpoint{ip_of_entry(which), callers_port}.str();
             own["ready"] = endpoint{ip_of_entry(which), ready_port}.str();
         }
-        const auto file = fmt::format("{}/d-{}.json", folder_.path().toStdString(), which);
+        const auto file = fmt::format("{}/d-{}.json", folder.path().toStdString(), which);
         std::ofstream{file} << own.dump();
         const auto log = fmt::format("{}/soak-{}-{}.log", BINARY_DIR, GetParam(), which);
-        daemons_[static_cast<std::size_t>(which)] = std::make_unique<daemon_process>(file, log);
+        daemons[static_cast<std::size_t>(which)] = std::make_unique<daemon_process>(file, log);
     }
 
     void pass_time(milliseconds time)
@@ -167,18 +167,18 @@
 
     std::string harm()
     {
-        const auto which = static_cast<int>(random_() % daemons_.size());
-        auto& daemon = *daemons_[static_cast<std::size_t>(which)];
-        auto& proxy = *proxies_[random_() % proxies_.size()];
-        switch (random_() % 9) {
+        const auto which = static_cast<int>(random() % daemons.size());
+        auto& daemon = *daemons[static_cast<std::size_t>(which)];
+        auto& proxy = *proxies[random() % proxies.size()];
+        switch (random() % 9) {
         case 0:
             daemon.signal(SIGKILL);
-            pass_time(milliseconds{random_() % 600});
+            pass_time(milliseconds{random() % 600});
             start(which, false);
             return fmt::format("killed {}", which);
         case 1:
             daemon.signal(SIGSTOP);
-            pass_time(milliseconds{300 + random_() % 1800});
+            pass_time(milliseconds{300 + random() % 1800});
             daemon.signal(SIGCONT);
             return fmt::format("paused {}", which);
         case 2:
@@ -191,7 +191,7 @@
             return fmt::format("reloaded {}", which);
         case 4:
             proxy.set_silent(true);
-            pass_time(milliseconds{500 + random_() % 1500});
+            pass_time(milliseconds{500 + random() % 1500});
             proxy.set_silent(false);
             proxy.reset_all();
             return "silenced a proxy";
@@ -200,16 +200,16 @@
             return "reset a proxy";
         case 6:
             proxy.set_one_way(true);
-            pass_time(milliseconds{500 + random_() % 1500});
+            pass_time(milliseconds{500 + random() % 1500});
             proxy.set_one_way(false);
             proxy.reset_all();
             return "cut a proxy one way";
         case 7:
-            proxy.set_delay(static_cast<int>(random_() % 80));
+            proxy.set_delay(static_cast<int>(random() % 80));
             return "delayed a proxy";
         default:
             for (int each = 0; each < control_count; ++each) {
-                daemons_[static_cast<std::size_t>(each)]->signal(SIGKILL);
+                daemons[static_cast<std::size_t>(each)]->signal(SIGKILL);
             }
             for (int each = 0; each < control_count; ++each) {
                 start(each, false);
@@ -220,18 +220,18 @@
 
     void change_configuration()
     {
-        const int version = ++sent_version_;
-        const auto& at = controls_[random_() % controls_.size()];
+        const int version = ++sent_version;
+        const auto& at = controls[random() % controls.size()];
         const auto answer = call(at, "POST", "/cedarpoint/config/put", "", document(version));
         if (answer.end == exchange_end::complete && answer.head.status == 200) {
-            acknowledged_ = std::max(acknowledged_, version);
+            acknowledged = std::max(acknowledged, version);
         }
     }
 
     void read_configuration()
     {
-        const int least = acknowledged_;
-        for (const auto& at : controls_) {
+        const int least = acknowledged;
+        for (const auto& at : controls) {
             const auto answer = call(at, "GET", "/cedarpoint/config/get", "", "");
             if (answer.end != exchange_end::complete || answer.head.status != 200) {
                 continue;
@@ -246,9 +246,9 @@
 
     bool send_request()
     {
-        const auto entry = ip_of_entry(control_count + static_cast<int>(random_() % entry_count));
-        const bool once = random_() % 2 == 0;
-        const auto id = fmt::format("r{}", ++requests_);
+        const auto entry = ip_of_entry(control_count + static_cast<int>(random() % entry_count));
+        const bool once = random() % 2 == 0;
+        const auto id = fmt::format("r{}", ++requests);
         const auto headers = "X-Cedarpoint-Request-Id: " + id +
                              "\r\nX-Cedarpoint-Deadline-Ms: 3000\r\nX-Cedarpoint-Model: small\r\n";
         const auto served = served_total();
@@ -276,29 +276,29 @@
     [[nodiscard]] int served_total() const
     {
         int out = 0;
-        for (const auto& runner : runners_) {
+        for (const auto& runner : runners) {
             out += runner->served();
         }
         return out;
     }
 
-    std::mt19937_64 random_;
-    int net_;
-    QTemporaryDir folder_;
-    std::vector<endpoint> controls_;
-    std::vector<std::unique_ptr<loopback_proxy>> proxies_;
-    std::vector<std::unique_ptr<daemon_process>> daemons_;
-    std::vector<std::unique_ptr<platform_runner>> runners_;
-    int sent_version_ = 0;
-    int acknowledged_ = 0;
-    int requests_ = 0;
+    std::mt19937_64 random;
+    int net;
+    QTemporaryDir folder;
+    std::vector<endpoint> controls;
+    std::vector<std::unique_ptr<loopback_proxy>> proxies;
+    std::vector<std::unique_ptr<daemon_process>> daemons;
+    std::vector<std::unique_ptr<platform_runner>> runners;
+    int sent_version = 0;
+    int acknowledged = 0;
+    int requests = 0;
 };
 
 TEST_P(fleet_soak, keeps_its_promises_under_signals_and_cuts)
 {
     ASSERT_TRUE(wait_until([&] {
         change_configuration();
-        return acknowledged_ > 0;
+        return acknowledged > 0;
     }));
     std::string story;
     for (int round = 0; round < rounds; ++round) {
@@ -310,17 +310,17 @@
         send_request();
         ASSERT_FALSE(HasFailure()) << "seed " << GetParam();
     }
-    for (const auto& proxy : proxies_) {
+    for (const auto& proxy : proxies) {
         proxy->set_delay(0);
     }
     const auto calm = steady_now();
     ASSERT_TRUE(wait_until([&] { return send_request(); }))
         << "seed " << GetParam() << ": " << story;
     EXPECT_LT(steady_now() - calm, seconds{12});
-    const int before = acknowledged_;
+    const int before = acknowledged;
     ASSERT_TRUE(wait_until([&] {
         change_configuration();
-        return acknowledged_ > before;
+        return acknowledged > before;
     }));
     read_configuration();
 }
