Planner: one question whether a runner is doubted

Cause: release_head spelled out what is_doubted answers. Ruled out: any change of behaviour, the bounds are the same.

--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -377,10 +377,7 @@
         finish(now, group, "the head has left");
         return;
     }
-    const auto doubts = unanswered_.find(head);
-    const bool unheard =
-        record == nullptr || (doubts != unanswered_.end() && doubts->second >= looks_to_doubt);
-    if (unheard) {
+    if (record == nullptr || is_doubted(head, looks_to_doubt)) {
         enter(now, group, plan_phase::waiting, "the head does not answer");
         watch_waiting(now, group);
         return;
