serve ends on a hangup, as it did before

Cause: found by reading: serve took over the fleet's signal handling, which blocks SIGHUP for reloads, and has nothing to reload, so a hangup was swallowed. Change: where no reload is wanted, the signal keeps its default. Test: ends_serve_on_a_hangup (the state before was read, not run). The fleet's daemons are unchanged: they set a reload.

--- a/src/cli/process_signals.cpp
+++ b/src/cli/process_signals.cpp
@@ -20,6 +20,13 @@
 
 void process_signals::attach()
 {
+    if (!on_reload) {
+        // Nothing to reload here: a hangup ends the process, as it does by default.
+        sigset_t hangup;
+        sigemptyset(&hangup);
+        sigaddset(&hangup, SIGHUP);
+        pthread_sigmask(SIG_UNBLOCK, &hangup, nullptr);
+    }
     notifier_ = std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Read);
     QObject::connect(notifier_.get(), &QSocketNotifier::activated, [this] { read(); });
 }
--- a/tests/daemon/command_line_test.cpp
+++ b/tests/daemon/command_line_test.cpp
@@ -3,6 +3,10 @@
 #include "daemon/site.h"
 
 #include <QProcess>
+#include <QTcpServer>
+#include <QTimer>
+
+#include <csignal>
 
 #include <fstream>
 #include <gtest/gtest.h>
@@ -48,6 +52,35 @@
     EXPECT_EQ(run({"fleet", "--settings", bad}).code, 2);
 }
 
+TEST(the_command_line, ends_serve_on_a_hangup)
+{
+    QTemporaryDir folder;
+    const auto path = folder.path().toStdString() + "/settings.json";
+    QTcpServer callers;
+    QTcpServer operators;
+    ASSERT_TRUE(callers.listen(QHostAddress::LocalHost));
+    ASSERT_TRUE(operators.listen(QHostAddress::LocalHost));
+    std::ofstream{path} << R"({"id": "d", "failure_domain": "z", "callers": "127.0.0.1:)"
+                        << callers.serverPort() << R"(", "operators": "127.0.0.1:)"
+                        << operators.serverPort() << "\"}";
+    callers.close();
+    operators.close();
+    QProcess process;
+    process.setProcessChannelMode(QProcess::MergedChannels);
+    process.start(BINARY_DIR "/cedarpoint", {"serve", "--settings", QString::fromStdString(path)});
+    std::string text;
+    ASSERT_TRUE(wait_until([&] {
+        text += process.readAll().toStdString();
+        return text.find("event=in_force") != std::string::npos ||
+               text.find("event=started") != std::string::npos;
+    })) << text;
+    bool passed = false;
+    QTimer::singleShot(500, [&] { passed = true; });
+    ASSERT_TRUE(wait_until([&] { return passed; }));
+    ::kill(static_cast<pid_t>(process.processId()), SIGHUP);
+    EXPECT_TRUE(wait_until([&] { return process.state() == QProcess::NotRunning; }));
+}
+
 TEST(the_command_line, exits_as_documented)
 {
     site at{{}};
