Configurations go packed and once; provisional views; quick elections after a restart

And after a final fault nobody served until a leader was elected, 1.2 s after the restart. Ruled out: the disk (synced in time), the parse (one of 260 KB takes a tick). A voter writes how far it knew the log to be committed, so a restart knows that much without a leader; an entry daemon without any view begins with it, and a leader's view replaces it. A restarted voter asks for votes right after the time in which a lease may run. How many daemons share the retry budget is told only once a new leader has heard them.

--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -155,6 +155,8 @@
     [[nodiscard]] std::uint64_t last_term() const;
     [[nodiscard]] std::optional<std::uint64_t> term_at(std::uint64_t index) const;
     [[nodiscard]] std::size_t quorum() const;
+    /// A random part of a third of the election timeout: daemons that start together don't collide.
+    duration short_delay();
     [[nodiscard]] instant lease_basis(instant now) const;
     /// A leader that a quorum has answered within an election timeout.
     [[nodiscard]] bool is_upheld(instant now) const;
--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -51,8 +51,10 @@
     struct follower {
         instant heard;
         std::uint64_t sent = 0; ///< version of the latest update
+        instant sent_at;        ///< of the latest update that held anything
     };
 
+    void note_sent(instant now, follower& entry, std::uint64_t from) const;
     void expect_registered(instant now);
     void take_configuration();
     [[nodiscard]] wire::fleet_update make_update(instant now, std::uint64_t from) const;
@@ -68,6 +70,7 @@
     group_planner planner_;
     std::optional<fleet_configuration> configuration_;
     view_source view_;
+    std::uint64_t viewed_version_ = 0; ///< of the configuration in the view
     std::map<std::string, follower> followers_;
     std::vector<planner_step> records_; ///< for the log
     std::uint64_t term_ = 0;
--- a/include/cedarpoint/fleet/fleet_state.h
+++ b/include/cedarpoint/fleet/fleet_state.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace cedarpoint {
@@ -25,6 +26,8 @@
     {
         return configuration_;
     }
+    /// The text of the configuration as the operator sent it; empty if there is none.
+    [[nodiscard]] std::string document() const;
     [[nodiscard]] bool is_leaving(const runner_id& runner) const;
     [[nodiscard]] bool is_gone(const runner_id& runner) const;
     /// Grows with every change.
@@ -36,7 +39,7 @@
     }
     [[nodiscard]] const std::map<group_id, wire::formed_group>& groups() const { return groups_; }
 
-    static std::string put_configuration(std::uint64_t version, std::string document);
+    static std::string put_configuration(std::uint64_t version, const std::string& document);
     static std::string depart(const runner_id& runner, bool gone);
 
 private:
@@ -54,4 +57,7 @@
     std::uint64_t changes_ = 0;
 };
 
+/// The text of a configuration that came with a view or out of the log; empty if it is damaged.
+[[nodiscard]] std::optional<std::string> read_document(const wire::accepted_configuration& in);
+
 } // namespace cedarpoint
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -11,11 +11,15 @@
                                                  std::make_move_iterator(state.entries.end())},
       bootstrap_{bootstrap}, commit_{snapshot_.index()}, started_{now}, no_vote_until_{now}
 {
+    advance_commit(hard_.commit());
+    refresh_members();
+    arm_election(now);
     if (hard_.term() > 0) {
+        // Whoever led may have been upheld by a vote that this one forgot; after that nobody leads
+        // unless a heartbeat says so, and there is nothing more to wait for.
         no_vote_until_ = now + options_.election_timeout;
+        election_at_ = no_vote_until_ + short_delay();
     }
-    refresh_members();
-    arm_election(now);
     if (options_.start == start_mode::first && hard_.term() == 0 && last_index() == 0) {
         hard_.set_whole(true);
         save_hard_state();
@@ -107,6 +111,10 @@
 
 raft_output raft_node::take_output()
 {
+    if (out_.has_batch) {
+        hard_.set_commit(commit_);
+        *out_.batch.mutable_state() = hard_;
+    }
     return std::exchange(out_, {});
 }
 
@@ -185,6 +193,14 @@
     election_at_ = now + options_.election_timeout + duration{spread(random_)};
 }
 
+duration raft_node::short_delay()
+{
+    constexpr int parts = 3;
+    std::uniform_int_distribution<std::int64_t> spread(0,
+                                                       options_.election_timeout.count() / parts);
+    return duration{spread(random_)};
+}
+
 void raft_node::tick(instant now)
 {
     if (role_ == role::leader) {
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -1,6 +1,7 @@
 #include "control_daemon/control_daemon.h"
 
 #include "cedarpoint/consensus/membership_policy.h"
+#include "cedarpoint/fleet/provisional_view.h"
 #include "io/clock.h"
 #include "io/log_line.h"
 #include "io/simple_listeners.h"
@@ -352,6 +353,7 @@
         *out.mutable_update() = leader_.on_follow(now, in.from(), in.follow());
     }
     else {
+        offer_provisional(in.follow(), *out.mutable_update());
         out.mutable_update()->set_leader(log_->raft().leader().str());
     }
     for (const auto& member : log_->raft().members().members()) {
@@ -360,6 +362,29 @@
     send(daemon_id{in.from()}, std::move(out));
 }
 
+void control_daemon::offer_provisional(const wire::fleet_follow& to, wire::fleet_update& out)
+{
+    const auto known = log_->raft().commit();
+    const bool has_nothing = to.term() == 0 && to.version() < known;
+    if (!has_nothing || !log_->raft().leader().empty() || state_.version() == 0) {
+        return;
+    }
+    if (provisional_.to() != known) {
+        reason why;
+        const auto read = words_.read_configuration(state_.document(), why);
+        if (!read) {
+            return;
+        }
+        provisional_ = make_provisional_view(state_, *read, known);
+        log_line("provisional_view")
+            .with("index", known)
+            .with("config", state_.version())
+            .with("groups", state_.groups().size())
+            .write();
+    }
+    out = provisional_;
+}
+
 // --- calls of operators and runners -------------------------------------------------------------
 
 void control_daemon::answer(const reply_ptr& reply, int status, const std::string& body) const
@@ -473,7 +498,7 @@
         answer(reply, status_unavailable, R"({"error":"no configuration yet"})");
         return;
     }
-    answer(reply, status_ok, state_.configuration().text());
+    answer(reply, status_ok, state_.document());
 }
 
 void control_daemon::take_heartbeat(const runner_id& runner, const http_request& request,
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -46,6 +46,8 @@
     void receive(const wire::envelope& in);
     void on_look_failed(const runner_id& runner, look_failure how);
     void on_follow(instant now, const wire::envelope& in);
+    /// Adds a provisional view for an entry daemon that has none, while no leader is known.
+    void offer_provisional(const wire::fleet_follow& to, wire::fleet_update& out);
     void send(const daemon_id& to, wire::envelope out);
     [[nodiscard]] bool leads(instant now) const;
     [[nodiscard]] bool is_ready(instant now) const;
@@ -74,6 +76,7 @@
     QTimer timer_;
     std::uint64_t led_term_ = 0; ///< the term that this process leads or led last
     daemon_id known_leader_;
+    wire::fleet_update provisional_; ///< the latest that was made
     instant next_membership_;
     instant next_refresh_;
     instant next_summary_;
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -27,7 +27,7 @@
     window_budget budget;
     runner_pool pool;
     entry_metrics figures;
-    std::size_t daemons = 1; ///< entry daemons that share limits
+    std::size_t daemons = 0; ///< entry daemons that share limits; 0: not known yet
     std::mt19937_64 random;
     std::map<model_id, demand_count> demand;
     bool stopping = false;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_daemon.h"
 
+#include "cedarpoint/fleet/fleet_state.h"
 #include "io/clock.h"
 #include "io/log_line.h"
 #include "io/simple_listeners.h"
@@ -157,7 +158,8 @@
 void entry_daemon::take_configuration(const wire::accepted_configuration& accepted)
 {
     reason why;
-    auto read = context_.words.read_configuration(accepted.text(), why);
+    const auto document = read_document(accepted);
+    auto read = context_.words.read_configuration(document.value_or(""), why);
     if (!read) {
         refused_version_ = accepted.revision();
         log_line("configuration_unreadable")
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -1,11 +1,12 @@
 #include "entry/fleet_follower.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace cedarpoint {
 namespace {
 
 constexpr duration word_interval = milliseconds{200};
+constexpr duration first_word_interval = milliseconds{50}; ///< before it knows anything
 constexpr duration leader_patience = milliseconds{900};
 
 } // namespace
@@ -28,7 +29,7 @@
     if (now < next_word_) {
         return;
     }
-    next_word_ = now + word_interval;
+    next_word_ = now + (view_.version() == 0 ? first_word_interval : word_interval);
     if (has_leader(now)) {
         speak(leader_);
         return;
@@ -49,6 +50,7 @@
     follow.set_term(view_.term());
     follow.set_version(view_.version());
     follow.set_failure_domain(failure_domain_);
+    follow.set_behind(behind_);
     hooks_.fill(follow);
     hooks_.send(to, std::move(out));
 }
@@ -66,6 +68,7 @@
         if (!update.leader().empty()) {
             known_.emplace(update.leader());
         }
+        take_provisional(update);
         return;
     }
     const auto outcome = view_.take(update);
@@ -78,13 +81,29 @@
         hooks_.on_leader(leader_, true);
     }
     heard_ = now;
-    followers_ = std::max<std::size_t>(update.followers(), 1);
+    if (update.followers() > 0) {
+        followers_ = update.followers();
+    }
     hooks_.on_update(update);
     if (outcome == view_copy::outcome::gap) {
-        hurry();
+        if (!std::exchange(behind_, true)) {
+            hurry();
+        }
         return;
     }
+    behind_ = false;
     hooks_.on_view(outcome);
 }
 
+void fleet_follower::take_provisional(const wire::fleet_update& update)
+{
+    // Better than none: what a leader has told goes before it, whatever its age.
+    if (!update.provisional() || view_.term() > 0) {
+        return;
+    }
+    if (const auto outcome = view_.take(update); outcome == view_copy::outcome::applied) {
+        hooks_.on_view(outcome);
+    }
+}
+
 } // namespace cedarpoint
--- a/src/entry/fleet_follower.h
+++ b/src/entry/fleet_follower.h
@@ -32,12 +32,14 @@
     void receive(instant now, const wire::envelope& in);
 
     [[nodiscard]] const view_copy& view() const { return view_; }
+    /// Entry daemons that follow the same leader, this one with them; 0 while that is not known.
     [[nodiscard]] std::size_t followers() const { return followers_; }
     [[nodiscard]] instant heard() const { return heard_; }
     [[nodiscard]] bool has_leader(instant now) const;
 
 private:
     void speak(const daemon_id& to);
+    void take_provisional(const wire::fleet_update& update);
 
     hooks hooks_;
     std::string failure_domain_;
@@ -46,7 +48,8 @@
     instant heard_;
     instant next_word_;
     view_copy view_;
-    std::size_t followers_ = 1;
+    bool behind_ = true;        ///< what the leader holds for sent is not here
+    std::size_t followers_ = 0; ///< 0: not known yet
 };
 
 } // namespace cedarpoint
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -8,9 +8,11 @@
 
 constexpr duration forget_after = seconds{60};
 constexpr duration follower_silence = milliseconds{2500};
+constexpr duration resend_after = seconds{2};            ///< an update that was not confirmed
+constexpr duration resend_after_gap = milliseconds{400}; ///< one that the follower misses
 constexpr int heartbeats_to_lose = 3; ///< a plain runner that was not heard for so many is not used
 
-wire::fleet_item runner_item(const runner_record& record, bool accepting)
+wire::fleet_item runner_item(const runner_record& record)
 {
     wire::fleet_item item;
     auto& out = *item.mutable_runner();
@@ -19,7 +21,7 @@
     out.set_address(record.latest.address.str());
     out.set_failure_domain(record.latest.failure_domain.str());
     out.set_slots(static_cast<std::uint32_t>(record.latest.slots));
-    out.set_accepting(accepting);
+    out.set_accepting(true);
     return item;
 }
 
@@ -38,6 +40,7 @@
     sightings_.clear();
     followers_.clear();
     view_ = {};
+    viewed_version_ = 0;
     records_.clear();
     expect_registered(now);
     planner_.begin_term(now, term);
@@ -82,7 +85,7 @@
         return;
     }
     reason why;
-    if (auto read = words_.read_configuration(state_.configuration().text(), why)) {
+    if (auto read = words_.read_configuration(state_.document(), why)) {
         configuration_ = std::move(read);
         planner_.set_configuration(&*configuration_);
     }
@@ -166,7 +169,7 @@
         const auto* service = configuration_->find_service(record.latest.service);
         const bool plain = service == nullptr || !service->engine;
         if (plain && is_usable(now, record)) {
-            items[runner_key(runner.str())] = runner_item(record, true);
+            items[runner_key(runner.str())] = runner_item(record);
         }
     }
 }
@@ -195,7 +198,7 @@
         }
         out.set_accepting(serves);
         items[group_key(name.str())] = std::move(item);
-        auto head_item = runner_item(*record, true);
+        auto head_item = runner_item(*record);
         if (service != nullptr && service->engine) {
             head_item.mutable_runner()->set_slots(
                 static_cast<std::uint32_t>(service->engine->slots));
@@ -209,7 +212,8 @@
     if (!configuration_) {
         return;
     }
-    if (state_.version() > 0) {
+    if (state_.version() > viewed_version_) {
+        viewed_version_ = state_.version();
         view_.set_configuration(state_.configuration());
     }
     std::map<std::string, wire::fleet_item> items;
@@ -223,7 +227,9 @@
     auto out = view_.since(from);
     out.set_term(term_);
     out.set_leading(true);
-    out.set_followers(static_cast<std::uint32_t>(sightings_.followers(now)));
+    if (planner_.is_settled(now)) { // before that it has not heard them all
+        out.set_followers(static_cast<std::uint32_t>(sightings_.followers(now)));
+    }
     for (const auto& runner : planner_.suspects()) {
         if (const auto* record = registry_.find(runner); record != nullptr) {
             auto* suspect = out.add_suspects();
@@ -241,8 +247,13 @@
     auto& entry = followers_[name];
     entry.heard = now;
     const auto has = in.term() == term_ ? in.version() : 0;
-    entry.sent = view_.version();
-    auto out = make_update(now, has);
+    // What is on its way already is not sent again: a large view takes longer than a word's
+    // interval.
+    const auto patience = in.behind() ? resend_after_gap : resend_after;
+    const bool under_way = has < entry.sent && now - entry.sent_at < patience;
+    const auto from = under_way ? entry.sent : has;
+    auto out = make_update(now, from);
+    note_sent(now, entry, from);
     for (const auto& [runner, count] : sightings_.loads_without(now, name)) {
         auto* load = out.add_loads();
         load->set_runner(runner.str());
@@ -251,6 +262,14 @@
     return out;
 }
 
+void fleet_leader::note_sent(instant now, follower& entry, std::uint64_t from) const
+{
+    if (from < view_.version()) {
+        entry.sent_at = now;
+    }
+    entry.sent = view_.version();
+}
+
 std::vector<std::pair<std::string, wire::fleet_update>> fleet_leader::pending_updates(instant now)
 {
     std::vector<std::pair<std::string, wire::fleet_update>> out;
@@ -259,7 +278,7 @@
             continue;
         }
         out.emplace_back(name, make_update(now, entry.sent));
-        entry.sent = view_.version();
+        note_sent(now, entry, entry.sent);
     }
     return out;
 }
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -1,12 +1,30 @@
 #include "cedarpoint/fleet/fleet_state.h"
 
+#include "cedarpoint/core/packing.h"
+
 namespace cedarpoint {
+namespace {
+
+constexpr std::size_t most_document_bytes = 64 << 20;
+
+} // namespace
+
+std::optional<std::string> read_document(const wire::accepted_configuration& in)
+{
+    // Logs of earlier versions hold the text itself.
+    return in.packed().empty() ? in.text() : unpack(in.packed(), most_document_bytes);
+}
+
+std::string fleet_state::document() const
+{
+    return read_document(configuration_).value_or("");
+}
 
-std::string fleet_state::put_configuration(std::uint64_t version, std::string document)
+std::string fleet_state::put_configuration(std::uint64_t version, const std::string& document)
 {
     wire::fleet_command out;
     out.mutable_configuration()->set_revision(version);
-    out.mutable_configuration()->set_text(std::move(document));
+    out.mutable_configuration()->set_packed(pack(document));
     return out.SerializeAsString();
 }
 
--- a/src/fleet/window_budget.cpp
+++ b/src/fleet/window_budget.cpp
@@ -46,7 +46,7 @@
 bool window_budget::take(instant now, std::size_t daemons)
 {
     forget(now);
-    const auto share = options_.slack / static_cast<double>(std::max<std::size_t>(daemons, 1));
+    const auto share = daemons == 0 ? 0 : options_.slack / static_cast<double>(daemons);
     const auto most = options_.safety * (options_.ratio * sum(first_) + share);
     if (sum(repeats_) + 1 > most) {
         return false;
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -91,6 +91,37 @@
     EXPECT_TRUE(grants(it));
 }
 
+TEST(a_voter, knows_after_a_restart_what_was_committed_when_it_wrote_last)
+{
+    auto it = member_with(memory(1));
+    auto next = append(1, 1, 1, 1);
+    *next.add_entries() = entry(1, 2);
+    it.receive(start, b, next);
+    const auto written = it.take_output();
+    ASSERT_TRUE(written.has_batch);
+    EXPECT_EQ(written.batch.state().commit(), 1U) << "the second is not known to be committed";
+    auto kept = memory(1);
+    kept.hard = written.batch.state();
+    kept.entries.push_back(entry(1, 2));
+    auto again = member_with(std::move(kept));
+    const auto known = again.take_output();
+    ASSERT_EQ(known.committed.size(), 1U);
+    EXPECT_EQ(known.committed.front().index(), 1U);
+    EXPECT_EQ(again.commit(), 1U);
+}
+
+TEST(a_voter, asks_for_votes_soon_after_a_restart_in_which_nobody_leads)
+{
+    auto it = member_with(memory(1));
+    const auto patience = raft_options{}.election_timeout;
+    it.tick(start + patience - milliseconds{1});
+    EXPECT_TRUE(it.take_output().messages.empty()) << "a lease that it upheld may still run";
+    it.tick(start + patience + patience / 3);
+    const auto out = it.take_output();
+    ASSERT_EQ(out.messages.size(), 2U);
+    EXPECT_EQ(out.messages.front().message.kind(), msg::pre_vote);
+}
+
 TEST(a_voter, keeps_its_vote_of_a_term_through_a_restart)
 {
     auto it = member_with(memory(3));
--- /dev/null
+++ b/tests/fleet/fleet_leader_test.cpp
@@ -0,0 +1,162 @@
+// What the leading control daemon tells its followers, without sockets.
+
+#include "cedarpoint/core/packing.h"
+#include "cedarpoint/fleet/fleet_leader.h"
+#include "cedarpoint/fleet/provisional_view.h"
+#include "entry/fleet_follower.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace cedarpoint {
+namespace {
+
+constexpr instant start{seconds{100}};
+
+std::string document(int version, int routes)
+{
+    std::string out =
+        fmt::format(R"({{"version":{},"services":[{{"name":"shop"}}],"routes":[)", version);
+    for (int number = 0; number < routes; ++number) {
+        out += fmt::format(R"({}{{"name":"r-{}","host":"h.example","pathPrefix":"/p{}/",)"
+                           R"("kind":"safe","timeoutMs":2000,"service":"shop"}})",
+                           number == 0 ? "" : ",", number, number);
+    }
+    return out + "]}";
+}
+
+TEST(a_document, is_the_same_after_it_was_packed)
+{
+    const auto text = document(1, 500);
+    const auto packed = pack(text);
+    EXPECT_LT(packed.size(), text.size() / 5);
+    EXPECT_EQ(unpack(packed, text.size()), text);
+    EXPECT_EQ(unpack(pack(""), 0), "");
+    EXPECT_FALSE(unpack(packed, text.size() - 1)) << "larger than allowed";
+    EXPECT_FALSE(unpack(packed.substr(0, packed.size() / 2), text.size())) << "cut";
+    EXPECT_FALSE(unpack("no gzip", 100));
+}
+
+class a_leader_with_a_large_configuration : public testing::Test {
+protected:
+    a_leader_with_a_large_configuration()
+    {
+        state.apply(fleet_state::put_configuration(1, document(1, 900)));
+        leader.begin_term(start, 1);
+        leader.refresh_view(start);
+    }
+    wire::fleet_update ask(duration after, std::uint64_t version, bool behind = false)
+    {
+        wire::fleet_follow word;
+        word.set_term(version == 0 ? 0 : 1);
+        word.set_version(version);
+        word.set_behind(behind);
+        return leader.on_follow(start + after, "entry", word);
+    }
+    fleet_state state;
+    fleet_leader leader{{}, installed_dialect(), state};
+};
+
+TEST_F(a_leader_with_a_large_configuration, sends_it_once_while_it_is_under_way)
+{
+    ASSERT_EQ(ask(milliseconds{0}, 0).items_size(), 1);
+    EXPECT_EQ(ask(milliseconds{200}, 0).items_size(), 0);
+    EXPECT_EQ(ask(milliseconds{400}, 0).items_size(), 0);
+    EXPECT_EQ(ask(milliseconds{2100}, 0).items_size(), 1) << "it may be lost by now";
+}
+
+TEST_F(a_leader_with_a_large_configuration, sends_it_again_to_one_that_misses_it)
+{
+    ASSERT_EQ(ask(milliseconds{0}, 0, true).items_size(), 1);
+    EXPECT_EQ(ask(milliseconds{100}, 0, true).items_size(), 0);
+    EXPECT_EQ(ask(milliseconds{500}, 0, true).items_size(), 1);
+}
+
+TEST_F(a_leader_with_a_large_configuration, tells_changes_behind_what_is_under_way)
+{
+    const auto first = ask(milliseconds{0}, 0);
+    state.apply(fleet_state::put_configuration(2, document(2, 901)));
+    leader.refresh_view(start + milliseconds{50});
+    const auto pushed = leader.pending_updates(start + milliseconds{50});
+    ASSERT_EQ(pushed.size(), 1U);
+    view_copy copy;
+    EXPECT_EQ(copy.take(first), view_copy::outcome::applied);
+    EXPECT_EQ(copy.take(pushed.front().second), view_copy::outcome::applied);
+    EXPECT_EQ(copy.configuration()->revision(), 2U);
+    EXPECT_EQ(read_document(*copy.configuration()), document(2, 901));
+}
+
+TEST_F(a_leader_with_a_large_configuration, counts_followers_only_once_it_has_heard_them)
+{
+    EXPECT_EQ(ask(milliseconds{0}, 0).followers(), 0U);
+    EXPECT_EQ(ask(seconds{3}, 1).followers(), 1U);
+}
+
+/// A follower whose words are kept instead of sent.
+class a_follower_without_a_leader : public testing::Test {
+protected:
+    static fleet_settings settings()
+    {
+        fleet_settings out;
+        out.seeds = {{"10.0.0.1", 80}};
+        return out;
+    }
+    static wire::fleet_update provisional(std::uint64_t version, std::uint64_t index)
+    {
+        fleet_state state;
+        state.apply(fleet_state::put_configuration(version, document(1, 1)));
+        wire::fleet_command runner;
+        runner.mutable_registration()->set_runner("i-1");
+        runner.mutable_registration()->set_service("shop");
+        runner.mutable_registration()->set_address("10.0.0.9:80");
+        state.apply(runner.SerializeAsString());
+        reason why;
+        const auto read = installed_dialect().read_configuration(state.document(), why);
+        return make_provisional_view(state, *read, index);
+    }
+    void hear(const wire::fleet_update& update)
+    {
+        wire::envelope in;
+        in.set_from("10.0.0.1:7000");
+        *in.mutable_update() = update;
+        follower.receive(start, in);
+    }
+    int views = 0;
+    fleet_follower follower{settings(),
+                            {[](const daemon_id&, const wire::envelope&) {},
+                             [](wire::fleet_follow&) {}, [this](view_copy::outcome) { ++views; },
+                             [](const wire::fleet_update&) {}, [](const daemon_id&, bool) {}}};
+};
+
+TEST_F(a_follower_without_a_leader, begins_with_what_a_log_holds_for_certain)
+{
+    hear(provisional(5, 40));
+    EXPECT_EQ(views, 1);
+    EXPECT_EQ(follower.view().configuration()->revision(), 5U);
+    EXPECT_TRUE(follower.view().items().contains(runner_key("i-1")));
+    EXPECT_EQ(follower.followers(), 0U) << "how many share its limits is not known";
+    hear(provisional(4, 30));
+    EXPECT_EQ(follower.view().configuration()->revision(), 5U) << "an older log changes nothing";
+    hear(provisional(6, 50));
+    EXPECT_EQ(follower.view().configuration()->revision(), 6U);
+}
+
+TEST_F(a_follower_without_a_leader, takes_any_leaders_view_instead_and_none_from_a_log_after_it)
+{
+    hear(provisional(5, 40));
+    wire::fleet_update led;
+    led.set_term(2);
+    led.set_leading(true);
+    led.set_reset(true);
+    led.set_to(1);
+    hear(led);
+    EXPECT_TRUE(follower.view().items().empty());
+    EXPECT_EQ(follower.view().configuration()->revision(), 5U) << "it never goes back";
+    hear(provisional(9, 90));
+    EXPECT_EQ(follower.view().configuration()->revision(), 5U);
+}
+
+} // namespace
+} // namespace cedarpoint
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -29,9 +29,9 @@
     state.apply(fleet_state::put_configuration(5, "five"));
     state.apply(fleet_state::put_configuration(7, "another seven"));
     EXPECT_EQ(state.version(), 7U);
-    EXPECT_EQ(state.configuration().text(), "seven");
+    EXPECT_EQ(state.document(), "seven");
     state.apply(fleet_state::put_configuration(9, "nine"));
-    EXPECT_EQ(state.configuration().text(), "nine");
+    EXPECT_EQ(state.document(), "nine");
 }
 
 TEST(a_departure, is_never_taken_back_and_outlives_a_snapshot)
--- a/tests/fleet/route_table_test.cpp
+++ b/tests/fleet/route_table_test.cpp
@@ -71,6 +71,13 @@
     EXPECT_TRUE(budget.take(now + seconds{11}, 2)) << "the window has passed";
 }
 
+TEST(a_budget, has_no_part_of_the_slack_while_the_daemons_are_not_counted)
+{
+    window_budget budget{{.ratio = 0.2, .slack = 100, .safety = 1}};
+    EXPECT_FALSE(budget.take(instant{}, 0));
+    EXPECT_TRUE(budget.take(instant{}, 4));
+}
+
 TEST(a_request_that_may_run_once, is_sent_again_only_if_it_did_not_run)
 {
     attempt_facts facts{.repeat = repeat_policy::at_most_once, .sent = 1, .max_attempts = 2};
