Groups: all that fit before requests come; doubted and slow runners come after the others

Change: in a fabric domain of one model every group that fits is wanted. Entry daemons tell their waits (pauses of streams, times to plain answers); the leader compares runners with their peers and puts 'slowness' and 'doubted' into the view; both only order the choice, nothing is excluded by them.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -59,7 +59,10 @@
     void take_configuration();
     [[nodiscard]] wire::fleet_update make_update(instant now, std::uint64_t from) const;
     void add_plain_runners(instant now, std::map<std::string, wire::fleet_item>& items) const;
-    void add_groups(std::map<std::string, wire::fleet_item>& items) const;
+    void add_groups(instant now, std::map<std::string, wire::fleet_item>& items) const;
+    /// Marks among runners that could stand in for each other those to be avoided.
+    void add_outlook(instant now, const std::vector<runner_id>& peers,
+                     std::map<std::string, wire::fleet_item>& items) const;
     [[nodiscard]] bool is_usable(instant now, const runner_record& record) const;
 
     planner_options options_;
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -163,6 +163,11 @@
     /// Groups of a model that there should be: by its share, and more while it is under pressure.
     [[nodiscard]] std::size_t wanted_groups(instant now, const fleet_service& service,
                                             const engine_model& model) const;
+    /// Groups that fit into the fabric domains that hold the model's weights.
+    [[nodiscard]] std::size_t groups_at_home(const fleet_service& service,
+                                             const engine_model& model) const;
+    /// Groups of each model where the domains are shared by all models.
+    [[nodiscard]] std::size_t shared_groups(const fleet_service& service) const;
     /// How full a model's groups are; above 1 requests are turned away.
     [[nodiscard]] double pressure(instant now, const fleet_service& service,
                                   const engine_model& model) const;
@@ -178,6 +183,7 @@
                                                   const std::vector<runner_id>& runners) const;
     [[nodiscard]] bool is_home(const fabric_domain_id& domain, const model_id& model) const;
     [[nodiscard]] std::size_t count_runners(const service_id& service) const;
+    [[nodiscard]] bool is_in_use(const runner_record& record, const service_id& service) const;
     /// Loads of groups that are being formed; these go before staging.
     [[nodiscard]] std::size_t joins_loading() const;
     void order(instant now, const group_order& order);
--- a/include/cedarpoint/fleet/sighting_board.h
+++ b/include/cedarpoint/fleet/sighting_board.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/fleet/pace_board.h"
 #include "control.pb.h"
 
 #include <map>
@@ -35,9 +36,10 @@
     [[nodiscard]] std::size_t followers(instant now) const;
     /// Requests started for a model since the beginning, over all followers.
     [[nodiscard]] std::uint64_t started() const { return started_; }
+    [[nodiscard]] const pace_board& paces() const { return paces_; }
     /// Requests for a model that found no place, lately; a second, about.
     [[nodiscard]] double refused_rate(instant now, const model_id& model) const;
-    void clear() { words_.clear(); }
+    void clear();
 
 private:
     struct words {
@@ -53,6 +55,7 @@
     };
     static double faded(const fading_count& in, instant now);
 
+    pace_board paces_;
     std::map<model_id, fading_count> refused_;
     std::uint64_t started_ = 0;
 };
--- a/include/cedarpoint/fleet/target_set.h
+++ b/include/cedarpoint/fleet/target_set.h
@@ -25,6 +25,8 @@
     failure_domain_id failure_domain;
     int slots = 1;
     bool accepting = true;
+    bool doubted = false; ///< the leader sees its streams stand still
+    int slowness = 1;     ///< how many times slower than its peers
 };
 
 /// What this daemon has seen of a target by its own requests.
@@ -35,8 +37,10 @@
     instant latest_byte;
     int unreachable = 0; ///< connections not made since the latest byte
     bool refused = false;
-    int failures = 0;    ///< in a row
-    instant avoid_until; ///< not chosen while others can be
+    int failures = 0;        ///< in a row
+    std::uint32_t waits = 0; ///< pauses or times to an answer that the leader was not told yet
+    duration waited{};       ///< their sum
+    instant avoid_until;     ///< not chosen while others can be
 };
 
 /// Which target to send to, and what this daemon saw of each.
@@ -61,13 +65,15 @@
     void on_sent(instant now, const runner_id& runner);
     void on_byte(instant now, const runner_id& runner);
     void on_done(const runner_id& runner);
+    /// A stream's event came `wait` after the one before it, or a plain answer after its request.
+    void on_wait(const runner_id& runner, duration wait);
     void on_success(const runner_id& runner);
     /// An answer that never came, or was spoiled, or a refusal.
     void on_failure(instant now, const runner_id& runner);
     void on_unreachable(instant now, const runner_id& runner, bool refused);
 
-    /// What the leader is told.
-    void add_sightings(instant now, wire::fleet_follow& out) const;
+    /// What the leader is told; waits are told once.
+    void add_sightings(instant now, wire::fleet_follow& out);
     [[nodiscard]] int in_flight(const runner_id& runner) const;
     [[nodiscard]] const std::map<runner_id, fleet_target>& targets() const { return targets_; }
 
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -198,6 +198,7 @@
     head_.reset();
     body_.clear();
     streaming_ = false;
+    event_of_runner_ = false;
     events_ = {};
     exchange_request out;
     out.bytes = serialize_for(target, left);
@@ -211,6 +212,7 @@
     exchange_handlers handlers;
     handlers.on_sent = [this] {
         sent_ = true;
+        sent_at_ = steady_now();
         ++facts_.sent;
         if (is_stream()) {
             arm_silence(std::max(first_event_patience, 2 * route_->target_latency));
@@ -320,7 +322,11 @@
     }
     else {
         context_.figures.observe_pause(now - last_event_at_);
+        if (event_of_runner_) {
+            context_.targets.on_wait(runner_, now - last_event_at_);
+        }
     }
+    event_of_runner_ = true;
     last_event_at_ = now;
     reply_->write(std::string{event});
     arm_silence(std::max(shortest_silence, 2 * route_->target_gap));
@@ -435,6 +441,9 @@
         }
         else {
             context_.targets.on_success(runner_);
+            if (model_.empty()) {
+                context_.targets.on_wait(runner_, steady_now() - sent_at_);
+            }
         }
         after(fine ? attempt_outcome::succeeded : attempt_outcome::may_have_run,
               fine ? "" : "the answer is not the runner's");
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -81,6 +81,8 @@
     runner_id runner_;
     group_id group_;
     bool sent_ = false;
+    instant sent_at_;
+    bool event_of_runner_ = false; ///< the latest event came from the present attempt
     std::optional<http_head> head_;
     std::string body_;
     sse_splitter events_;
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -162,20 +162,38 @@
            now - record.heard < options_.heartbeat * heartbeats_to_lose;
 }
 
+void fleet_leader::add_outlook(instant now, const std::vector<runner_id>& peers,
+                               std::map<std::string, wire::fleet_item>& items) const
+{
+    for (const auto& peer : peers) {
+        const bool still = sightings_.look(now, peer).stands_still;
+        items[runner_key(peer.str())].mutable_runner()->set_doubted(still);
+    }
+    for (const auto& [peer, slowness] : sightings_.paces().slow_among(now, peers)) {
+        items[runner_key(peer.str())].mutable_runner()->set_slowness(slowness);
+    }
+}
+
 void fleet_leader::add_plain_runners(instant now,
                                      std::map<std::string, wire::fleet_item>& items) const
 {
+    std::map<service_id, std::vector<runner_id>> peers;
     for (const auto& [runner, record] : registry_.records()) {
         const auto* service = configuration_->find_service(record.latest.service);
         const bool plain = service == nullptr || !service->engine;
         if (plain && is_usable(now, record)) {
             items[runner_key(runner.str())] = runner_item(record);
+            peers[record.latest.service].push_back(runner);
         }
     }
+    for (const auto& [service, runners] : peers) {
+        add_outlook(now, runners, items);
+    }
 }
 
-void fleet_leader::add_groups(std::map<std::string, wire::fleet_item>& items) const
+void fleet_leader::add_groups(instant now, std::map<std::string, wire::fleet_item>& items) const
 {
+    std::map<model_id, std::vector<runner_id>> peers;
     for (const auto& [name, group] : planner_.groups()) {
         const bool serves = group.phase == plan_phase::serving;
         if (!serves && group.phase != plan_phase::retiring) {
@@ -204,6 +222,10 @@
                 static_cast<std::uint32_t>(service->engine->slots));
         }
         items[runner_key(head.str())] = std::move(head_item);
+        peers[group.model].push_back(head);
+    }
+    for (const auto& [model, heads] : peers) {
+        add_outlook(now, heads, items);
     }
 }
 
@@ -218,7 +240,7 @@
     }
     std::map<std::string, wire::fleet_item> items;
     add_plain_runners(now, items);
-    add_groups(items);
+    add_groups(now, items);
     view_.replace(items);
 }
 
--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -126,14 +126,17 @@
 {
     std::size_t out = 0;
     for (const auto& [runner, record] : registry_.records()) {
-        out += record.latest.service == service && registry_.is_present(record) &&
-                       !is_doubted(runner, 1) && !record.latest.draining
-                   ? 1
-                   : 0;
+        out += is_in_use(record, service) ? 1 : 0;
     }
     return out;
 }
 
+bool group_planner::is_in_use(const runner_record& record, const service_id& service) const
+{
+    return record.latest.service == service && registry_.is_present(record) &&
+           !is_doubted(record.latest.id, 1) && !record.latest.draining;
+}
+
 double group_planner::pressure(instant now, const fleet_service& service,
                                const engine_model& model) const
 {
@@ -149,19 +152,43 @@
     return (in_flight + waiting) / std::max(places, 1);
 }
 
-std::size_t group_planner::wanted_groups(instant now, const fleet_service& service,
-                                         const engine_model& model) const
+std::size_t group_planner::groups_at_home(const fleet_service& service,
+                                          const engine_model& model) const
+{
+    std::map<fabric_domain_id, std::size_t> runners;
+    for (const auto& [runner, record] : registry_.records()) {
+        if (is_in_use(record, service.name) && is_home(record.latest.fabric_domain, model.name)) {
+            ++runners[record.latest.fabric_domain];
+        }
+    }
+    std::size_t out = 0;
+    for (const auto& [domain, count] : runners) {
+        out += count / std::max<std::size_t>(model.group_size, 1);
+    }
+    return out;
+}
+
+std::size_t group_planner::shared_groups(const fleet_service& service) const
 {
     // The rest are spares: what a lost member is replaced with at once.
     constexpr double used = 0.8;
-    constexpr double pressed = 0.5;
     double runners_a_round = 0; ///< one group of each model
     for (const auto& each : service.engine->models) {
         runners_a_round += static_cast<double>(each.group_size);
     }
     const auto runners = static_cast<double>(count_runners(service.name)) * used;
-    const auto base = static_cast<std::size_t>(
+    return static_cast<std::size_t>(
         std::lround(std::max(1.0, runners / std::max(runners_a_round, 1.0))));
+}
+
+std::size_t group_planner::wanted_groups(instant now, const fleet_service& service,
+                                         const engine_model& model) const
+{
+    constexpr double pressed = 0.5;
+    // In a domain of one model every group that fits is worth having: when one breaks, its
+    // survivors are the spares of the others.
+    const auto base = homes_.empty() ? shared_groups(service)
+                                     : std::max<std::size_t>(groups_at_home(service, model), 1);
     const auto groups = count_groups(model.name);
     const bool is_pressed = groups >= base && pressure(now, service, model) > pressed;
     return is_pressed ? groups + 1 : base;
--- a/src/fleet/sighting_board.cpp
+++ b/src/fleet/sighting_board.cpp
@@ -22,7 +22,10 @@
     entry.sightings.clear();
     entry.checks.clear();
     for (const auto& each : in.sightings()) {
-        entry.sightings[runner_id{each.runner()}] = each;
+        const runner_id runner{each.runner()};
+        paces_.note(now, runner, each.waits(),
+                    duration{static_cast<duration::rep>(each.waited_us())});
+        entry.sightings[runner] = each;
     }
     for (const auto& each : in.checks()) {
         entry.checks[runner_id{each.runner()}] = {now - milliseconds{each.age_ms()},
@@ -36,6 +39,12 @@
     }
 }
 
+void sighting_board::clear()
+{
+    words_.clear();
+    paces_.clear();
+}
+
 double sighting_board::faded(const fading_count& in, instant now)
 {
     const auto age = std::chrono::duration<double>(now - in.at).count();
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -1,6 +1,7 @@
 #include "cedarpoint/fleet/target_set.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cedarpoint {
 namespace {
@@ -46,6 +47,8 @@
         target.failure_domain = failure_domain_id{in.failure_domain()};
         target.slots = static_cast<int>(in.slots());
         target.accepting = in.accepting();
+        target.doubted = in.doubted();
+        target.slowness = std::max(static_cast<int>(in.slowness()), 1);
         if (const auto head = heads.find(target.runner); head != heads.end()) {
             target.model = model_id{head->second->model()};
             target.group = group_id{head->second->name()};
@@ -79,12 +82,12 @@
 {
     const auto& record = records_[target.runner];
     std::uniform_real_distribution<double> spread(0, 0.5);
-    double out = record.in_flight + spread(random_);
+    double out = (record.in_flight + 1) * target.slowness + spread(random_);
     if (target.failure_domain != home_) {
         out += other_domain;
     }
     const bool still = record.in_flight > 0 && now - record.waits_since > doubtful_silence;
-    if (now < record.avoid_until || still) {
+    if (now < record.avoid_until || still || target.doubted) {
         out += avoided;
     }
     return out;
@@ -154,6 +157,13 @@
     record.in_flight = std::max(0, record.in_flight - 1);
 }
 
+void target_set::on_wait(const runner_id& runner, duration wait)
+{
+    auto& record = records_[runner];
+    ++record.waits;
+    record.waited += wait;
+}
+
 void target_set::on_success(const runner_id& runner)
 {
     records_[runner].failures = 0;
@@ -181,10 +191,11 @@
     return found == records_.end() ? 0 : found->second.in_flight;
 }
 
-void target_set::add_sightings(instant now, wire::fleet_follow& out) const
+void target_set::add_sightings(instant now, wire::fleet_follow& out)
 {
-    for (const auto& [runner, record] : records_) {
-        if (record.in_flight == 0 && record.unreachable == 0 && !record.refused) {
+    for (auto& [runner, record] : records_) {
+        if (record.in_flight == 0 && record.unreachable == 0 && !record.refused &&
+            record.waits == 0) {
             continue;
         }
         auto* seen = out.add_sightings();
@@ -197,6 +208,8 @@
         const auto since_byte =
             std::min<std::int64_t>(to_ms(now - record.latest_byte), longest_told);
         seen->set_byte_ms(static_cast<std::uint32_t>(since_byte));
+        seen->set_waits(std::exchange(record.waits, 0));
+        seen->set_waited_us(static_cast<std::uint64_t>(std::exchange(record.waited, {}).count()));
     }
 }
 
--- a/tests/fleet/group_planner_test.cpp
+++ b/tests/fleet/group_planner_test.cpp
@@ -40,6 +40,18 @@
     EXPECT_EQ(told(world.broken()), "");
 }
 
+TEST(a_fabric_domain, of_one_model_forms_every_group_that_fits_before_requests_come)
+{
+    planner_world world{{}};
+    world.in_flight = 0;
+    world.add_runners("a-0", 37);
+    world.add_runners("a-1", 37);
+    world.run(seconds{12});
+    EXPECT_EQ(world.serving("large"), 9U) << "of four runners each";
+    EXPECT_EQ(world.serving("small"), 12U) << "of three";
+    EXPECT_EQ(told(world.broken()), "");
+}
+
 TEST(a_group, that_loses_a_member_serves_again_with_a_spare)
 {
     planner_world world{{}};
--- a/tests/fleet/runner_registry_test.cpp
+++ b/tests/fleet/runner_registry_test.cpp
@@ -109,6 +109,27 @@
         << "one of them has not tried";
 }
 
+TEST(a_runner, is_slow_only_by_comparison_with_its_peers)
+{
+    const std::vector<runner_id> peers{runner_id{"i-1"}, runner_id{"i-2"}, runner_id{"i-3"}};
+    pace_board paces;
+    const auto note = [&](const char* runner, std::uint32_t waits, milliseconds each) {
+        paces.note(start, runner_id{runner}, waits, each * waits);
+    };
+    note("i-1", 50, milliseconds{50});
+    note("i-2", 50, milliseconds{60});
+    note("i-3", 3, milliseconds{500});
+    EXPECT_TRUE(paces.slow_among(start, peers).empty()) << "three pauses say too little";
+    note("i-3", 50, milliseconds{220});
+    const auto slow = paces.slow_among(start, peers);
+    ASSERT_EQ(slow.size(), 1U);
+    EXPECT_EQ(slow.at(runner_id{"i-3"}), 4U);
+    EXPECT_TRUE(paces.slow_among(start + seconds{5}, peers).empty()) << "it is tried again";
+    note("i-1", 200, milliseconds{220});
+    note("i-2", 200, milliseconds{220});
+    EXPECT_TRUE(paces.slow_among(start, peers).empty()) << "load slows all of them";
+}
+
 TEST(loads, keep_to_the_stores_rate_but_for_the_time_before_requests_come)
 {
     load_limiter limiter;
@@ -168,6 +189,38 @@
     EXPECT_EQ(lack, target_set::lack::absent);
 }
 
+TEST(a_target, that_is_slow_or_stands_still_comes_after_the_others)
+{
+    target_set targets{failure_domain_id{"z"}, 1};
+    const auto item = [](const std::string& id, bool doubted, std::uint32_t slowness) {
+        wire::fleet_item out;
+        out.mutable_runner()->set_id(id);
+        out.mutable_runner()->set_service("pool");
+        out.mutable_runner()->set_address("10.0.0.1:80");
+        out.mutable_runner()->set_failure_domain("z");
+        out.mutable_runner()->set_slots(20);
+        out.mutable_runner()->set_accepting(true);
+        out.mutable_runner()->set_doubted(doubted);
+        out.mutable_runner()->set_slowness(slowness);
+        return out;
+    };
+    targets.update({{"1", item("i-1", false, 4)}, {"2", item("i-2", false, 0)}});
+    const auto choose = [&] {
+        auto why = target_set::lack::none;
+        return targets.choose(start, service_id{"pool"}, {}, {}, why)->runner.str();
+    };
+    for (int sent = 0; sent < 3; ++sent) {
+        EXPECT_EQ(choose(), "i-2") << sent;
+        targets.on_sent(start, runner_id{"i-2"});
+    }
+    targets.on_sent(start, runner_id{"i-2"});
+    EXPECT_EQ(choose(), "i-1") << "four times slower, but the other has four already";
+    targets.update({{"1", item("i-1", true, 0)}, {"2", item("i-2", false, 0)}});
+    EXPECT_EQ(choose(), "i-2");
+    targets.update({{"1", item("i-1", true, 0)}});
+    EXPECT_EQ(choose(), "i-1") << "better than none";
+}
+
 TEST(a_target, that_failed_is_avoided_for_a_while)
 {
     target_set targets{failure_domain_id{"zone"}, 1};
