Control: a voter that is gone gives its place to a learner

Change: the leader demotes a voter that has been silent for 3 s once a learner follows closely, and promotes that one; a learner silent for a minute is dropped, and asks to join when it comes back. Tests failed first (no such policy).

--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -160,6 +160,14 @@
     return found == progress_.end() ? std::nullopt : found->second.acked;
 }
 
+duration raft_node::silence_of(instant now, const member_id& it) const
+{
+    if (it == self_) {
+        return {};
+    }
+    return now - heard_from(it).value_or(lead_since_);
+}
+
 bool raft_node::change_membership(instant now, const member_id& member, bool present, bool voter)
 {
     if (role_ != role::leader || members_index_ > commit_ || commit_ < term_start_) {
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -237,18 +237,37 @@
         ask_to_join();
         return;
     }
-    const auto next = next_promotion(now, log_->raft(), voters_for(own_.tolerated_losses));
-    if (next && log_->change_membership(now, *next, true, true)) {
-        log_line("member").with("member", next->str()).with("voter", true).write();
+    const auto wanted = voters_for(own_.tolerated_losses);
+    if (const auto next = next_promotion(now, log_->raft(), wanted)) {
+        change_member(now, *next, true, true);
     }
+    else if (const auto silent = next_demotion(now, log_->raft(), wanted)) {
+        change_member(now, *silent, true, false);
+        // Its place is taken at once: until then the log bears one loss less.
+        next_membership_ = now;
+    }
+    else if (const auto gone = next_removal(now, log_->raft())) {
+        change_member(now, *gone, false, false);
+    }
+}
+
+bool control_daemon::change_member(instant now, const member_id& member, bool present, bool voter)
+{
+    if (!log_->change_membership(now, member, present, voter)) {
+        return false;
+    }
+    log_line("member")
+        .with("member", member.str())
+        .with("present", present)
+        .with("voter", voter)
+        .write();
+    return true;
 }
 
 void control_daemon::ask_to_join()
 {
-    const auto& members = log_->raft().members().members();
-    const bool is_member = std::any_of(members.begin(), members.end(),
-                                       [&](const auto& each) { return each.id() == id_.str(); });
-    if (is_member || !log_->raft().leader().empty()) {
+    // One that the others dropped while it was away doesn't know that: it asks as well.
+    if (!log_->raft().leader().empty()) {
         return;
     }
     for (const auto& seed : own_.seeds) {
@@ -275,9 +294,8 @@
         }
         return;
     }
-    if (!known && endpoint::parse(member.str()) &&
-        log_->change_membership(now, member, true, false)) {
-        log_line("member").with("member", member.str()).with("voter", false).write();
+    if (!known && endpoint::parse(member.str())) {
+        change_member(now, member, true, false);
     }
 }
 
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -41,6 +41,7 @@
     void lead(instant now);
     void push_view(instant now);
     void keep_members(instant now);
+    bool change_member(instant now, const member_id& member, bool present, bool voter);
     void ask_to_join();
     void on_join(instant now, const wire::envelope& in);
     void receive(const wire::envelope& in);
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -372,6 +372,17 @@
         answer(b);
         answer(c);
     }
+    /// Time passes in which only `present` answer.
+    void pass(duration time, const std::vector<member_id>& present)
+    {
+        constexpr duration step = milliseconds{500};
+        for (const auto end = now + time; now < end;) {
+            now += step;
+            for (const auto& each : present) {
+                answer(each);
+            }
+        }
+    }
     instant now = start + seconds{3};
     std::optional<raft_node> leader;
 };
@@ -401,5 +412,37 @@
     EXPECT_NE(*second, *first);
 }
 
+TEST_F(a_log_that_grows, gives_a_silent_voters_place_to_a_learner)
+{
+    const member_id d{"d"};
+    const auto wanted = voters_for(1);
+    add_learner(d);
+    pass(seconds{2}, {b, d});
+    EXPECT_FALSE(next_demotion(now, *leader, wanted).has_value()) << "c is silent for 2 s only";
+    pass(seconds{2}, {b});
+    EXPECT_FALSE(next_demotion(now, *leader, wanted).has_value()) << "nobody could replace it";
+    answer(d);
+    ASSERT_EQ(next_demotion(now, *leader, wanted), c);
+    EXPECT_FALSE(next_promotion(now, *leader, wanted).has_value());
+    ASSERT_TRUE(leader->change_membership(now, c, true, false));
+    pass(milliseconds{500}, {b, d});
+    EXPECT_EQ(next_promotion(now, *leader, wanted), d);
+    ASSERT_TRUE(leader->change_membership(now, d, true, true));
+    pass(milliseconds{500}, {b, d});
+    EXPECT_FALSE(next_demotion(now, *leader, wanted).has_value());
+    EXPECT_FALSE(next_removal(now, *leader).has_value());
+}
+
+TEST_F(a_log_that_grows, forgets_a_learner_that_is_silent_for_a_minute)
+{
+    const member_id d{"d"};
+    add_learner(d);
+    answer(d);
+    pass(seconds{59}, {b, c});
+    EXPECT_FALSE(next_removal(now, *leader).has_value());
+    pass(seconds{2}, {b, c});
+    EXPECT_EQ(next_removal(now, *leader), d);
+}
+
 } // namespace
 } // namespace cedarpoint
