--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -105,7 +105,8 @@
     [[nodiscard]] const wire::membership& members() const { return members_; }
     [[nodiscard]] bool is_voter(const member_id& it) const;
     [[nodiscard]] std::uint64_t match_of(const member_id& it) const;
-    /// Leader: since when a member has not answered, counted from the beginning of its term at most.
+    /// Leader: since when a member has not answered, counted from the beginning of its term at
+    /// most.
     [[nodiscard]] duration silence_of(instant now, const member_id& it) const;
     [[nodiscard]] std::optional<instant> heard_from(const member_id& it) const;
     [[nodiscard]] const wire::log_snapshot& snapshot() const { return snapshot_; }
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -125,8 +125,10 @@
     void look_at_members(instant now, const planned_group& group);
 
     void form(instant now);
+    /// False while the fleet is starting and runners are still announcing themselves: which models
+    /// the fabric domains are given depends on all of them.
+    [[nodiscard]] bool has_heard_fleet(instant now) const;
     struct proposal {
-        fabric_domain_id domain;
         const fleet_service* service = nullptr;
         const engine_model* model = nullptr;
         std::vector<runner_id> members;
@@ -136,6 +138,15 @@
     using free_map = std::map<fabric_domain_id, std::vector<runner_id>>;
     [[nodiscard]] std::optional<proposal> best_proposal(instant now, const free_map& free) const;
     void begin_group(instant now, const proposal& chosen, free_map& free);
+    /// A group over several fabric domains, for a model that turns requests away while no domain
+    /// has enough free runners with its weights. It is slower, but serves.
+    [[nodiscard]] std::optional<proposal> propose_spread(instant now, const fleet_service& service,
+                                                         const engine_model& model,
+                                                         const free_map& free) const;
+    /// True if a group over several fabric domains could be formed anew within one of them.
+    [[nodiscard]] bool could_be_local(const planned_group& group, const free_map& free) const;
+    void form_spread(instant now, free_map& free);
+    void retire_spread(instant now, const free_map& free);
     [[nodiscard]] std::optional<proposal> propose(instant now, const fleet_service& service,
                                                   const engine_model& model,
                                                   const std::vector<runner_id>& free) const;
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -4,6 +4,7 @@
 #include "cedarpoint/fleet/announcement.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,12 +45,15 @@
         return !record.dead && !record.superseded && owns_address(record);
     }
     [[nodiscard]] const std::map<runner_id, runner_record>& records() const { return records_; }
+    /// When the latest runner that was not known before announced itself; empty before the first.
+    [[nodiscard]] std::optional<instant> latest_news() const { return latest_news_; }
 
 private:
     [[nodiscard]] bool may_own(instant now, const announcement& in, bool news) const;
 
     std::map<runner_id, runner_record> records_;
     std::map<endpoint, runner_id> owners_;
+    std::optional<instant> latest_news_;
 };
 
 } // namespace cedarpoint
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -129,7 +129,7 @@
     for (const auto& name : finished_) {
         groups_.erase(name);
     }
-    if (is_settled(now)) {
+    if (is_settled(now) && has_heard_fleet(now)) {
         form(now);
     }
     return std::exchange(steps_, {});
@@ -247,11 +247,10 @@
     group.model = chosen.model->name;
     group.loads = chosen.loads;
     loads_.begin(now, chosen.loads);
-    auto& runners = free[chosen.domain];
     for (const auto& member : group.members) {
         placed_[member] = group.name;
         last_model_[member] = group.model;
-        std::erase(runners, member);
+        std::erase(free[registry_.find(member)->latest.fabric_domain], member);
     }
     auto& kept = groups_[group.name] = std::move(group);
     enter(now, kept, plan_phase::joining, "formed");
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -31,6 +31,9 @@
 {
     auto [found, added] = records_.try_emplace(in.id);
     auto& record = found->second;
+    if (added) {
+        latest_news_ = now;
+    }
     if (!added && (in.sequence <= record.latest.sequence || record.superseded)) {
         return false;
     }
@@ -84,6 +87,7 @@
 {
     records_.clear();
     owners_.clear();
+    latest_news_.reset();
 }
 
 const runner_record* runner_registry::find(const runner_id& runner) const
