Groups over domains only after three seconds of pressure

Cause: such a group takes the spares of all its domains. Change: pressure must have lasted 3 s, longer than a repair from spares takes.

--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -295,8 +295,10 @@
                                                                      const engine_model& model,
                                                                      const free_map& free) const
 {
-    constexpr double turns_away = 0.9; ///< of its places are taken
-    if (sightings_.started() == 0 || pressure(now, service, model) < turns_away) {
+    // Sooner it would only take the spares with which the domains repair their own groups.
+    constexpr duration patience = seconds{3};
+    const auto pressed = pressed_since_.find(model.name);
+    if (pressed == pressed_since_.end() || now - pressed->second < patience) {
         return {};
     }
     // The domains with the most first: the fewer they are, the fewer cuts between them can break
@@ -325,6 +327,18 @@
     return out.members.size() == model.group_size ? std::optional{std::move(out)} : std::nullopt;
 }
 
+void group_planner::note_pressure(instant now, const fleet_service& service,
+                                  const engine_model& model)
+{
+    constexpr double turns_away = 0.9; ///< of its places are taken
+    if (sightings_.started() > 0 && pressure(now, service, model) >= turns_away) {
+        pressed_since_.try_emplace(model.name, now);
+    }
+    else {
+        pressed_since_.erase(model.name);
+    }
+}
+
 void group_planner::form_spread(instant now, free_map& free)
 {
     for (const auto& service : configuration_->services) {
@@ -332,8 +346,10 @@
             continue;
         }
         for (const auto& model : service.engine->models) {
+            note_pressure(now, service, model);
             if (const auto chosen = propose_spread(now, service, model, free)) {
                 begin_group(now, *chosen, free);
+                pressed_since_.erase(model.name);
             }
         }
     }
