Lost updates are sent again while changes go on; groups over fabric domains reverted

An unconfirmed update is sent again after 1 s. Kept of it: no group before the fleet has announced itself (a_start.waits_until_no_more_runners_announce_themselves).

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -50,11 +50,13 @@
 private:
     struct follower {
         instant heard;
-        std::uint64_t sent = 0; ///< version of the latest update
-        instant sent_at;        ///< of the latest update that held anything
+        std::uint64_t sent = 0;      ///< version of the latest update
+        std::uint64_t confirmed = 0; ///< what it said that it has
+        /// When it confirmed more than before, or was sent again all that it lacks. Changes sent
+        /// meanwhile don't count: they are of no use to one that misses what came before them.
+        instant progress_at;
     };
 
-    void note_sent(instant now, follower& entry, std::uint64_t from) const;
     void expect_registered(instant now);
     void take_configuration();
     [[nodiscard]] wire::fleet_update make_update(instant now, std::uint64_t from) const;
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -138,16 +138,6 @@
     using free_map = std::map<fabric_domain_id, std::vector<runner_id>>;
     [[nodiscard]] std::optional<proposal> best_proposal(instant now, const free_map& free) const;
     void begin_group(instant now, const proposal& chosen, free_map& free);
-    /// A group over several fabric domains, for a model that has turned requests away for long
-    /// while no domain has enough free runners with its weights. It is slower, but serves.
-    [[nodiscard]] std::optional<proposal> propose_spread(instant now, const fleet_service& service,
-                                                         const engine_model& model,
-                                                         const free_map& free) const;
-    /// True if a group over several fabric domains could be formed anew within one of them.
-    [[nodiscard]] bool could_be_local(const planned_group& group, const free_map& free) const;
-    void form_spread(instant now, free_map& free);
-    void note_pressure(instant now, const fleet_service& service, const engine_model& model);
-    void retire_spread(instant now, const free_map& free);
     [[nodiscard]] std::optional<proposal> propose(instant now, const fleet_service& service,
                                                   const engine_model& model,
                                                   const std::vector<runner_id>& free) const;
@@ -223,8 +213,7 @@
     std::map<runner_id, int> unanswered_;                       ///< looks in a row
     std::map<runner_id, std::pair<model_id, instant>> staging_; ///< until when at the latest
     std::map<fabric_domain_id, model_id> homes_;
-    std::map<model_id, instant> pressed_since_; ///< models that turn requests away
-    std::map<runner_id, model_id> last_model_;  ///< of the latest join
+    std::map<runner_id, model_id> last_model_; ///< of the latest join
     /// Memberships that bind no longer, and since when.
     std::map<std::pair<group_id, runner_id>, instant> released_;
     std::set<group_id> finished_; ///< in this tick
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -8,7 +8,7 @@
 
 constexpr duration forget_after = seconds{60};
 constexpr duration follower_silence = milliseconds{2500};
-constexpr duration resend_after = seconds{2};            ///< an update that was not confirmed
+constexpr duration resend_after = seconds{1};            ///< an update that was not confirmed
 constexpr duration resend_after_gap = milliseconds{400}; ///< one that the follower misses
 constexpr int heartbeats_to_lose = 3; ///< a plain runner that was not heard for so many is not used
 
@@ -269,13 +269,19 @@
     auto& entry = followers_[name];
     entry.heard = now;
     const auto has = in.term() == term_ ? in.version() : 0;
+    if (has > entry.confirmed || has == entry.sent) {
+        entry.progress_at = now;
+    }
+    entry.confirmed = has;
     // What is on its way already is not sent again: a large view takes longer than a word's
     // interval.
     const auto patience = in.behind() ? resend_after_gap : resend_after;
-    const bool under_way = has < entry.sent && now - entry.sent_at < patience;
-    const auto from = under_way ? entry.sent : has;
-    auto out = make_update(now, from);
-    note_sent(now, entry, from);
+    const bool under_way = has < entry.sent && now - entry.progress_at < patience;
+    if (!under_way) {
+        entry.progress_at = now;
+    }
+    auto out = make_update(now, under_way ? entry.sent : has);
+    entry.sent = view_.version();
     for (const auto& [runner, count] : sightings_.loads_without(now, name)) {
         auto* load = out.add_loads();
         load->set_runner(runner.str());
@@ -284,14 +290,6 @@
     return out;
 }
 
-void fleet_leader::note_sent(instant now, follower& entry, std::uint64_t from) const
-{
-    if (from < view_.version()) {
-        entry.sent_at = now;
-    }
-    entry.sent = view_.version();
-}
-
 std::vector<std::pair<std::string, wire::fleet_update>> fleet_leader::pending_updates(instant now)
 {
     std::vector<std::pair<std::string, wire::fleet_update>> out;
@@ -299,8 +297,11 @@
         if (entry.sent >= view_.version()) {
             continue;
         }
+        if (entry.sent == entry.confirmed) {
+            entry.progress_at = now;
+        }
         out.emplace_back(name, make_update(now, entry.sent));
-        note_sent(now, entry, entry.sent);
+        entry.sent = view_.version();
     }
     return out;
 }
--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
-#include <iterator>
 #include <limits>
 #include <set>
 
@@ -290,105 +289,6 @@
     return found == homes_.end() || found->second == model;
 }
 
-std::optional<group_planner::proposal> group_planner::propose_spread(instant now,
-                                                                     const fleet_service& service,
-                                                                     const engine_model& model,
-                                                                     const free_map& free) const
-{
-    // Sooner it would only take the spares with which the domains repair their own groups.
-    constexpr duration patience = seconds{3};
-    const auto pressed = pressed_since_.find(model.name);
-    if (pressed == pressed_since_.end() || now - pressed->second < patience) {
-        return {};
-    }
-    // The domains with the most first: the fewer they are, the fewer cuts between them can break
-    // it.
-    std::vector<std::vector<runner_id>> staged;
-    for (const auto& [domain, runners] : free) {
-        auto& here = staged.emplace_back();
-        std::copy_if(runners.begin(), runners.end(), std::back_inserter(here),
-                     [&](const auto& each) {
-                         const auto& latest = registry_.find(each)->latest;
-                         return latest.service == service.name && !staging_.contains(each) &&
-                                contains(latest.staged, model.name);
-                     });
-    }
-    std::stable_sort(staged.begin(), staged.end(),
-                     [](const auto& a, const auto& b) { return a.size() > b.size(); });
-    proposal out;
-    out.service = &service;
-    out.model = &model;
-    for (const auto& here : staged) {
-        const auto missing = model.group_size - out.members.size();
-        out.members.insert(out.members.end(), here.begin(),
-                           here.begin() +
-                               static_cast<std::ptrdiff_t>(std::min(missing, here.size())));
-    }
-    return out.members.size() == model.group_size ? std::optional{std::move(out)} : std::nullopt;
-}
-
-void group_planner::note_pressure(instant now, const fleet_service& service,
-                                  const engine_model& model)
-{
-    constexpr double turns_away = 0.9; ///< of its places are taken
-    if (sightings_.started() > 0 && pressure(now, service, model) >= turns_away) {
-        pressed_since_.try_emplace(model.name, now);
-    }
-    else {
-        pressed_since_.erase(model.name);
-    }
-}
-
-void group_planner::form_spread(instant now, free_map& free)
-{
-    for (const auto& service : configuration_->services) {
-        if (!service.engine) {
-            continue;
-        }
-        for (const auto& model : service.engine->models) {
-            note_pressure(now, service, model);
-            if (const auto chosen = propose_spread(now, service, model, free)) {
-                begin_group(now, *chosen, free);
-                pressed_since_.erase(model.name);
-            }
-        }
-    }
-}
-
-bool group_planner::could_be_local(const planned_group& group, const free_map& free) const
-{
-    std::map<fabric_domain_id, std::size_t> within;
-    for (const auto& member : group.members) {
-        if (const auto* record = registry_.find(member); record != nullptr) {
-            ++within[record->latest.fabric_domain];
-        }
-    }
-    if (within.size() < 2) {
-        return false;
-    }
-    return std::any_of(within.begin(), within.end(), [&](const auto& each) {
-        const auto found = free.find(each.first);
-        if (found == free.end()) {
-            return false;
-        }
-        const auto spare =
-            std::count_if(found->second.begin(), found->second.end(), [&](const runner_id& runner) {
-                return contains(registry_.find(runner)->latest.staged, group.model);
-            });
-        return each.second + static_cast<std::size_t>(spare) >= group.members.size();
-    });
-}
-
-void group_planner::retire_spread(instant now, const free_map& free)
-{
-    for (auto& [name, group] : groups_) {
-        if (group.phase == plan_phase::serving && could_be_local(group, free)) {
-            enter(now, group, plan_phase::retiring, "it can be formed within one fabric domain");
-            return; // one at a time: what it frees is counted next time
-        }
-    }
-}
-
 bool group_planner::has_heard_fleet(instant now) const
 {
     constexpr duration quiet = milliseconds{700};
@@ -405,8 +305,6 @@
     for (auto chosen = best_proposal(now, free); chosen; chosen = best_proposal(now, free)) {
         begin_group(now, *chosen, free);
     }
-    form_spread(now, free);
-    retire_spread(now, free);
     stage_missing(now, free);
     stage_spares(now, free);
 }
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -53,7 +53,6 @@
     looked_.clear();
     unanswered_.clear();
     staging_.clear();
-    pressed_since_.clear();
     released_.clear();
     inherit_groups(now);
 }
