Fleet tests: ports of their own for each process, and a daemon that does not start fails with its reason

Cause: a_fleet tests failed twice after 60 s beside load (1 of 24 runs, output read): no daemon had started, two test processes had been given the same ports.

--- a/tests/fleet/fleet_site.cpp
+++ b/tests/fleet/fleet_site.cpp
@@ -2,9 +2,13 @@
 
 #include "daemon/site.h"
 
+#include <QCoreApplication>
 #include <QTcpServer>
 
+#include <algorithm>
+#include <array>
 #include <fmt/format.h>
+#include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
 namespace cedarpoint::testing_support {
@@ -14,11 +18,32 @@
 
 constexpr int heartbeat_ms = 150;
 
+constexpr std::array<const char*, 4> addresses{"127.0.0.11", "127.0.0.12", "127.0.0.13",
+                                               "127.0.0.21"};
+
+bool is_free(std::uint16_t port)
+{
+    return std::all_of(addresses.begin(), addresses.end(), [&](const char* address) {
+        QTcpServer server;
+        return server.listen(QHostAddress{QString::fromLatin1(address)}, port);
+    });
+}
+
+/// A port that is free on every address of a site. Test processes run side by side, so each takes
+/// its own below the range from which the kernel gives ports to connections.
 std::uint16_t free_port()
 {
-    QTcpServer server;
-    server.listen(QHostAddress::LocalHost);
-    return server.serverPort();
+    constexpr int first = 12'000;
+    constexpr int count = 20'000;
+    constexpr int apart = 101; ///< between the ports that neighbouring processes begin with
+    static int next = static_cast<int>(QCoreApplication::applicationPid() * apart % count);
+    for (int tries = 0; tries < count; ++tries) {
+        next = (next + 1) % count;
+        if (const auto port = static_cast<std::uint16_t>(first + next); is_free(port)) {
+            return port;
+        }
+    }
+    return 0;
 }
 
 caller_limits runner_limits()
@@ -231,6 +256,7 @@
     entry_settings_.seeds = controls_;
     reason why;
     entry_ = entry_daemon::start(entry_settings_, why);
+    EXPECT_NE(entry_, nullptr) << why.str();
 }
 
 fleet_site::~fleet_site() = default;
@@ -241,6 +267,7 @@
     own.first_start = first;
     reason why;
     daemons_[which] = control_daemon::start(own, why);
+    EXPECT_NE(daemons_[which], nullptr) << why.str();
     if (daemons_[which] != nullptr) {
         daemons_[which]->on_stopped = [](int) {};
     }
