Groups: a late heartbeat does not prove that the way to a domain is open

Change: only a member's answer to a look counts. Test failed first (its group was given away behind the cut).

--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -40,7 +40,7 @@
     plan_phase phase = plan_phase::joining;
     instant since;         ///< in this phase
     std::size_t loads = 0; ///< members that read weights from the store to join
-    /// Waiting: members that were heard since the head fell silent, and when.
+    /// Waiting: members that answered a look since the head fell silent, and when.
     std::map<runner_id, instant> spoken;
     bool ordered_apart = false;     ///< waiting: members were ordered to leave
     std::optional<instant> left_at; ///< waiting: when the first member's leave was acknowledged
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -17,6 +17,9 @@
     bool assumed = false;    ///< taken from the replicated state; has not spoken to this leader
     bool superseded = false; ///< another runner took its address for good
     bool dead = false;       ///< another runner answered at its address, or announced itself there
+    /// Its latest answer to a look. Unlike a heartbeat, which may come seconds late, an answer
+    /// shows that the way to it was open.
+    std::optional<instant> answered;
 };
 
 /// Runners that announce themselves. Soft state of the leading control daemon: a new leader hears
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -435,7 +435,7 @@
         if (record == nullptr || group.spoken.contains(member)) {
             continue;
         }
-        if (record->heard > group.since) {
+        if (record->answered && *record->answered > group.since) {
             group.spoken.emplace(member, now);
         }
         else {
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -12,7 +12,7 @@
 {
     owners_[assumed.address] = assumed.id;
     const auto id = assumed.id;
-    records_[id] = {std::move(assumed), now, true, false, false};
+    records_[id] = {std::move(assumed), now, true, false, false, {}};
 }
 
 bool runner_registry::may_own(instant now, const announcement& in, bool news) const
@@ -55,6 +55,7 @@
 {
     if (const auto found = records_.find(runner); found != records_.end()) {
         found->second.heard = now;
+        found->second.answered = now;
     }
 }
 
--- a/tests/fleet/group_planner_test.cpp
+++ b/tests/fleet/group_planner_test.cpp
@@ -94,6 +94,27 @@
     EXPECT_EQ(told(world.broken()), "");
 }
 
+TEST(a_cut_domain, is_not_taken_for_open_because_a_heartbeat_came_late)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{12});
+    const auto members = world.members_of_some_group("large");
+    ASSERT_EQ(members.size(), 4U);
+    for (const auto& runner : world.alive()) {
+        world.set_dark(runner, true);
+    }
+    world.run(seconds{3});
+    world.deliver_late_heartbeat(members.back());
+    world.run(seconds{2});
+    for (const auto& runner : world.alive()) {
+        world.set_dark(runner, false);
+    }
+    world.run(seconds{4});
+    EXPECT_EQ(world.members_of_some_group("large"), members) << "it went on behind the cut";
+    EXPECT_EQ(told(world.broken()), "");
+}
+
 TEST(a_cut_domain, that_comes_back_finds_no_member_given_away)
 {
     planner_world world{{}};
--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -135,6 +135,19 @@
     leader_->refresh_view(now_);
 }
 
+void planner_world::set_dark(const runner_id& runner, bool dark)
+{
+    set_cut(runner, dark);
+    runners_.at(runner).dark = dark;
+}
+
+void planner_world::deliver_late_heartbeat(const runner_id& runner)
+{
+    auto& told = runners_.at(runner).told;
+    ++told.sequence;
+    leader_->announce(now_, told);
+}
+
 void planner_world::heartbeats()
 {
     for (auto& [id, runner] : runners_) {
@@ -170,14 +183,14 @@
         const auto& membership = runner.told.membership;
         const bool open = membership && membership->phase == member_phase::open;
         if (open && in_flight > 0) {
-            const bool moves = runner.alive && group_moves(runner);
+            const bool moves = runner.alive && !runner.dark && group_moves(runner);
             auto* seen = word.add_sightings();
             seen->set_runner(id.str());
             seen->set_in_flight(static_cast<std::uint32_t>(in_flight));
             seen->set_silent_ms(moves ? 10 : 500);
             seen->set_byte_ms(moves ? 10 : 500);
         }
-        if (!runner.alive) {
+        if (!runner.alive || runner.dark) {
             auto* check = word.add_checks();
             check->set_runner(id.str());
             check->set_reachable(false);
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -14,7 +14,8 @@
 struct fake_runner {
     announcement told; ///< what its next heartbeat says
     bool alive = true;
-    bool cut = false; ///< the leader's side does not reach it, nor it the leader's side
+    bool dark = false; ///< no entry daemon on the leader's side reaches it
+    bool cut = false;  ///< the leader's side does not reach it, nor it the leader's side
     instant next_heartbeat;
     instant ready_at;
     instant open_at;
@@ -42,6 +43,10 @@
     void change_leader();
     void kill(const runner_id& runner);
     void set_cut(const runner_id& runner, bool cut);
+    /// Cut off from the entry daemons on the leader's side as well; on its own side it goes on.
+    void set_dark(const runner_id& runner, bool dark);
+    /// A heartbeat that was sent before a cut arrives now.
+    void deliver_late_heartbeat(const runner_id& runner);
     void drain(const runner_id& runner);
 
     [[nodiscard]] std::size_t serving(const std::string& model) const;
