Sight: a placement line says what makes a member lost, and how old that knowledge is

Change: failure_detector::describe_loss (which heartbeat, how old, or what else) in every reason that rests on a lost member; the number of entry daemons behind "no entry daemon reaches the head". Result: no decision changed.

--- a/include/cedarpoint/fleet/failure_detector.h
+++ b/include/cedarpoint/fleet/failure_detector.h
@@ -9,6 +9,7 @@
 #include "cedarpoint/fleet/runner_registry.h"
 
 #include <map>
+#include <string>
 
 namespace cedarpoint {
 
@@ -42,6 +43,8 @@
     [[nodiscard]] bool is_silent(instant now, const runner_record& record) const;
     [[nodiscard]] member_state state_of(instant now, const planned_group& group,
                                         const runner_id& member) const;
+    /// What makes the member a lost one, with the age of that knowledge; for the log.
+    [[nodiscard]] std::string describe_loss(instant now, const runner_id& member) const;
     /// True if the runner reports this phase of this group, under the group's epoch.
     [[nodiscard]] bool is_in_phase(const planned_group& group, const runner_id& member,
                                    member_phase phase) const;
--- a/include/cedarpoint/fleet/group_lifecycle.h
+++ b/include/cedarpoint/fleet/group_lifecycle.h
@@ -75,6 +75,9 @@
     /// The first member that is lost; null if none is.
     [[nodiscard]] const runner_id* find_lost(instant now, const planned_group& group) const;
     [[nodiscard]] bool is_head_lost(instant now, const planned_group& group) const;
+    /// Why the member counts as lost, for the log.
+    [[nodiscard]] std::string loss_of(instant now, const planned_group& group,
+                                      const runner_id& member) const;
     void release(instant now, planned_group& group, const std::string& why);
     void resume_or_release(instant now, planned_group& group);
     void probe_all(instant now, const planned_group& group);
--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -1,6 +1,7 @@
 #include "cedarpoint/fleet/failure_detector.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace cedarpoint {
 namespace {
@@ -75,6 +76,27 @@
     return is_silent(now, *record) ? member_state::silent : member_state::present;
 }
 
+std::string failure_detector::describe_loss(instant now, const runner_id& member) const
+{
+    const auto* record = registry_.find(member);
+    if (record == nullptr) {
+        return "not heard in this term";
+    }
+    if (record->dead) {
+        return "another runner answered at its address";
+    }
+    if (!registry_.is_present(*record)) {
+        return "another runner announced itself at its address";
+    }
+    const auto& membership = record->latest.membership;
+    const auto where = membership ? "group " + membership->group.str() : std::string{"no group"};
+    if (record->assumed) {
+        return fmt::format("the log has it in {}, not heard in this term", where);
+    }
+    return fmt::format("reports {} in heartbeat {}, heard {} ms ago", where,
+                       record->latest.sequence, to_ms(now - record->heard));
+}
+
 bool failure_detector::is_in_phase(const planned_group& group, const runner_id& member,
                                    member_phase phase) const
 {
--- a/src/fleet/group_lifecycle.cpp
+++ b/src/fleet/group_lifecycle.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fmt/format.h>
 #include <utility>
 
 namespace cedarpoint {
@@ -96,7 +97,7 @@
 void group_lifecycle::advance_opening(instant now, planned_group& group)
 {
     if (const auto* lost = find_lost(now, group); lost != nullptr) {
-        release(now, group, "member " + lost->str() + " is lost");
+        release(now, group, loss_of(now, group, *lost));
         return;
     }
     if (detector_.is_in_phase(group, group.head(), member_phase::open)) {
@@ -125,7 +126,7 @@
     for (const auto& member : group.members) {
         const auto state = detector_.state_of(now, group, member);
         if (state == member_state::lost) {
-            release(now, group, "member " + member.str() + " is lost");
+            release(now, group, loss_of(now, group, member));
             return;
         }
         draining = draining || state == member_state::draining;
@@ -145,7 +146,7 @@
 void group_lifecycle::advance_retiring(instant now, planned_group& group)
 {
     if (const auto* lost = find_lost(now, group); lost != nullptr) {
-        release(now, group, "member " + lost->str() + " is lost");
+        release(now, group, loss_of(now, group, *lost));
         return;
     }
     const auto passed = now - group.since;
@@ -162,7 +163,7 @@
 {
     const bool known = registry_.find(group.head()) != nullptr;
     if (known && is_head_lost(now, group)) {
-        end(now, group, "the head has left the group");
+        end(now, group, loss_of(now, group, group.head()));
         return;
     }
     if (!known || detector_.is_unresponsive(group.head())) {
@@ -180,7 +181,7 @@
 {
     const auto* head = registry_.find(group.head());
     if (head == nullptr || is_head_lost(now, group)) {
-        end(now, group, "the head has left the group");
+        end(now, group, loss_of(now, group, group.head()));
         return;
     }
     if (head->heard > group.since) {
@@ -214,6 +215,13 @@
     return detector_.state_of(now, group, group.head()) == member_state::lost;
 }
 
+std::string group_lifecycle::loss_of(instant now, const planned_group& group,
+                                     const runner_id& member) const
+{
+    const auto* role = member == group.head() ? "head " : "member ";
+    return role + member.str() + " is lost: " + detector_.describe_loss(now, member);
+}
+
 void group_lifecycle::release(instant now, planned_group& group, const std::string& why)
 {
     enter(now, group, plan_phase::releasing, why);
@@ -271,7 +279,8 @@
     for (const auto& [member, at] : group.answered) {
         group.members.push_back(member);
     }
-    end(now, group, "no entry daemon reaches the head");
+    end(now, group,
+        fmt::format("no entry daemon of {} reaches the head", reports_.count_followers(now)));
 }
 
 void group_lifecycle::end(instant now, const planned_group& group, const std::string& why)
