--- a/tests/fleet/group_planner_test.cpp
+++ b/tests/fleet/group_planner_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/planner_world.h"
 
+#include <functional>
 #include <gtest/gtest.h>
 
 namespace cedarpoint {
@@ -153,6 +154,54 @@
     EXPECT_EQ(told(world.broken()), "");
 }
 
+// Issue 23, rule TWO: a head that is not heard may serve on where the leader does not reach.
+TEST(a_member, is_free_for_another_group_only_once_it_has_itself_left_its_own)
+{
+    struct story {
+        std::string title;
+        std::function<void(planner_world&, const std::vector<runner_id>& members)> happens;
+    };
+    const std::vector<story> stories{
+        {"no entry daemon on the leader's side reaches the head",
+         [](auto& world, const auto& members) { world.set_unreachable(members.front(), true); }},
+        {"a new leader first hears the head's heartbeat from before the group",
+         [](auto& world, const auto& members) {
+             world.set_cut(members.front(), true);
+             world.change_leader();
+             world.deliver_held_back(members.front());
+         }},
+        {"a new leader first hears everyone's heartbeat from before the group",
+         [](auto& world, const auto& members) {
+             world.set_unreachable(members.front(), true);
+             world.change_leader();
+             for (const auto& runner : members) {
+                 world.deliver_held_back(runner);
+             }
+         }},
+        {"a new leader hears nothing of the head, and the log no longer has its registration",
+         [](auto& world, const auto& members) {
+             world.set_unreachable(members.front(), true);
+             world.run(seconds{65});
+             world.change_leader();
+         }},
+    };
+    for (const auto& [title, happens] : stories) {
+        SCOPED_TRACE(title);
+        planner_world world{{}};
+        world.add_runners("a-0", 9);
+        world.run(seconds{1});
+        for (const auto& runner : world.alive()) {
+            world.hold_back_heartbeat(runner);
+        }
+        world.run(seconds{11});
+        const auto members = world.members_of_some_group("large");
+        ASSERT_EQ(members.size(), 4U);
+        happens(world, members);
+        world.run(seconds{10});
+        EXPECT_EQ(told(world.broken()), "");
+    }
+}
+
 TEST(a_new_leader, ends_no_group_that_serves)
 {
     planner_world world{{}};
--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -154,6 +154,18 @@
     leader_->announce(now_, told);
 }
 
+void planner_world::hold_back_heartbeat(const runner_id& runner)
+{
+    auto& told = runners_.at(runner).told;
+    ++told.sequence;
+    held_back_[runner] = told;
+}
+
+void planner_world::deliver_held_back(const runner_id& runner)
+{
+    leader_->announce(now_, held_back_.at(runner));
+}
+
 void planner_world::heartbeats()
 {
     for (auto& [id, runner] : runners_) {
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -47,6 +47,10 @@
     void set_unreachable(const runner_id& runner, bool unreachable);
     /// A heartbeat that was sent before a cut arrives now.
     void deliver_late_heartbeat(const runner_id& runner);
+    /// Keeps a copy of the heartbeat that the runner sends now, for `deliver_held_back`.
+    void hold_back_heartbeat(const runner_id& runner);
+    /// The heartbeat that was held back arrives, as old as it is.
+    void deliver_held_back(const runner_id& runner);
     void drain(const runner_id& runner);
 
     [[nodiscard]] std::size_t serving(const std::string& model) const;
@@ -89,6 +93,7 @@
     std::map<runner_id, fake_runner> runners_;
     std::map<std::string, std::vector<runner_id>> lists_; ///< members by group and epoch
     std::vector<late_order> late_;
+    std::map<runner_id, announcement> held_back_;
     std::vector<std::string> broken_;
     int made_ = 0;
 };
