Groups: a member is free once it has itself answered the order to leave, and in no other way

Members that did not answer in time, on the other hand, stayed bound until the next term. Change: a new phase, disbanding: every member is ordered to leave, each is free with its own answer, one that is silent gets the order when it is heard again. All other evidence only decides when a group is given up. The log forgets a group when its head has left; a new leader takes a member for one of its latest group (by epoch). stall_ms is read and used no more.

--- a/include/cedarpoint/config/fleet_settings.h
+++ b/include/cedarpoint/config/fleet_settings.h
@@ -35,9 +35,11 @@
     std::size_t tolerated_losses = 1; ///< control: voters that may be lost at once
     bool first_start = false;         ///< the whole system starts for the first time
     milliseconds heartbeat{1200};     ///< between two heartbeats of a runner
-    milliseconds stall{4000};         ///< a head without its members breaks after this
-    milliseconds stop_bound{8000};    ///< a planned stop ends within this
-    retry_budget_options budget;      ///< entry: repeats beyond first attempts
+    /// A head without its members breaks after this. Read and checked so that files which give it
+    /// stay valid; no decision goes by it any more.
+    milliseconds stall{4000};
+    milliseconds stop_bound{8000}; ///< a planned stop ends within this
+    retry_budget_options budget;   ///< entry: repeats beyond first attempts
     bool json_logs = false;
 
     /// Reads a settings file. Empty if anything is wrong; `out` then names every fault.
--- a/include/cedarpoint/fleet/failure_detector.h
+++ b/include/cedarpoint/fleet/failure_detector.h
@@ -51,8 +51,10 @@
     /// True if a member of a serving group, whose head is seen as `head`, has to be given up.
     [[nodiscard]] bool has_failed(instant now, const planned_group& group, const runner_id& member,
                                   const runner_health& head) const;
-    /// True if the head of a waiting group is proved to be gone: no entry daemon reaches it.
-    [[nodiscard]] bool is_head_gone(instant now, const planned_group& group) const;
+    /// True if no entry daemon that reports reaches the head of a waiting group, while a member has
+    /// answered. A reason to give the group up, no proof of its end: the head may serve callers
+    /// whose entry daemons don't reach this leader.
+    [[nodiscard]] bool is_head_unreachable(instant now, const planned_group& group) const;
 
 private:
     [[nodiscard]] bool has_missed(const runner_id& runner, int probes) const;
--- a/include/cedarpoint/fleet/group_lifecycle.h
+++ b/include/cedarpoint/fleet/group_lifecycle.h
@@ -33,17 +33,19 @@
 ///     serving ---- a member failed, or the head stopped -----> releasing
 ///     serving ---- a member drains --------------------------> retiring
 ///     retiring --- idle, at the limit, or a member lost -----> releasing
-///     releasing -- the head has left, or is replaced --------> (ended)
+///     releasing -- the head has left, or is replaced --------> disbanding
 ///     releasing -- the head is unresponsive -----------------> waiting
-///     waiting ---- the head is heard again ------------------> serving, or releasing if members
-///                                                              were ordered out meanwhile
-///     waiting ---- the head is proved to be gone ------------> (ended)
-///     waiting ---- the head must have stopped by itself -----> (ended)
+///     waiting ---- the head is heard again ------------------> serving
+///     waiting ---- no entry daemon reaches the head ---------> disbanding
+///     waiting ---- members are heard, the head is not -------> disbanding
+///     disbanding - every member has left, or is replaced ----> (ended)
 ///
 /// It keeps two of the rules of docs/RULES-KEPT.md at every moment. PARTIAL: a group opens only
 /// when every member has reported ready under the group's name and epoch, and the group is in the
-/// log. TWO: a member is free for another group only when the head of its present one can't be open
-/// any more.
+/// log. TWO: a member of a group that may have opened is free for another one only once it has
+/// itself answered the order to leave. Nothing else frees it: silence, failed probes, the tries of
+/// entry daemons, time that passes and heartbeats of unknown age only decide when it is ordered to
+/// leave.
 class group_lifecycle {
 public:
     group_lifecycle(planner_options options, group_plan& plan, planner_outbox& outbox,
@@ -71,20 +73,29 @@
     void advance_retiring(instant now, planned_group& group);
     void advance_releasing(instant now, planned_group& group);
     void advance_waiting(instant now, planned_group& group);
+    void advance_disbanding(instant now, planned_group& group);
 
     /// The first member that is lost; null if none is.
     [[nodiscard]] const runner_id* find_lost(instant now, const planned_group& group) const;
-    [[nodiscard]] bool is_head_lost(instant now, const planned_group& group) const;
+    /// True if the runner can't be ordered to anything any more: it is forgotten, or another one
+    /// has its address.
+    [[nodiscard]] bool is_replaced(const runner_id& runner) const;
+    /// True if the head has left or is replaced; false for one that reports to be in the group.
+    [[nodiscard]] bool is_head_out(instant now, const planned_group& group) const;
+    /// True if a member other than the head was heard lately.
+    [[nodiscard]] bool is_some_member_heard(instant now, const planned_group& group) const;
     /// Why the member counts as lost, for the log.
     [[nodiscard]] std::string loss_of(instant now, const planned_group& group,
                                       const runner_id& member) const;
     void release(instant now, planned_group& group, const std::string& why);
-    void resume_or_release(instant now, planned_group& group);
+    void disband(instant now, planned_group& group, const std::string& why);
     void probe_all(instant now, const planned_group& group);
     void probe_unanswered(instant now, planned_group& group);
-    void order_members_out(instant now, planned_group& group);
-    void end_with_answered(instant now, planned_group& group);
-    void end(instant now, const planned_group& group, const std::string& why);
+    /// Ends a group that was never opened: its members are free whatever they have joined.
+    void end_unopened(instant now, const planned_group& group, const std::string& why);
+    void end(const planned_group& group, const std::string& why);
+    /// Lets the log forget a group whose head can't be open any more.
+    void record_end(planned_group& group);
     void report(const planned_group& group, const std::string& why) const;
 
     planner_options options_;
--- a/include/cedarpoint/fleet/group_plan.h
+++ b/include/cedarpoint/fleet/group_plan.h
@@ -25,15 +25,21 @@
     planned_group& add(planned_group group);
     /// Adds a group; members that belong to another group stay there.
     planned_group& add_without_rebinding(planned_group group);
-    /// Ends a group: its members are free. The group itself stays until `erase_ended`, so that
-    /// loops over the groups may end them.
-    void end(instant now, const planned_group& group);
+    /// The member belongs to the group no more, and may be ordered to join another one.
+    void free(instant now, const planned_group& group, const runner_id& member);
+    /// The member belongs to the group no more, but is not free: what it reports next counts.
+    void forget(const planned_group& group, const runner_id& member);
+    /// Marks a group whose members are all free or forgotten. The group itself stays until
+    /// `erase_ended`, so that loops over the groups may end them.
+    void end(const planned_group& group) { ended_.insert(group.name); }
     void erase_ended();
 
     [[nodiscard]] group_map& groups() { return groups_; }
     [[nodiscard]] const group_map& groups() const { return groups_; }
     [[nodiscard]] planned_group* find(const group_id& name);
     [[nodiscard]] bool is_bound(const runner_id& runner) const { return bound_.contains(runner); }
+    /// True if the runner belongs to this group, as far as the plan knows.
+    [[nodiscard]] bool belongs_to(const runner_id& runner, const planned_group& group) const;
     /// When the runner was freed from the group; empty if it was not in this term.
     [[nodiscard]] std::optional<instant> freed_at(const group_id& group,
                                                   const runner_id& runner) const;
--- a/include/cedarpoint/fleet/planned_group.h
+++ b/include/cedarpoint/fleet/planned_group.h
@@ -7,7 +7,6 @@
 #include <array>
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -19,13 +18,14 @@
     opening,   ///< all members were ready; the head is ordered to open
     serving,   ///< the head reports that it is open
     retiring,  ///< takes no new requests; ends when those in flight have ended
-    releasing, ///< the head is ordered to leave; its members are not free before it has
-    waiting    ///< the head can't be reached: its members are not free before it must have stopped
+    releasing, ///< the head is ordered to leave
+    waiting,   ///< the head can't be reached; the group may serve on where the leader can't see it
+    disbanding ///< each member is ordered to leave, and is free once it has said that it has
 };
 
-inline constexpr std::array<plan_phase, 6> plan_phases{plan_phase::joining,   plan_phase::opening,
-                                                       plan_phase::serving,   plan_phase::retiring,
-                                                       plan_phase::releasing, plan_phase::waiting};
+inline constexpr std::array<plan_phase, 7> plan_phases{
+    plan_phase::joining,   plan_phase::opening, plan_phase::serving,   plan_phase::retiring,
+    plan_phase::releasing, plan_phase::waiting, plan_phase::disbanding};
 
 /// The name of a phase in the log and in metrics.
 std::string_view name_of(plan_phase phase);
@@ -44,8 +44,7 @@
     /// In phase waiting: the members that answered a probe since the head became unreachable, and
     /// when.
     std::map<runner_id, instant> answered;
-    bool members_ordered_out = false;      ///< members were ordered to leave without the head
-    std::optional<instant> first_leave_at; ///< when the first such order was acknowledged
+    bool end_recorded = false; ///< the log was asked to forget the group: its head can't be open
 
     [[nodiscard]] const runner_id& head() const { return members.front(); }
 };
--- a/include/cedarpoint/fleet/planner_options.h
+++ b/include/cedarpoint/fleet/planner_options.h
@@ -4,11 +4,10 @@
 
 namespace cedarpoint {
 
-/// Times that the group planner decides by. `heartbeat`, `stall` and `settle` come from the
-/// settings; the others have their origin beside them.
+/// Times that the group planner decides by. `heartbeat` and `settle` come from the settings; the
+/// others have their origin beside them.
 struct planner_options {
     duration heartbeat = milliseconds{1200}; ///< between two heartbeats of a runner
-    duration stall = milliseconds{4000};     ///< a head that lost a member stops after this
     duration settle = milliseconds{1700};    ///< a new leader listens this long before it decides
     /// An order without an answer is sent again after this. Not measured.
     duration order_retry = milliseconds{500};
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -38,7 +38,6 @@
 {
     planner_options out;
     out.heartbeat = own.heartbeat;
-    out.stall = own.stall;
     // Every runner has sent a heartbeat by then, and half an interval is left for its way.
     out.settle = own.heartbeat * 3 / 2;
     return out;
--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -119,11 +119,10 @@
     return silent && (head.stalled || head.since_byte > idle_grace);
 }
 
-bool failure_detector::is_head_gone(instant now, const planned_group& group) const
+bool failure_detector::is_head_unreachable(instant now, const planned_group& group) const
 {
     // Members that are unreachable together with their head may be behind a cut, where the group
-    // goes on. So the head counts only as gone if it was tried after a member had answered: at that
-    // time the way to it was open. (Rule TWO: docs/RULES-KEPT.md.)
+    // goes on. So tries count only after a member had answered: at that time the way was open.
     if (group.answered.empty()) {
         return false;
     }
--- a/src/fleet/group_lifecycle.cpp
+++ b/src/fleet/group_lifecycle.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
+#include <iterator>
 #include <utility>
 
 namespace cedarpoint {
@@ -13,10 +14,6 @@
 /// 200 ms to arrive.
 constexpr duration check_patience = milliseconds{900};
 
-/// Beyond `planner_options::stall`, until a head that lost a member counts as stopped: for the time
-/// of the order on its way, and for clocks that run apart. Not measured.
-constexpr duration stall_margin = milliseconds{700};
-
 /// A group that retires is not looked at for idleness before this: entry daemons learn of it with
 /// the next view and report every 200 ms. Not measured.
 constexpr duration shortest_retirement = milliseconds{500};
@@ -58,10 +55,11 @@
 void group_lifecycle::advance(instant now, planned_group& group)
 {
     using handler = void (group_lifecycle::*)(instant, planned_group&);
-    constexpr std::array<handler, 6> by_phase{
+    constexpr std::array<handler, plan_phases.size()> by_phase{
         &group_lifecycle::advance_joining,   &group_lifecycle::advance_opening,
         &group_lifecycle::advance_serving,   &group_lifecycle::advance_retiring,
-        &group_lifecycle::advance_releasing, &group_lifecycle::advance_waiting};
+        &group_lifecycle::advance_releasing, &group_lifecycle::advance_waiting,
+        &group_lifecycle::advance_disbanding};
     (this->*by_phase.at(static_cast<std::size_t>(group.phase)))(now, group);
 }
 
@@ -73,7 +71,7 @@
         const bool unresponsive =
             state == member_state::silent && detector_.is_unresponsive(member);
         if (state == member_state::lost || state == member_state::draining || unresponsive) {
-            end(now, group, "member " + member.str() + " is not available");
+            end_unopened(now, group, "member " + member.str() + " is not available");
             return;
         }
         if (state == member_state::silent) {
@@ -161,43 +159,66 @@
 
 void group_lifecycle::advance_releasing(instant now, planned_group& group)
 {
-    const bool known = registry_.find(group.head()) != nullptr;
-    if (known && is_head_lost(now, group)) {
-        end(now, group, loss_of(now, group, group.head()));
+    const auto& head = group.head();
+    if (is_head_out(now, group)) {
+        disband(now, group, loss_of(now, group, head));
         return;
     }
-    if (!known || detector_.is_unresponsive(group.head())) {
+    if (detector_.is_unresponsive(head)) {
         enter(now, group, plan_phase::waiting, "the head does not answer");
         advance_waiting(now, group);
         return;
     }
-    outbox_.order(now, group, order_kind::leave, group.head());
+    outbox_.order(now, group, order_kind::leave, head);
     if (now - group.since > options_.order_retry) {
-        outbox_.probe(now, group.head());
+        outbox_.probe(now, head);
     }
 }
 
 void group_lifecycle::advance_waiting(instant now, planned_group& group)
 {
-    const auto* head = registry_.find(group.head());
-    if (head == nullptr || is_head_lost(now, group)) {
-        end(now, group, loss_of(now, group, group.head()));
+    if (is_head_out(now, group)) {
+        disband(now, group, loss_of(now, group, group.head()));
         return;
     }
-    if (head->heard > group.since) {
-        resume_or_release(now, group);
+    if (registry_.find(group.head())->heard > group.since) {
+        // Nobody was ordered out: the group may have gone on behind a cut.
+        enter(now, group, plan_phase::serving, "the head is heard again");
         return;
     }
     probe_unanswered(now, group);
-    if (detector_.is_head_gone(now, group)) {
-        end_with_answered(now, group);
-        return;
+    if (detector_.is_head_unreachable(now, group)) {
+        disband(
+            now, group,
+            fmt::format("no entry daemon of {} reaches the head", reports_.count_followers(now)));
+    }
+    else if (now - group.since >= check_patience && is_some_member_heard(now, group)) {
+        disband(now, group, "members are heard, the head is not");
+    }
+}
+
+void group_lifecycle::advance_disbanding(instant now, planned_group& group)
+{
+    bool is_empty = true;
+    for (const auto& member : group.members) {
+        if (!plan_.belongs_to(member, group)) {
+            continue;
+        }
+        if (is_replaced(member)) {
+            plan_.forget(group, member);
+            continue;
+        }
+        is_empty = false;
+        // A silent member gets the order once it is heard again.
+        if (!detector_.is_silent(now, *registry_.find(member))) {
+            outbox_.order(now, group, order_kind::leave, member);
+        }
     }
-    if (now - group.since >= check_patience && !group.first_leave_at) {
-        order_members_out(now, group);
+    if (!plan_.belongs_to(group.head(), group)) {
+        record_end(group);
     }
-    if (group.first_leave_at && now - *group.first_leave_at >= options_.stall + stall_margin) {
-        end(now, group, "the head has stopped by now without its members");
+    if (is_empty) {
+        end(group, "every member has left or is replaced");
     }
 }
 
@@ -210,9 +231,27 @@
     return found == group.members.end() ? nullptr : &*found;
 }
 
-bool group_lifecycle::is_head_lost(instant now, const planned_group& group) const
+bool group_lifecycle::is_replaced(const runner_id& runner) const
 {
-    return detector_.state_of(now, group, group.head()) == member_state::lost;
+    const auto* record = registry_.find(runner);
+    return record == nullptr || !registry_.is_present(*record);
+}
+
+bool group_lifecycle::is_head_out(instant now, const planned_group& group) const
+{
+    const auto& head = group.head();
+    const bool belongs =
+        plan_.belongs_to(head, group) || detector_.state_of(now, group, head) != member_state::lost;
+    return !belongs || is_replaced(head);
+}
+
+bool group_lifecycle::is_some_member_heard(instant now, const planned_group& group) const
+{
+    return std::any_of(std::next(group.members.begin()), group.members.end(),
+                       [&](const runner_id& member) {
+                           const auto state = detector_.state_of(now, group, member);
+                           return state == member_state::present || state == member_state::draining;
+                       });
 }
 
 std::string group_lifecycle::loss_of(instant now, const planned_group& group,
@@ -228,12 +267,10 @@
     advance_releasing(now, group);
 }
 
-void group_lifecycle::resume_or_release(instant now, planned_group& group)
+void group_lifecycle::disband(instant now, planned_group& group, const std::string& why)
 {
-    // Where no member was ordered out, the group may have gone on behind a cut.
-    const bool whole = !group.first_leave_at && !group.members_ordered_out;
-    enter(now, group, whole ? plan_phase::serving : plan_phase::releasing,
-          "the head is heard again");
+    enter(now, group, plan_phase::disbanding, why);
+    advance_disbanding(now, group);
 }
 
 void group_lifecycle::probe_all(instant now, const planned_group& group)
@@ -260,36 +297,26 @@
     }
 }
 
-void group_lifecycle::order_members_out(instant now, planned_group& group)
+void group_lifecycle::end_unopened(instant now, const planned_group& group, const std::string& why)
 {
-    for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
-        const auto& member = group.members[rank];
-        const auto state = detector_.state_of(now, group, member);
-        if (state == member_state::present || state == member_state::draining) {
-            group.members_ordered_out = true;
-            outbox_.order(now, group, order_kind::leave, member);
-        }
+    for (const auto& member : group.members) {
+        plan_.free(now, group, member);
     }
+    end(group, why);
 }
 
-void group_lifecycle::end_with_answered(instant now, planned_group& group)
+void group_lifecycle::end(const planned_group& group, const std::string& why)
 {
-    // The others may be behind a cut together with what was the head: they stay bound.
-    group.members.resize(1);
-    for (const auto& [member, at] : group.answered) {
-        group.members.push_back(member);
-    }
-    end(now, group,
-        fmt::format("no entry daemon of {} reaches the head", reports_.count_followers(now)));
+    plan_.end(group);
+    report(group, "ended: " + why);
 }
 
-void group_lifecycle::end(instant now, const planned_group& group, const std::string& why)
+void group_lifecycle::record_end(planned_group& group)
 {
-    plan_.end(now, group);
-    if (state_.groups().contains(group.name)) {
+    if (!group.end_recorded && state_.groups().contains(group.name)) {
         outbox_.record(fleet_state::end_group(group.name));
+        group.end_recorded = true;
     }
-    report(group, "ended: " + why);
 }
 
 void group_lifecycle::enter(instant now, planned_group& group, plan_phase phase,
@@ -325,17 +352,23 @@
     if (group == nullptr || order.assignment != group->assignment) {
         return;
     }
-    // No other answer is proof: what the runner reports next shows where it is.
-    const bool left = order.kind == order_kind::leave && result == order_result::taken;
+    // "Unfit" is the answer of a runner that is in no such group. No page says that nothing else
+    // is, so it counts once the runner's heartbeats say the same.
+    const bool unfit = result == order_result::unfit &&
+                       detector_.state_of(now, *group, order.to) == member_state::lost;
+    const bool left = order.kind == order_kind::leave && (result == order_result::taken || unfit);
     const bool fenced = order.kind == order_kind::join && result == order_result::fenced;
+    if (left) {
+        plan_.free(now, *group, order.to);
+    }
     if (left && group->phase == plan_phase::releasing && order.to == group->head()) {
-        end(now, *group, "the head has left the group");
+        disband(now, *group, "the head has left the group");
     }
-    else if (left && group->phase == plan_phase::waiting && !group->first_leave_at) {
-        group->first_leave_at = now;
+    else if (left && group->phase == plan_phase::disbanding) {
+        advance_disbanding(now, *group);
     }
     else if (fenced && group->phase == plan_phase::joining) {
-        end(now, *group, "a member has seen a newer epoch");
+        end_unopened(now, *group, "a member has seen a newer epoch");
     }
     plan_.erase_ended();
 }
--- a/src/fleet/group_plan.cpp
+++ b/src/fleet/group_plan.cpp
@@ -28,16 +28,23 @@
     return groups_[name] = std::move(group);
 }
 
-void group_plan::end(instant now, const planned_group& group)
+bool group_plan::belongs_to(const runner_id& runner, const planned_group& group) const
 {
-    for (const auto& member : group.members) {
-        const auto bound = bound_.find(member);
-        if (bound != bound_.end() && bound->second == group.name) {
-            bound_.erase(bound);
-        }
-        freed_[{group.name, member}] = now;
+    const auto found = bound_.find(runner);
+    return found != bound_.end() && found->second == group.name;
+}
+
+void group_plan::free(instant now, const planned_group& group, const runner_id& member)
+{
+    forget(group, member);
+    freed_[{group.name, member}] = now;
+}
+
+void group_plan::forget(const planned_group& group, const runner_id& member)
+{
+    if (belongs_to(member, group)) {
+        bound_.erase(member);
     }
-    ended_.insert(group.name);
 }
 
 void group_plan::erase_ended()
--- a/src/fleet/leader_recovery.cpp
+++ b/src/fleet/leader_recovery.cpp
@@ -1,5 +1,6 @@
 #include "cedarpoint/fleet/leader_recovery.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <utility>
@@ -7,14 +8,27 @@
 namespace cedarpoint {
 namespace {
 
-/// The membership of each runner that is in a group of the log.
+/// The groups of the log, oldest epoch first. A member that has left a group may be in a later one
+/// while the earlier one is still in the log, because its head was not heard.
+std::vector<const formed_group*> groups_by_epoch(const fleet_state& state)
+{
+    std::vector<const formed_group*> out;
+    for (const auto& [name, group] : state.groups()) {
+        out.push_back(&group);
+    }
+    std::sort(out.begin(), out.end(),
+              [](const auto* a, const auto* b) { return a->assignment < b->assignment; });
+    return out;
+}
+
+/// The membership of each runner that is in a group of the log: the latest one.
 std::map<runner_id, group_membership> memberships_in_log(const fleet_state& state)
 {
     std::map<runner_id, group_membership> out;
-    for (const auto& [name, group] : state.groups()) {
-        for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
+    for (const auto* group : groups_by_epoch(state)) {
+        for (std::size_t rank = 0; rank < group->members.size(); ++rank) {
             const auto phase = rank == 0 ? member_phase::open : member_phase::ready;
-            out[group.members[rank]] = {name, group.assignment, rank, phase};
+            out[group->members[rank]] = {group->name, group->assignment, rank, phase};
         }
     }
     return out;
@@ -53,13 +67,13 @@
 
 void leader_recovery::inherit_logged_groups(instant now)
 {
-    for (const auto& [name, formed] : state_.groups()) {
+    for (const auto* formed : groups_by_epoch(state_)) {
         planned_group group;
-        group.name = name;
-        group.assignment = formed.assignment;
-        group.service = formed.service;
-        group.model = formed.model;
-        group.members = formed.members;
+        group.name = formed->name;
+        group.assignment = formed->assignment;
+        group.service = formed->service;
+        group.model = formed->model;
+        group.members = formed->members;
         auto& kept = plan_.add(std::move(group));
         lifecycle_.enter(now, kept, plan_phase::serving, "inherited");
     }
--- a/src/fleet/planned_group.cpp
+++ b/src/fleet/planned_group.cpp
@@ -7,8 +7,8 @@
 
 std::string_view name_of(plan_phase phase)
 {
-    constexpr std::array<std::string_view, 6> names{"joining",  "opening",   "serving",
-                                                    "retiring", "releasing", "waiting"};
+    constexpr std::array<std::string_view, plan_phases.size()> names{
+        "joining", "opening", "serving", "retiring", "releasing", "waiting", "disbanding"};
     return names.at(static_cast<std::size_t>(phase));
 }
 
--- a/tests/fleet/failure_detector_test.cpp
+++ b/tests/fleet/failure_detector_test.cpp
@@ -121,12 +121,12 @@
     health_report report;
     report.checks[head] = {milliseconds{300}, false};
     reports.put(now, daemon_id{"e1"}, report);
-    EXPECT_FALSE(detector.is_head_gone(now, group)) << "no member has answered";
+    EXPECT_FALSE(detector.is_head_unreachable(now, group)) << "no member has answered";
     group.answered[member] = start + milliseconds{701};
-    EXPECT_FALSE(detector.is_head_gone(now, group))
+    EXPECT_FALSE(detector.is_head_unreachable(now, group))
         << "the way may have been cut when it was tried";
     group.answered[member] = start + milliseconds{700};
-    EXPECT_TRUE(detector.is_head_gone(now, group));
+    EXPECT_TRUE(detector.is_head_unreachable(now, group));
 }
 
 } // namespace
--- a/tests/fleet/group_planner_test.cpp
+++ b/tests/fleet/group_planner_test.cpp
@@ -266,6 +266,51 @@
     EXPECT_EQ(told(world.broken()), "");
 }
 
+TEST(a_new_leader, takes_a_member_for_one_of_its_latest_group)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{12});
+    const auto members = world.members_of_some_group("large");
+    ASSERT_EQ(members.size(), 4U);
+    const auto old_group = world.group_of(members.front());
+    world.set_unreachable(members.front(), true);
+    world.run(seconds{8});
+    const auto new_group = world.group_of(members.back());
+    ASSERT_NE(new_group, old_group);
+    ASSERT_EQ(world.serving("large"), 1U);
+    ASSERT_TRUE(world.is_in_log(old_group)) << "its head was not heard since";
+
+    world.change_leader();
+    world.run(seconds{8});
+    EXPECT_EQ(world.group_of(members.back()), new_group) << "that group served all the time";
+    world.set_unreachable(members.front(), false);
+    world.run(seconds{8});
+    EXPECT_NE(world.group_of(members.front()), old_group);
+    EXPECT_FALSE(world.is_in_log(old_group)) << "its head has left";
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST(a_member, whose_answer_to_the_order_to_leave_is_lost_is_used_again)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{12});
+    const auto members = world.members_of_some_group("large");
+    ASSERT_EQ(members.size(), 4U);
+    const auto ended = world.group_of(members.front());
+    world.lose_answers = true;
+    world.kill(members.back());
+    world.run(seconds{4});
+    EXPECT_EQ(world.group_of(members.front()), group_id{}) << "it has left, and can't say so";
+    EXPECT_EQ(world.serving("large"), 0U);
+    world.lose_answers = false;
+    world.run(seconds{5});
+    EXPECT_EQ(world.serving("large"), 1U) << "formed of those that answered the second order";
+    EXPECT_NE(world.group_of(members.front()), ended);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
 class random_plans : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(random_plans, keep_the_rules_while_runners_and_leaders_come_and_go)
@@ -280,7 +325,7 @@
     for (int round = 0; round < 60; ++round) {
         const auto alive = world.alive();
         const auto& one = alive[random() % alive.size()];
-        switch (random() % 8) {
+        switch (random() % 11) {
         case 0:
             world.kill(one);
             world.add_runners(round % 2 == 0 ? "a-0" : "b-0", 1);
@@ -291,7 +336,7 @@
             break;
         case 2:
             for (const auto& each : cut) {
-                world.set_cut(each, false);
+                world.set_unreachable(each, false);
             }
             cut.clear();
             break;
@@ -305,6 +350,19 @@
             world.drain(one);
             world.add_runners("a-1", 1);
             break;
+        case 6:
+            world.set_unreachable(one, true);
+            cut.push_back(one);
+            break;
+        case 7:
+            for (const auto& each : alive) {
+                world.hold_back_heartbeat(each);
+            }
+            break;
+        case 8:
+            world.change_leader();
+            world.deliver_all_held_back();
+            break;
         default:
             break;
         }
@@ -312,7 +370,7 @@
         ASSERT_EQ(told(world.broken()), "") << "seed " << GetParam() << " round " << round;
     }
     for (const auto& each : cut) {
-        world.set_cut(each, false);
+        world.set_unreachable(each, false);
     }
     world.in_flight = 4;
     world.run(seconds{40});
--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -9,7 +9,6 @@
 
 constexpr duration tick = milliseconds{20};
 constexpr duration heartbeat = milliseconds{1200};
-constexpr duration stall = seconds{4};
 
 std::string list_key(const group_id& group, std::uint64_t epoch_value)
 {
@@ -38,7 +37,6 @@
 {
     planner_options times;
     times.heartbeat = heartbeat;
-    times.stall = stall;
     leader_.emplace(times, installed_platform(), state_);
     leader_->begin_term(now_, ++term_);
 }
@@ -166,6 +164,20 @@
     leader_->announce(now_, held_back_.at(runner));
 }
 
+void planner_world::deliver_all_held_back()
+{
+    for (const auto& [runner, told] : held_back_) {
+        if (runners_.at(runner).alive) {
+            leader_->announce(now_, told);
+        }
+    }
+}
+
+bool planner_world::is_in_log(const group_id& group) const
+{
+    return state_.groups().contains(group);
+}
+
 void planner_world::heartbeats()
 {
     for (auto& [id, runner] : runners_) {
@@ -244,7 +256,8 @@
         leader_->on_order_result(now_, step.order, order_result::unknown);
     }
     else {
-        leader_->on_order_result(now_, step.order, carry_out(step.order));
+        const auto result = carry_out(step.order);
+        leader_->on_order_result(now_, step.order, lose_answers ? order_result::unknown : result);
     }
 }
 
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -51,6 +51,7 @@
     void hold_back_heartbeat(const runner_id& runner);
     /// The heartbeat that was held back arrives, as old as it is.
     void deliver_held_back(const runner_id& runner);
+    void deliver_all_held_back();
     void drain(const runner_id& runner);
 
     [[nodiscard]] std::size_t serving(const std::string& model) const;
@@ -64,8 +65,11 @@
     /// Fabric domains whose runners hold the weights of more than one model.
     [[nodiscard]] std::size_t mixed_domains() const;
     [[nodiscard]] instant now() const { return now_; }
+    [[nodiscard]] bool is_in_log(const group_id& group) const;
     /// Requests in flight at each open head, as the entry daemon reports it.
     int in_flight = 4;
+    /// Orders are carried out, and their answers are lost.
+    bool lose_answers = false;
 
 private:
     struct late_order {
