--- a/tests/fleet/group_planner_test.cpp
+++ b/tests/fleet/group_planner_test.cpp
@@ -291,6 +291,38 @@
     EXPECT_EQ(told(world.broken()), "");
 }
 
+TEST(a_member, that_a_late_order_joins_again_to_the_group_that_it_left_is_not_free)
+{
+    planner_world world{{}};
+    world.add_runners("a-0", 9);
+    world.run(seconds{12});
+    const auto members = world.members_of_some_group("large");
+    ASSERT_EQ(members.size(), 4U);
+    const auto old_group = world.group_of(members.front());
+    std::vector<runner_id> spares;
+    for (const auto& runner : world.alive()) {
+        if (world.group_of(runner) == group_id{}) {
+            spares.push_back(runner);
+            world.set_cut(runner, true);
+        }
+    }
+    ASSERT_EQ(spares.size(), 2U);
+    world.set_unreachable(members.front(), true);
+    world.run(seconds{5});
+    ASSERT_EQ(world.group_of(members.back()), group_id{})
+        << "it has left; three are too few to form";
+
+    world.repeat_join(members.back(), milliseconds{100});
+    world.run(seconds{3});
+    for (const auto& runner : spares) {
+        world.set_cut(runner, false);
+    }
+    world.run(seconds{6});
+    EXPECT_EQ(told(world.broken()), "");
+    EXPECT_NE(world.group_of(members.back()), group_id{});
+    EXPECT_NE(world.group_of(members.back()), old_group) << "it was ordered to leave once more";
+}
+
 TEST(a_member, whose_answer_to_the_order_to_leave_is_lost_is_used_again)
 {
     planner_world world{{}};
--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -152,6 +152,11 @@
     leader_->announce(now_, told);
 }
 
+void planner_world::repeat_join(const runner_id& runner, duration delay)
+{
+    late_.push_back({now_ + delay, latest_joins_.at(runner)});
+}
+
 void planner_world::hold_back_heartbeat(const runner_id& runner)
 {
     auto& told = runners_.at(runner).told;
@@ -306,6 +311,7 @@
         return order_result::taken;
     }
     check_join(order);
+    latest_joins_[order.to] = order;
     lists_[list_key(order.group, order.assignment.value)] = order.members;
     runner.highest_epoch = order.assignment.value;
     group_membership next;
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -52,6 +52,9 @@
     /// The heartbeat that was held back arrives, as old as it is.
     void deliver_held_back(const runner_id& runner);
     void deliver_all_held_back();
+    /// The latest order to join that the runner took was sent twice; the other one arrives after
+    /// `delay`.
+    void repeat_join(const runner_id& runner, duration delay);
     void drain(const runner_id& runner);
 
     [[nodiscard]] std::size_t serving(const std::string& model) const;
@@ -98,6 +101,7 @@
     std::map<std::string, std::vector<runner_id>> lists_; ///< members by group and epoch
     std::vector<late_order> late_;
     std::map<runner_id, announcement> held_back_;
+    std::map<runner_id, group_order> latest_joins_;
     std::vector<std::string> broken_;
     int made_ = 0;
 };
