Groups: later evidence ends a member's freedom, and each order has a higher fence than all before it

Change: freeing holds for the heartbeats up to then; a later one that names the group again binds the member to it, or ends the new group that has not opened. A fence is the term above 32 bits of a counter of orders; the answer to an order of an earlier term is ignored, and a refusal only counts for the latest order to a runner. The fake runners check fences; the late-order story plays with runners that don't.

--- a/include/cedarpoint/fleet/group_lifecycle.h
+++ b/include/cedarpoint/fleet/group_lifecycle.h
@@ -82,6 +82,10 @@
     [[nodiscard]] bool is_replaced(const runner_id& runner) const;
     /// True if the head has left or is replaced; false for one that reports to be in the group.
     [[nodiscard]] bool is_head_out(instant now, const planned_group& group) const;
+    /// True if the runner's latest heartbeat names another group, which it was not freed from.
+    [[nodiscard]] bool is_in_other_group(const planned_group& group, const runner_id& member) const;
+    /// True if a member that had left is in the group again: an order to join came late.
+    [[nodiscard]] bool is_back(const planned_group& group, const runner_id& member) const;
     /// True if a member other than the head was heard lately.
     [[nodiscard]] bool is_some_member_heard(instant now, const planned_group& group) const;
     /// Why the member counts as lost, for the log.
@@ -92,7 +96,9 @@
     void probe_all(instant now, const planned_group& group);
     void probe_unanswered(instant now, planned_group& group);
     /// Ends a group that was never opened: its members are free whatever they have joined.
-    void end_unopened(instant now, const planned_group& group, const std::string& why);
+    void end_unopened(const planned_group& group, const std::string& why);
+    /// The member has answered that it left.
+    void free(const planned_group& group, const runner_id& member);
     void end(const planned_group& group, const std::string& why);
     /// Lets the log forget a group whose head can't be open any more.
     void record_end(planned_group& group);
--- a/include/cedarpoint/fleet/group_order.h
+++ b/include/cedarpoint/fleet/group_order.h
@@ -26,7 +26,7 @@
     endpoint address;
     group_id group;
     epoch assignment;
-    std::uint64_t fence = 0; ///< the leader's term
+    std::uint64_t fence = 0; ///< the leader's term, then a counter: above all earlier orders
     model_id model;
     std::vector<runner_id> members; ///< of a join, the head first
 };
--- a/include/cedarpoint/fleet/group_plan.h
+++ b/include/cedarpoint/fleet/group_plan.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "cedarpoint/core/ids.h"
-#include "cedarpoint/core/time.h"
+#include "cedarpoint/fleet/announcement.h"
 #include "cedarpoint/fleet/planned_group.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <utility>
 
@@ -25,8 +25,14 @@
     planned_group& add(planned_group group);
     /// Adds a group; members that belong to another group stay there.
     planned_group& add_without_rebinding(planned_group group);
-    /// The member belongs to the group no more, and may be ordered to join another one.
-    void free(instant now, const planned_group& group, const runner_id& member);
+    /// A member that had left belongs to the group again.
+    void bind(const planned_group& group, const runner_id& member) { bound_[member] = group.name; }
+    /// The member has said that it left the group, and may be ordered to join another one. A
+    /// heartbeat later than `latest_sequence` that names the group again says that it is back: an
+    /// order to join may be carried out seconds late.
+    void free(const planned_group& group, const runner_id& member, std::uint64_t latest_sequence);
+    /// The same for a group that was never opened: no report of it counts any more.
+    void free_unopened(const planned_group& group, const runner_id& member);
     /// The member belongs to the group no more, but is not free: what it reports next counts.
     void forget(const planned_group& group, const runner_id& member);
     /// Marks a group whose members are all free or forgotten. The group itself stays until
@@ -40,9 +46,9 @@
     [[nodiscard]] bool is_bound(const runner_id& runner) const { return bound_.contains(runner); }
     /// True if the runner belongs to this group, as far as the plan knows.
     [[nodiscard]] bool belongs_to(const runner_id& runner, const planned_group& group) const;
-    /// When the runner was freed from the group; empty if it was not in this term.
-    [[nodiscard]] std::optional<instant> freed_at(const group_id& group,
-                                                  const runner_id& runner) const;
+    /// True if the runner was freed, in this term, from the group that this heartbeat of it names,
+    /// and the heartbeat does not say that it is back.
+    [[nodiscard]] bool is_freed(const announcement& runner) const;
     /// The model that the runner joined a group for last; null if it has not joined one.
     [[nodiscard]] const model_id* last_model_of(const runner_id& runner) const;
     /// Groups of each model that serve or are about to.
@@ -53,7 +59,8 @@
 private:
     group_map groups_;
     std::map<runner_id, group_id> bound_;
-    std::map<std::pair<group_id, runner_id>, instant> freed_;
+    /// The latest heartbeat of a freed member when it was freed; all for a group never opened.
+    std::map<std::pair<group_id, runner_id>, std::uint64_t> freed_;
     std::map<runner_id, model_id> last_models_;
     std::set<group_id> ended_;
 };
--- a/include/cedarpoint/fleet/planner_outbox.h
+++ b/include/cedarpoint/fleet/planner_outbox.h
@@ -22,8 +22,12 @@
 public:
     planner_outbox(planner_options options, const runner_registry& registry);
 
-    /// Orders carry `term` as their fence from now on; what was asked for earlier is forgotten.
+    /// Orders carry fences of `term` from now on; what was asked for earlier is forgotten.
     void begin_term(std::uint64_t term);
+    /// True if no later order went to the runner: the answer to an older one may be out of date.
+    [[nodiscard]] bool is_latest(const group_order& order) const;
+    /// True if the order was given in this term.
+    [[nodiscard]] bool is_of_this_term(const group_order& order) const;
 
     void order(instant now, const planned_group& group, order_kind kind, const runner_id& to);
     void stage(const runner_id& to, const model_id& model);
@@ -37,9 +41,12 @@
 private:
     using order_key = std::tuple<runner_id, group_id, order_kind>;
 
+    void add_order(group_order order);
+
     planner_options options_;
     const runner_registry& registry_;
-    std::uint64_t term_ = 0;
+    std::uint64_t latest_fence_ = 0;            ///< of all orders; its upper bits are the term
+    std::map<runner_id, std::uint64_t> fences_; ///< of the latest order to each runner
     std::map<order_key, instant> ordered_at_;
     std::map<runner_id, instant> probed_at_;
     std::vector<planner_step> steps_;
--- a/src/fleet/group_lifecycle.cpp
+++ b/src/fleet/group_lifecycle.cpp
@@ -70,8 +70,9 @@
         const auto state = detector_.state_of(now, group, member);
         const bool unresponsive =
             state == member_state::silent && detector_.is_unresponsive(member);
-        if (state == member_state::lost || state == member_state::draining || unresponsive) {
-            end_unopened(now, group, "member " + member.str() + " is not available");
+        if (state == member_state::lost || state == member_state::draining || unresponsive ||
+            is_in_other_group(group, member)) {
+            end_unopened(group, "member " + member.str() + " is not available");
             return;
         }
         if (state == member_state::silent) {
@@ -201,6 +202,9 @@
 {
     bool is_empty = true;
     for (const auto& member : group.members) {
+        if (is_back(group, member)) {
+            plan_.bind(group, member);
+        }
         if (!plan_.belongs_to(member, group)) {
             continue;
         }
@@ -245,6 +249,21 @@
     return !belongs || is_replaced(head);
 }
 
+bool group_lifecycle::is_in_other_group(const planned_group& group, const runner_id& member) const
+{
+    const auto* record = registry_.find(member);
+    return record != nullptr && record->latest.membership &&
+           record->latest.membership->group != group.name && !plan_.is_freed(record->latest);
+}
+
+bool group_lifecycle::is_back(const planned_group& group, const runner_id& member) const
+{
+    const auto* record = registry_.find(member);
+    return record != nullptr && record->latest.membership &&
+           record->latest.membership->group == group.name && !plan_.is_freed(record->latest) &&
+           !plan_.is_bound(member);
+}
+
 bool group_lifecycle::is_some_member_heard(instant now, const planned_group& group) const
 {
     return std::any_of(std::next(group.members.begin()), group.members.end(),
@@ -297,14 +316,20 @@
     }
 }
 
-void group_lifecycle::end_unopened(instant now, const planned_group& group, const std::string& why)
+void group_lifecycle::end_unopened(const planned_group& group, const std::string& why)
 {
     for (const auto& member : group.members) {
-        plan_.free(now, group, member);
+        plan_.free_unopened(group, member);
     }
     end(group, why);
 }
 
+void group_lifecycle::free(const planned_group& group, const runner_id& member)
+{
+    const auto* record = registry_.find(member);
+    plan_.free(group, member, record == nullptr ? 0 : record->latest.sequence);
+}
+
 void group_lifecycle::end(const planned_group& group, const std::string& why)
 {
     plan_.end(group);
@@ -349,7 +374,8 @@
 void group_lifecycle::on_order_result(instant now, const group_order& order, order_result result)
 {
     auto* group = plan_.find(order.group);
-    if (group == nullptr || order.assignment != group->assignment) {
+    if (group == nullptr || order.assignment != group->assignment ||
+        !outbox_.is_of_this_term(order)) {
         return;
     }
     // "Unfit" is the answer of a runner that is in no such group. No page says that nothing else
@@ -357,9 +383,11 @@
     const bool unfit = result == order_result::unfit &&
                        detector_.state_of(now, *group, order.to) == member_state::lost;
     const bool left = order.kind == order_kind::leave && (result == order_result::taken || unfit);
-    const bool fenced = order.kind == order_kind::join && result == order_result::fenced;
+    // An order that was overtaken by its own repetition is refused as well.
+    const bool fenced = order.kind == order_kind::join && result == order_result::fenced &&
+                        outbox_.is_latest(order);
     if (left) {
-        plan_.free(now, *group, order.to);
+        free(*group, order.to);
     }
     if (left && group->phase == plan_phase::releasing && order.to == group->head()) {
         disband(now, *group, "the head has left the group");
@@ -368,7 +396,7 @@
         advance_disbanding(now, *group);
     }
     else if (fenced && group->phase == plan_phase::joining) {
-        end_unopened(now, *group, "a member has seen a newer epoch");
+        end_unopened(*group, "a member has seen a newer epoch");
     }
     plan_.erase_ended();
 }
--- a/src/fleet/group_plan.cpp
+++ b/src/fleet/group_plan.cpp
@@ -1,5 +1,7 @@
 #include "cedarpoint/fleet/group_plan.h"
 
+#include <limits>
+
 namespace cedarpoint {
 
 void group_plan::clear()
@@ -34,10 +36,16 @@
     return found != bound_.end() && found->second == group.name;
 }
 
-void group_plan::free(instant now, const planned_group& group, const runner_id& member)
+void group_plan::free(const planned_group& group, const runner_id& member,
+                      std::uint64_t latest_sequence)
 {
     forget(group, member);
-    freed_[{group.name, member}] = now;
+    freed_[{group.name, member}] = latest_sequence;
+}
+
+void group_plan::free_unopened(const planned_group& group, const runner_id& member)
+{
+    free(group, member, std::numeric_limits<std::uint64_t>::max());
 }
 
 void group_plan::forget(const planned_group& group, const runner_id& member)
@@ -61,10 +69,13 @@
     return found == groups_.end() ? nullptr : &found->second;
 }
 
-std::optional<instant> group_plan::freed_at(const group_id& group, const runner_id& runner) const
+bool group_plan::is_freed(const announcement& runner) const
 {
-    const auto found = freed_.find({group, runner});
-    return found == freed_.end() ? std::nullopt : std::optional{found->second};
+    if (!runner.membership) {
+        return false;
+    }
+    const auto found = freed_.find({runner.membership->group, runner.id});
+    return found != freed_.end() && runner.sequence <= found->second;
 }
 
 const model_id* group_plan::last_model_of(const runner_id& runner) const
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -145,7 +145,7 @@
 {
     const auto& runner = record.latest.id;
     const auto& membership = record.latest.membership;
-    const bool in_group = membership && !plan_.freed_at(membership->group, runner);
+    const bool in_group = membership && !plan_.is_freed(record.latest);
     return is_usable(record) && !record.assumed && !plan_.is_bound(runner) && !in_group &&
            !detector_.is_silent(now, record) && !state_.is_leaving(runner);
 }
--- a/src/fleet/leader_recovery.cpp
+++ b/src/fleet/leader_recovery.cpp
@@ -86,14 +86,13 @@
         plan_.groups().contains(membership->group)) {
         return false;
     }
-    const auto freed = plan_.freed_at(membership->group, record.latest.id);
-    if (freed && record.heard <= *freed) {
-        return false; // not heard since it was freed: the report is from before
+    if (plan_.is_freed(record.latest)) {
+        return false;
     }
     // An open head comes before what the plan says of it; any other member follows the plan.
     const bool may_be_open = membership->rank == 0 && (membership->phase == member_phase::open ||
                                                        membership->phase == member_phase::closing);
-    return may_be_open || (!plan_.is_bound(record.latest.id) && !freed);
+    return may_be_open || !plan_.is_bound(record.latest.id);
 }
 
 void leader_recovery::adopt_reported_groups(instant now, const fleet_configuration& configuration)
--- a/src/fleet/planner_outbox.cpp
+++ b/src/fleet/planner_outbox.cpp
@@ -5,6 +5,12 @@
 namespace cedarpoint {
 namespace {
 
+/// A fence is the leader's term above this many bits of a counter of its orders. So each order has
+/// a higher fence than all before it, and a runner that has taken a later one refuses an earlier
+/// one that is carried out late. Wide enough for an order each millisecond for 49 days in one term,
+/// and for two million terms below the 2^53 that a JSON number holds exactly.
+constexpr unsigned fence_shift = 32;
+
 /// True if `key` was noted less than `interval` ago; notes it otherwise.
 template <class Key>
 bool is_too_soon(std::map<Key, instant>& noted, const Key& key, instant now, duration interval)
@@ -26,7 +32,8 @@
 
 void planner_outbox::begin_term(std::uint64_t term)
 {
-    term_ = term;
+    latest_fence_ = term << fence_shift;
+    fences_.clear();
     ordered_at_.clear();
     probed_at_.clear();
 }
@@ -37,33 +44,50 @@
     if (is_too_soon(ordered_at_, {to, group.name, kind}, now, options_.order_retry)) {
         return;
     }
-    planner_step step;
-    step.order.kind = kind;
-    step.order.to = to;
-    if (const auto* record = registry_.find(to); record != nullptr) {
-        step.order.address = record->latest.address;
-    }
-    step.order.group = group.name;
-    step.order.assignment = group.assignment;
-    step.order.fence = term_;
+    group_order next;
+    next.kind = kind;
+    next.to = to;
+    next.group = group.name;
+    next.assignment = group.assignment;
     if (kind == order_kind::join) {
-        step.order.model = group.model;
-        step.order.members = group.members;
+        next.model = group.model;
+        next.members = group.members;
     }
-    steps_.push_back(std::move(step));
+    add_order(std::move(next));
 }
 
 void planner_outbox::stage(const runner_id& to, const model_id& model)
 {
+    group_order next;
+    next.kind = order_kind::stage;
+    next.to = to;
+    next.model = model;
+    add_order(std::move(next));
+}
+
+void planner_outbox::add_order(group_order order)
+{
+    if (const auto* record = registry_.find(order.to); record != nullptr) {
+        order.address = record->latest.address;
+    }
+    order.fence = ++latest_fence_;
+    fences_[order.to] = order.fence;
     planner_step step;
-    step.order.kind = order_kind::stage;
-    step.order.to = to;
-    step.order.address = registry_.find(to)->latest.address;
-    step.order.fence = term_;
-    step.order.model = model;
+    step.order = std::move(order);
     steps_.push_back(std::move(step));
 }
 
+bool planner_outbox::is_latest(const group_order& order) const
+{
+    const auto found = fences_.find(order.to);
+    return found != fences_.end() && found->second == order.fence;
+}
+
+bool planner_outbox::is_of_this_term(const group_order& order) const
+{
+    return order.fence >> fence_shift == latest_fence_ >> fence_shift;
+}
+
 void planner_outbox::probe(instant now, const runner_id& runner)
 {
     const auto* record = registry_.find(runner);
--- a/tests/fleet/group_planner_test.cpp
+++ b/tests/fleet/group_planner_test.cpp
@@ -293,7 +293,7 @@
 
 TEST(a_member, that_a_late_order_joins_again_to_the_group_that_it_left_is_not_free)
 {
-    planner_world world{{}};
+    planner_world world{{.fences = false}};
     world.add_runners("a-0", 9);
     world.run(seconds{12});
     const auto members = world.members_of_some_group("large");
--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -272,6 +272,10 @@
     if (runner == nullptr || !runner->alive) {
         return order_result::unknown;
     }
+    if (options_.fences && order.fence < runner->highest_fence) {
+        return order_result::fenced;
+    }
+    runner->highest_fence = std::max(runner->highest_fence, order.fence);
     if (order.kind == order_kind::stage) {
         runner->told.staged = {order.model};
         return order_result::taken;
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -21,6 +21,7 @@
     instant open_at;
     bool opening = false;
     std::uint64_t highest_epoch = 0;
+    std::uint64_t highest_fence = 0;
     std::map<std::uint64_t, bool> ready_epochs; ///< assignments that it was ready in
 };
 
@@ -32,6 +33,9 @@
         std::uint64_t seed = 1;
         double late_orders = 0; ///< share that is not answered and carried out seconds later
         bool weights_at_once = true;
+        /// Runners refuse an order whose fence is below one that they have seen, as the engines do
+        /// where the users ask for it.
+        bool fences = true;
     };
 
     explicit planner_world(options options);
