Queue: a request that may have run is never refused as not run, whatever costs it its place

Only the third way out of the queue, a time that ended, asked. Change: refusal_in_queue says it for all of them; the dispatcher has one way out of the queue, give_up_queued. The test of overdue requests became one over all four reasons; whose limit it was is asked of the dispatcher.

--- a/include/cedarpoint/request/dispatcher.h
+++ b/include/cedarpoint/request/dispatcher.h
@@ -84,6 +84,8 @@
     bool try_start(instant now, open_request& it, actions& out);
     void after_failure(instant now, open_request& it, attempt_end how, actions& out);
     void give_up(const request_id& request, refusal error, actions& out);
+    /// The same for one that is in the queue, or finds no place in it.
+    void give_up_queued(const request_id& request, refusal why, actions& out);
     void close(const request_id& request, claim_outcome outcome, actions& out);
 
     dispatch_options options_;
--- a/include/cedarpoint/request/failure_rule.h
+++ b/include/cedarpoint/request/failure_rule.h
@@ -55,14 +55,15 @@
 /// The error of a request that gets no further attempt: it never claims less than may have run.
 [[nodiscard]] refusal refusal_after(const failed_attempt& it);
 
-/// A request whose time ended while it waited in the queue.
-struct overdue_request {
-    bool has_deadline = false; ///< the caller's own; else it waited the longest time allowed
-    bool answered = false;     ///< the answer's head went to the caller
+/// What earlier attempts of a request in the queue have done.
+struct queued_request {
+    bool answered = false; ///< the answer's head went to the caller
     bool may_have_run = false;
 };
 
-[[nodiscard]] refusal refusal_after(const overdue_request& it);
+/// The error of a request that loses its place in the queue, or finds none, for the reason that
+/// `why` gives: it never claims less than may have run.
+[[nodiscard]] refusal refusal_in_queue(refusal why, const queued_request& it);
 
 /// How long a request rests before its next attempt when no other place is free. `attempts`, 1 or
 /// more, were made; the pause doubles with each. `salt` spreads requests that failed together
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -116,12 +116,12 @@
     }
     if (const auto victim = lane.shed(call.priority)) {
         lane.remove(*victim, false);
-        give_up(*victim, refusals::displaced(), out);
+        give_up_queued(*victim, refusals::displaced(), out);
         if (lane.push(entry)) {
             return;
         }
     }
-    give_up(it.facts.id, refusals::queue_full(), out);
+    give_up_queued(it.facts.id, refusals::queue_full(), out);
 }
 
 /// Starts what can be started, queue by queue, until the next in each finds no place.
@@ -262,12 +262,11 @@
     actions out;
     for (auto& [name, lane] : lanes_) {
         for (const auto& request : lane.expire(now)) {
-            const auto& it = open_.at(request);
-            give_up(request,
-                    refusal_after(overdue_request{.has_deadline = it.facts.deadline.has_value(),
-                                                  .answered = it.answered,
-                                                  .may_have_run = it.sent}),
-                    out);
+            const bool has_deadline = open_.at(request).facts.deadline.has_value();
+            give_up_queued(request,
+                           has_deadline ? refusals::deadline_passed_in_queue()
+                                        : refusals::nothing_free_in_time(),
+                           out);
         }
     }
     for (const auto& request : open_.rested(now)) {
@@ -298,6 +297,12 @@
     close(request, outcome, out);
 }
 
+void dispatcher::give_up_queued(const request_id& request, refusal why, actions& out)
+{
+    const auto& it = open_.at(request);
+    give_up(request, refusal_in_queue(std::move(why), {it.answered, it.sent}), out);
+}
+
 /// The end of every request that was admitted.
 void dispatcher::close(const request_id& request, claim_outcome outcome, actions& out)
 {
--- a/src/request/failure_rule.cpp
+++ b/src/request/failure_rule.cpp
@@ -29,17 +29,15 @@
     return it.may_have_run ? refusals::runner_failed() : refusals::no_runner_took_it();
 }
 
-refusal refusal_after(const overdue_request& it)
+refusal refusal_in_queue(refusal why, const queued_request& it)
 {
     if (it.answered) {
         return refusals::no_group_to_resume();
     }
-    auto out =
-        it.has_deadline ? refusals::deadline_passed_in_queue() : refusals::nothing_free_in_time();
     if (it.may_have_run) {
-        out.ran = run_state::may_have_run;
+        why.ran = run_state::may_have_run;
     }
-    return out;
+    return why;
 }
 
 duration retry_pause(int attempts, std::uint64_t salt)
--- a/tests/request/failure_rule_test.cpp
+++ b/tests/request/failure_rule_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/request/dispatcher.h"
 #include "cedarpoint/request/failure_rule.h"
+#include "cedarpoint/request/refusals.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -137,19 +138,25 @@
 
 TEST(a_request_given_up_in_the_queue, is_told_how_far_it_came)
 {
-    overdue_request it;
-    EXPECT_EQ(refusal_after(it).code, error_code::no_group);
-    EXPECT_EQ(refusal_after(it).ran, run_state::not_run);
-    EXPECT_EQ(refusal_after(it).retry_after, milliseconds{1000});
-    it.has_deadline = true;
-    EXPECT_EQ(refusal_after(it).code, error_code::deadline_passed);
-    EXPECT_EQ(refusal_after(it).ran, run_state::not_run);
-    it.may_have_run = true;
-    EXPECT_EQ(refusal_after(it).code, error_code::deadline_passed);
-    EXPECT_EQ(refusal_after(it).ran, run_state::may_have_run);
-    it.answered = true;
-    EXPECT_EQ(refusal_after(it).code, error_code::answer_cut);
-    EXPECT_EQ(refusal_after(it).ran, run_state::ran_cut);
+    EXPECT_EQ(refusals::nothing_free_in_time().code, error_code::no_group);
+    EXPECT_EQ(refusals::nothing_free_in_time().retry_after, milliseconds{1000});
+    EXPECT_EQ(refusals::deadline_passed_in_queue().code, error_code::deadline_passed);
+    EXPECT_EQ(refusals::queue_full().code, error_code::queue_full);
+    EXPECT_EQ(refusals::displaced().code, error_code::queue_full);
+    for (const auto& why : {refusals::nothing_free_in_time(), refusals::deadline_passed_in_queue(),
+                            refusals::queue_full(), refusals::displaced()}) {
+        SCOPED_TRACE(why.text);
+        queued_request it;
+        EXPECT_EQ(refusal_in_queue(why, it).code, why.code);
+        EXPECT_EQ(refusal_in_queue(why, it).ran, run_state::not_run);
+        EXPECT_EQ(refusal_in_queue(why, it).retry_after, why.retry_after);
+        it.may_have_run = true;
+        EXPECT_EQ(refusal_in_queue(why, it).code, why.code);
+        EXPECT_EQ(refusal_in_queue(why, it).ran, run_state::may_have_run);
+        it.answered = true;
+        EXPECT_EQ(refusal_in_queue(why, it).code, error_code::answer_cut);
+        EXPECT_EQ(refusal_in_queue(why, it).ran, run_state::ran_cut);
+    }
 }
 
 TEST(the_pause_before_a_retry, doubles_with_each_attempt_five_times_at_most)
@@ -252,7 +259,7 @@
         account_spec account;
         account.id = client_account_id{"acme"};
         account.key_sha256 = "key";
-        account.priorities = {priority_class::normal};
+        account.priorities = {priority_class::normal, priority_class::alarm};
         account.max_in_flight = 10'000;
         config.accounts.push_back(account);
         config.routes.push_back({model_id{"m"}, {}, {pool_id{"p"}}});
@@ -265,42 +272,93 @@
         place.valid_until = now + seconds{100};
         (void)dispatch.set_targets(now, {place});
     }
-    actions submit(const std::string& id)
+    actions submit(const std::string& id, priority_class priority = priority_class::normal)
     {
         request_facts facts;
         facts.id = request_id{id};
+        facts.priority = priority;
         facts.key_digest = "key";
         facts.model = model_id{"m"};
         return dispatch.submit(now, facts);
     }
+    /// Submits a request that is sent at once.
+    void begin_attempt(const std::string& id)
+    {
+        for (const auto& each : submit(id)) {
+            if (const auto* start = std::get_if<start_attempt>(&each)) {
+                begun = start->attempt;
+            }
+        }
+        dispatch.attempt_sending(begun);
+    }
+    void fill_queue()
+    {
+        for (std::size_t n = 0; n < wait_queue::max_length; ++n) {
+            (void)submit(fmt::format("waiting {}", n));
+        }
+    }
+    static std::optional<refusal> refusal_of(const std::string& id, const actions& in)
+    {
+        for (const auto& each : in) {
+            if (const auto* it = std::get_if<refuse>(&each); it && it->request.str() == id) {
+                return it->error;
+            }
+        }
+        return {};
+    }
+    attempt_id begun;
     dispatcher dispatch{failure_domain_id{"home"}, {}};
 };
 
 TEST_F(one_slot, refuses_no_request_as_not_run_that_may_have_run_when_its_queue_is_full)
 {
-    attempt_id first;
-    for (const auto& each : submit("first")) {
-        if (const auto* start = std::get_if<start_attempt>(&each)) {
-            first = start->attempt;
-        }
-    }
-    dispatch.attempt_sending(first);
-    for (std::size_t n = 0; n < wait_queue::max_length; ++n) {
-        (void)submit(fmt::format("waiting {}", n));
-    }
-    (void)dispatch.attempt_ended(now, first, attempt_end::cut); // one that waits takes the slot
+    begin_attempt("first");
+    fill_queue();
+    (void)dispatch.attempt_ended(now, begun, attempt_end::cut); // one that waits takes the slot
     (void)submit("the last place");
     ASSERT_EQ(dispatch.queued(), wait_queue::max_length);
-    std::optional<refusal> error;
-    for (const auto& each : dispatch.tick(now + seconds{2})) {
-        if (const auto* it = std::get_if<refuse>(&each); it && it->request.str() == "first") {
-            error = it->error;
-        }
-    }
+    const auto error = refusal_of("first", dispatch.tick(now + seconds{2}));
     ASSERT_TRUE(error.has_value()) << "its retry finds no place in the queue";
     EXPECT_EQ(error->code, error_code::queue_full);
     EXPECT_EQ(error->ran, run_state::may_have_run);
 }
 
+TEST_F(one_slot, refuses_no_request_as_not_run_that_may_have_run_when_it_is_displaced)
+{
+    begin_attempt("first");
+    for (std::size_t n = 1; n < wait_queue::max_length; ++n) {
+        (void)submit(fmt::format("waiting {}", n), priority_class::alarm);
+    }
+    (void)submit("in the slot", priority_class::alarm);
+    (void)dispatch.attempt_ended(now, begun, attempt_end::cut); // one that waits takes the slot
+    // Its retry rests for 100 ms at most.
+    EXPECT_FALSE(refusal_of("first", dispatch.tick(now + milliseconds{200})).has_value());
+    ASSERT_EQ(dispatch.queued(), wait_queue::max_length) << "its retry has the last place";
+    const auto error = refusal_of("first", submit("more urgent", priority_class::alarm));
+    ASSERT_TRUE(error.has_value()) << "it gives its place to a request of a higher class";
+    EXPECT_EQ(error->code, error_code::queue_full);
+    EXPECT_EQ(error->ran, run_state::may_have_run);
+}
+
+TEST_F(one_slot, tells_a_request_that_waited_too_long_whose_limit_it_was)
+{
+    begin_attempt("first");
+    request_facts facts;
+    facts.id = request_id{"with a deadline"};
+    facts.key_digest = "key";
+    facts.model = model_id{"m"};
+    facts.deadline = now + seconds{5};
+    (void)dispatch.submit(now, facts);
+    (void)submit("without one");
+    const auto own = refusal_of("with a deadline", dispatch.tick(now + seconds{5}));
+    ASSERT_TRUE(own.has_value());
+    EXPECT_EQ(own->code, error_code::deadline_passed);
+    EXPECT_EQ(own->ran, run_state::not_run);
+    const auto longest = refusal_of("without one", dispatch.tick(now + seconds{30}));
+    ASSERT_TRUE(longest.has_value());
+    EXPECT_EQ(longest->code, error_code::no_group);
+    EXPECT_EQ(longest->ran, run_state::not_run);
+}
+
 } // namespace
 } // namespace cedarpoint
