Groups: questions about members in a module of their own; random plans and the world's queries in files of their own

Change: fleet/group_evidence answers what is known of members and changes nothing; tests split by what they do.

--- a/include/cedarpoint/fleet/group_lifecycle.h
+++ b/include/cedarpoint/fleet/group_lifecycle.h
@@ -3,6 +3,7 @@
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/fleet/failure_detector.h"
+#include "cedarpoint/fleet/group_evidence.h"
 #include "cedarpoint/fleet/group_order.h"
 #include "cedarpoint/fleet/group_plan.h"
 #include "cedarpoint/fleet/planned_group.h"
@@ -75,22 +76,6 @@
     void advance_waiting(instant now, planned_group& group);
     void advance_disbanding(instant now, planned_group& group);
 
-    /// The first member that is lost; null if none is.
-    [[nodiscard]] const runner_id* find_lost(instant now, const planned_group& group) const;
-    /// True if the runner can't be ordered to anything any more: it is forgotten, or another one
-    /// has its address.
-    [[nodiscard]] bool is_replaced(const runner_id& runner) const;
-    /// True if the head has left or is replaced; false for one that reports to be in the group.
-    [[nodiscard]] bool is_head_out(instant now, const planned_group& group) const;
-    /// True if the runner's latest heartbeat names another group, which it was not freed from.
-    [[nodiscard]] bool is_in_other_group(const planned_group& group, const runner_id& member) const;
-    /// True if a member that had left is in the group again: an order to join came late.
-    [[nodiscard]] bool is_back(const planned_group& group, const runner_id& member) const;
-    /// True if a member other than the head was heard lately.
-    [[nodiscard]] bool is_some_member_heard(instant now, const planned_group& group) const;
-    /// Why the member counts as lost, for the log.
-    [[nodiscard]] std::string loss_of(instant now, const planned_group& group,
-                                      const runner_id& member) const;
     void release(instant now, planned_group& group, const std::string& why);
     void disband(instant now, planned_group& group, const std::string& why);
     void probe_all(instant now, const planned_group& group);
@@ -108,6 +93,7 @@
     group_plan& plan_;
     planner_outbox& outbox_;
     const failure_detector& detector_;
+    group_evidence evidence_;
     const runner_registry& registry_;
     const health_reports& reports_;
     const fleet_state& state_;
--- a/src/fleet/group_lifecycle.cpp
+++ b/src/fleet/group_lifecycle.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
-#include <iterator>
 #include <utility>
 
 namespace cedarpoint {
@@ -32,8 +31,8 @@
 group_lifecycle::group_lifecycle(planner_options options, group_plan& plan, planner_outbox& outbox,
                                  const failure_detector& detector, const runner_registry& registry,
                                  const health_reports& reports, const fleet_state& state)
-    : options_{options}, plan_{plan}, outbox_{outbox}, detector_{detector}, registry_{registry},
-      reports_{reports}, state_{state}
+    : options_{options}, plan_{plan}, outbox_{outbox}, detector_{detector},
+      evidence_{plan, detector, registry}, registry_{registry}, reports_{reports}, state_{state}
 {
 }
 
@@ -71,7 +70,7 @@
         const bool unresponsive =
             state == member_state::silent && detector_.is_unresponsive(member);
         if (state == member_state::lost || state == member_state::draining || unresponsive ||
-            is_in_other_group(group, member)) {
+            evidence_.is_in_other_group(group, member)) {
             end_unopened(group, "member " + member.str() + " is not available");
             return;
         }
@@ -95,8 +94,8 @@
 
 void group_lifecycle::advance_opening(instant now, planned_group& group)
 {
-    if (const auto* lost = find_lost(now, group); lost != nullptr) {
-        release(now, group, loss_of(now, group, *lost));
+    if (const auto* lost = evidence_.find_lost(now, group); lost != nullptr) {
+        release(now, group, evidence_.describe_loss(now, group, *lost));
         return;
     }
     if (detector_.is_in_phase(group, group.head(), member_phase::open)) {
@@ -125,7 +124,7 @@
     for (const auto& member : group.members) {
         const auto state = detector_.state_of(now, group, member);
         if (state == member_state::lost) {
-            release(now, group, loss_of(now, group, member));
+            release(now, group, evidence_.describe_loss(now, group, member));
             return;
         }
         draining = draining || state == member_state::draining;
@@ -144,8 +143,8 @@
 
 void group_lifecycle::advance_retiring(instant now, planned_group& group)
 {
-    if (const auto* lost = find_lost(now, group); lost != nullptr) {
-        release(now, group, loss_of(now, group, *lost));
+    if (const auto* lost = evidence_.find_lost(now, group); lost != nullptr) {
+        release(now, group, evidence_.describe_loss(now, group, *lost));
         return;
     }
     const auto passed = now - group.since;
@@ -161,8 +160,8 @@
 void group_lifecycle::advance_releasing(instant now, planned_group& group)
 {
     const auto& head = group.head();
-    if (is_head_out(now, group)) {
-        disband(now, group, loss_of(now, group, head));
+    if (evidence_.is_head_out(now, group)) {
+        disband(now, group, evidence_.describe_loss(now, group, head));
         return;
     }
     if (detector_.is_unresponsive(head)) {
@@ -178,11 +177,11 @@
 
 void group_lifecycle::advance_waiting(instant now, planned_group& group)
 {
-    if (is_head_out(now, group)) {
-        disband(now, group, loss_of(now, group, group.head()));
+    if (evidence_.is_head_out(now, group)) {
+        disband(now, group, evidence_.describe_loss(now, group, group.head()));
         return;
     }
-    if (registry_.find(group.head())->heard > group.since) {
+    if (evidence_.is_head_heard(group)) {
         // Nobody was ordered out: the group may have gone on behind a cut.
         enter(now, group, plan_phase::serving, "the head is heard again");
         return;
@@ -193,7 +192,7 @@
             now, group,
             fmt::format("no entry daemon of {} reaches the head", reports_.count_followers(now)));
     }
-    else if (now - group.since >= check_patience && is_some_member_heard(now, group)) {
+    else if (now - group.since >= check_patience && evidence_.is_some_member_heard(now, group)) {
         disband(now, group, "members are heard, the head is not");
     }
 }
@@ -202,13 +201,13 @@
 {
     bool is_empty = true;
     for (const auto& member : group.members) {
-        if (is_back(group, member)) {
+        if (evidence_.is_back(group, member)) {
             plan_.bind(group, member);
         }
         if (!plan_.belongs_to(member, group)) {
             continue;
         }
-        if (is_replaced(member)) {
+        if (evidence_.is_replaced(member)) {
             plan_.forget(group, member);
             continue;
         }
@@ -226,60 +225,6 @@
     }
 }
 
-const runner_id* group_lifecycle::find_lost(instant now, const planned_group& group) const
-{
-    const auto found =
-        std::find_if(group.members.begin(), group.members.end(), [&](const runner_id& member) {
-            return detector_.state_of(now, group, member) == member_state::lost;
-        });
-    return found == group.members.end() ? nullptr : &*found;
-}
-
-bool group_lifecycle::is_replaced(const runner_id& runner) const
-{
-    const auto* record = registry_.find(runner);
-    return record == nullptr || !registry_.is_present(*record);
-}
-
-bool group_lifecycle::is_head_out(instant now, const planned_group& group) const
-{
-    const auto& head = group.head();
-    const bool belongs =
-        plan_.belongs_to(head, group) || detector_.state_of(now, group, head) != member_state::lost;
-    return !belongs || is_replaced(head);
-}
-
-bool group_lifecycle::is_in_other_group(const planned_group& group, const runner_id& member) const
-{
-    const auto* record = registry_.find(member);
-    return record != nullptr && record->latest.membership &&
-           record->latest.membership->group != group.name && !plan_.is_freed(record->latest);
-}
-
-bool group_lifecycle::is_back(const planned_group& group, const runner_id& member) const
-{
-    const auto* record = registry_.find(member);
-    return record != nullptr && record->latest.membership &&
-           record->latest.membership->group == group.name && !plan_.is_freed(record->latest) &&
-           !plan_.is_bound(member);
-}
-
-bool group_lifecycle::is_some_member_heard(instant now, const planned_group& group) const
-{
-    return std::any_of(std::next(group.members.begin()), group.members.end(),
-                       [&](const runner_id& member) {
-                           const auto state = detector_.state_of(now, group, member);
-                           return state == member_state::present || state == member_state::draining;
-                       });
-}
-
-std::string group_lifecycle::loss_of(instant now, const planned_group& group,
-                                     const runner_id& member) const
-{
-    const auto* role = member == group.head() ? "head " : "member ";
-    return role + member.str() + " is lost: " + detector_.describe_loss(now, member);
-}
-
 void group_lifecycle::release(instant now, planned_group& group, const std::string& why)
 {
     enter(now, group, plan_phase::releasing, why);
--- /dev/null
+++ b/tests/fleet/group_evidence_test.cpp
@@ -0,0 +1,115 @@
+// What the leader may conclude of a group's members from the plan and from what they report.
+
+#include "cedarpoint/fleet/group_evidence.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+constexpr instant start{seconds{100}};
+const runner_id head{"i-1"};
+const runner_id member{"i-2"};
+
+class the_members_of_a_group : public testing::Test {
+protected:
+    the_members_of_a_group()
+    {
+        group.name = group_id{"g"};
+        group.assignment = epoch{7};
+        group.members = {head, member};
+        group.phase = plan_phase::disbanding;
+        group.since = start;
+        plan.add(group);
+        hear(start, head, group.name);
+        hear(start, member, group.name);
+    }
+    /// The runner's next heartbeat, which names `in`; it is in no group if that is empty.
+    void hear(instant now, const runner_id& runner, const group_id& in)
+    {
+        announcement told;
+        told.id = runner;
+        told.address = *endpoint::parse("10.0.0." + runner.str().substr(2) + ":80");
+        told.sequence = ++sequence;
+        if (!in.empty()) {
+            told.membership = group_membership{in, group.assignment, runner == head ? 0U : 1U,
+                                               member_phase::ready};
+        }
+        registry.announce(now, told);
+    }
+    void free(const runner_id& runner)
+    {
+        plan.free(group, runner, registry.find(runner)->latest.sequence);
+    }
+
+    planned_group group;
+    group_plan plan;
+    runner_registry registry;
+    health_reports reports;
+    fleet_state state;
+    failure_detector detector{{}, registry, reports, state};
+    group_evidence evidence{plan, detector, registry};
+    std::uint64_t sequence = 0;
+};
+
+TEST_F(the_members_of_a_group, belong_to_it_until_each_has_left)
+{
+    free(head);
+    EXPECT_FALSE(plan.is_bound(head));
+    EXPECT_TRUE(plan.is_bound(member)) << "the head's answer frees the head alone";
+    free(member);
+    EXPECT_FALSE(plan.is_bound(member));
+}
+
+TEST_F(the_members_of_a_group, are_back_if_a_later_heartbeat_names_it)
+{
+    free(member);
+    EXPECT_TRUE(plan.is_freed(registry.find(member)->latest));
+    EXPECT_FALSE(evidence.is_back(group, member)) << "that heartbeat is from before it left";
+    hear(start, member, group.name);
+    EXPECT_FALSE(plan.is_freed(registry.find(member)->latest));
+    EXPECT_TRUE(evidence.is_back(group, member));
+
+    planned_group next = group;
+    next.name = group_id{"next"};
+    EXPECT_TRUE(evidence.is_in_other_group(next, member));
+    hear(start, member, {});
+    EXPECT_FALSE(evidence.is_back(group, member));
+    EXPECT_FALSE(evidence.is_in_other_group(next, member));
+}
+
+TEST_F(the_members_of_a_group, that_was_never_opened_are_free_whatever_they_report)
+{
+    plan.free_unopened(group, member);
+    hear(start, member, group.name);
+    EXPECT_TRUE(plan.is_freed(registry.find(member)->latest));
+    EXPECT_FALSE(evidence.is_back(group, member));
+}
+
+TEST_F(the_members_of_a_group, are_replaced_once_another_runner_has_their_address)
+{
+    EXPECT_FALSE(evidence.is_replaced(member));
+    registry.note_dead(member);
+    EXPECT_TRUE(evidence.is_replaced(member));
+    EXPECT_TRUE(evidence.is_replaced(runner_id{"i-3"})) << "it is not known";
+    EXPECT_FALSE(evidence.is_head_out(start, group));
+    registry.note_dead(head);
+    EXPECT_TRUE(evidence.is_head_out(start, group));
+}
+
+TEST_F(the_members_of_a_group, without_a_heartbeat_are_not_out_of_it)
+{
+    const auto later = start + seconds{30};
+    EXPECT_FALSE(evidence.is_head_out(later, group));
+    EXPECT_FALSE(evidence.is_head_heard(group));
+    EXPECT_FALSE(evidence.is_some_member_heard(later, group));
+    hear(later, member, group.name);
+    EXPECT_TRUE(evidence.is_some_member_heard(later, group));
+    EXPECT_FALSE(evidence.is_head_heard(group));
+    hear(later, head, {});
+    EXPECT_TRUE(evidence.is_head_heard(group));
+    EXPECT_FALSE(evidence.is_head_out(later, group)) << "it has not answered the order to leave";
+}
+
+} // namespace
+} // namespace cedarpoint
--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <set>
 
 namespace cedarpoint::testing_support {
 namespace {
@@ -10,11 +9,6 @@
 constexpr duration tick = milliseconds{20};
 constexpr duration heartbeat = milliseconds{1200};
 
-std::string list_key(const group_id& group, std::uint64_t epoch_value)
-{
-    return group.str() + "@" + std::to_string(epoch_value);
-}
-
 } // namespace
 
 std::string two_model_document(std::uint64_t version)
@@ -27,6 +21,15 @@
                        version);
 }
 
+std::string told(const std::vector<std::string>& lines)
+{
+    std::string out;
+    for (const auto& line : lines) {
+        out += line + "\n";
+    }
+    return out;
+}
+
 planner_world::planner_world(options options) : options_{options}, random_{options.seed}
 {
     state_.apply(fleet_state::put_configuration(1, two_model_document(1)));
@@ -56,6 +59,11 @@
     }
 }
 
+std::string planner_world::list_key(const group_id& group, std::uint64_t epoch_value)
+{
+    return group.str() + "@" + std::to_string(epoch_value);
+}
+
 fake_runner* planner_world::find(const runner_id& runner)
 {
     const auto found = runners_.find(runner);
@@ -78,23 +86,6 @@
     find(runner)->next_heartbeat = now_;
 }
 
-group_id planner_world::group_of(const runner_id& runner) const
-{
-    const auto& membership = runners_.at(runner).told.membership;
-    return membership ? membership->group : group_id{};
-}
-
-std::vector<runner_id> planner_world::alive() const
-{
-    std::vector<runner_id> out;
-    for (const auto& [id, runner] : runners_) {
-        if (runner.alive) {
-            out.push_back(id);
-        }
-    }
-    return out;
-}
-
 void planner_world::run(duration time)
 {
     for (const auto end = now_ + time; now_ < end;) {
@@ -178,11 +169,6 @@
     }
 }
 
-bool planner_world::is_in_log(const group_id& group) const
-{
-    return state_.groups().contains(group);
-}
-
 void planner_world::heartbeats()
 {
     for (auto& [id, runner] : runners_) {
@@ -366,52 +352,4 @@
     }
 }
 
-std::size_t planner_world::serving(const std::string& model) const
-{
-    std::size_t out = 0;
-    for (const auto& [id, runner] : runners_) {
-        const auto& membership = runner.told.membership;
-        const bool open = runner.alive && membership && membership->phase == member_phase::open &&
-                          runner.told.models == std::vector{model_id{model}};
-        out += open && group_moves(runner) ? 1 : 0;
-    }
-    return out;
-}
-
-std::vector<runner_id> planner_world::members_of_some_group(const std::string& model) const
-{
-    for (const auto& [id, runner] : runners_) {
-        const auto& membership = runner.told.membership;
-        if (runner.alive && membership && membership->phase == member_phase::open &&
-            runner.told.models == std::vector{model_id{model}}) {
-            return lists_.at(list_key(membership->group, membership->assignment.value));
-        }
-    }
-    return {};
-}
-
-std::size_t planner_world::mixed_domains() const
-{
-    std::map<fabric_domain_id, std::set<model_id>> held;
-    for (const auto& [id, runner] : runners_) {
-        held[runner.told.fabric_domain].insert(runner.told.staged.begin(),
-                                               runner.told.staged.end());
-    }
-    return static_cast<std::size_t>(std::count_if(
-        held.begin(), held.end(), [](const auto& each) { return each.second.size() > 1; }));
-}
-
-std::size_t planner_world::spread_groups() const
-{
-    std::size_t out = 0;
-    for (const auto& [key, members] : lists_) {
-        std::map<fabric_domain_id, int> domains;
-        for (const auto& member : members) {
-            ++domains[runners_.at(member).told.fabric_domain];
-        }
-        out += domains.size() > 1 ? 1 : 0;
-    }
-    return out;
-}
-
 } // namespace cedarpoint::testing_support
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -94,6 +94,7 @@
     void check_open(const fake_runner& head, const group_order& order);
     [[nodiscard]] bool group_moves(const fake_runner& head) const;
     fake_runner* find(const runner_id& runner);
+    [[nodiscard]] static std::string list_key(const group_id& group, std::uint64_t epoch_value);
 
     options options_;
     std::mt19937_64 random_;
@@ -110,6 +111,9 @@
     int made_ = 0;
 };
 
+/// The lines of `planner_world::broken` as one text, for a test's output.
+std::string told(const std::vector<std::string>& lines);
+
 /// A configuration with a service of groups of 4 and of 3.
 std::string two_model_document(std::uint64_t version);
 
--- /dev/null
+++ b/tests/fleet/planner_world_queries.cpp
@@ -0,0 +1,80 @@
+// What a test asks of a `planner_world`: nothing here changes it.
+
+#include "fleet/planner_world.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cedarpoint::testing_support {
+
+group_id planner_world::group_of(const runner_id& runner) const
+{
+    const auto& membership = runners_.at(runner).told.membership;
+    return membership ? membership->group : group_id{};
+}
+
+std::vector<runner_id> planner_world::alive() const
+{
+    std::vector<runner_id> out;
+    for (const auto& [id, runner] : runners_) {
+        if (runner.alive) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
+bool planner_world::is_in_log(const group_id& group) const
+{
+    return state_.groups().contains(group);
+}
+
+std::size_t planner_world::serving(const std::string& model) const
+{
+    std::size_t out = 0;
+    for (const auto& [id, runner] : runners_) {
+        const auto& membership = runner.told.membership;
+        const bool open = runner.alive && membership && membership->phase == member_phase::open &&
+                          runner.told.models == std::vector{model_id{model}};
+        out += open && group_moves(runner) ? 1 : 0;
+    }
+    return out;
+}
+
+std::vector<runner_id> planner_world::members_of_some_group(const std::string& model) const
+{
+    for (const auto& [id, runner] : runners_) {
+        const auto& membership = runner.told.membership;
+        if (runner.alive && membership && membership->phase == member_phase::open &&
+            runner.told.models == std::vector{model_id{model}}) {
+            return lists_.at(list_key(membership->group, membership->assignment.value));
+        }
+    }
+    return {};
+}
+
+std::size_t planner_world::mixed_domains() const
+{
+    std::map<fabric_domain_id, std::set<model_id>> held;
+    for (const auto& [id, runner] : runners_) {
+        held[runner.told.fabric_domain].insert(runner.told.staged.begin(),
+                                               runner.told.staged.end());
+    }
+    return static_cast<std::size_t>(std::count_if(
+        held.begin(), held.end(), [](const auto& each) { return each.second.size() > 1; }));
+}
+
+std::size_t planner_world::spread_groups() const
+{
+    std::size_t out = 0;
+    for (const auto& [key, members] : lists_) {
+        std::map<fabric_domain_id, int> domains;
+        for (const auto& member : members) {
+            ++domains[runners_.at(member).told.fabric_domain];
+        }
+        out += domains.size() > 1 ? 1 : 0;
+    }
+    return out;
+}
+
+} // namespace cedarpoint::testing_support
--- /dev/null
+++ b/tests/fleet/random_plans_test.cpp
@@ -0,0 +1,85 @@
+// The leader's plan in random runs: runners die, drain, are cut off and carry orders out late,
+// leaders change, heartbeats are held up until then. The rules are checked at every step.
+
+#include "fleet/planner_world.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::planner_world;
+using testing_support::told;
+
+class random_plans : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(random_plans, keep_the_rules_while_runners_and_leaders_come_and_go)
+{
+    planner_world world{{.seed = GetParam(), .late_orders = 0.35}};
+    world.add_runners("a-0", 9);
+    world.add_runners("a-1", 9);
+    world.add_runners("b-0", 9);
+    std::mt19937_64 random{GetParam() * 7919};
+    world.run(seconds{10});
+    std::vector<runner_id> cut;
+    for (int round = 0; round < 60; ++round) {
+        const auto alive = world.alive();
+        const auto& one = alive[random() % alive.size()];
+        switch (random() % 11) {
+        case 0:
+            world.kill(one);
+            world.add_runners(round % 2 == 0 ? "a-0" : "b-0", 1);
+            break;
+        case 1:
+            world.set_cut(one, true);
+            cut.push_back(one);
+            break;
+        case 2:
+            for (const auto& each : cut) {
+                world.set_unreachable(each, false);
+            }
+            cut.clear();
+            break;
+        case 3:
+            world.change_leader();
+            break;
+        case 4:
+            world.in_flight = static_cast<int>(random() % 30);
+            break;
+        case 5:
+            world.drain(one);
+            world.add_runners("a-1", 1);
+            break;
+        case 6:
+            world.set_unreachable(one, true);
+            cut.push_back(one);
+            break;
+        case 7:
+            for (const auto& each : alive) {
+                world.hold_back_heartbeat(each);
+            }
+            break;
+        case 8:
+            world.change_leader();
+            world.deliver_all_held_back();
+            break;
+        default:
+            break;
+        }
+        world.run(milliseconds{200 + random() % 1500});
+        ASSERT_EQ(told(world.broken()), "") << "seed " << GetParam() << " round " << round;
+    }
+    for (const auto& each : cut) {
+        world.set_unreachable(each, false);
+    }
+    world.in_flight = 4;
+    world.run(seconds{40});
+    EXPECT_EQ(told(world.broken()), "");
+    EXPECT_GE(world.serving("large") + world.serving("small"), 2U);
+    EXPECT_EQ(world.spread_groups(), 0U) << "a group lies in one fabric domain";
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, random_plans, testing::Range<std::uint64_t>(1, 41));
+
+} // namespace
+} // namespace cedarpoint
