--- a/src/io/http_status.h
+++ b/include/cedarpoint/core/http_status.h
@@ -2,7 +2,8 @@
 
 namespace cedarpoint::http_status {
 
-// The statuses that the product gives or looks for, by their standard names.
+// The statuses of HTTP that the product gives or looks for, by their standard names. In `core`,
+// since decisions name them too.
 inline constexpr int ok = 200;
 inline constexpr int accepted = 202;
 inline constexpr int temporary_redirect = 307;
@@ -10,12 +11,20 @@
 inline constexpr int unauthorized = 401;
 inline constexpr int not_found = 404;
 inline constexpr int method_not_allowed = 405;
+inline constexpr int request_timeout = 408;
 inline constexpr int conflict = 409;
 inline constexpr int precondition_failed = 412;
 inline constexpr int misdirected_request = 421;
 inline constexpr int unprocessable_content = 422;
+inline constexpr int too_many_requests = 429;
 inline constexpr int bad_gateway = 502;
 inline constexpr int service_unavailable = 503;
 inline constexpr int gateway_timeout = 504;
 
+/// @name Where the classes of errors begin.
+/// @{
+inline constexpr int first_error = 400;
+inline constexpr int first_server_error = 500;
+/// @}
+
 } // namespace cedarpoint::http_status
--- a/include/cedarpoint/fleet/retry_policy.h
+++ b/include/cedarpoint/fleet/retry_policy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cedarpoint/core/http_status.h"
 #include "cedarpoint/fleet/fleet_configuration.h"
 
 #include <array>
@@ -87,11 +88,8 @@
 /// True for statuses by which callers conclude that their request has not run.
 [[nodiscard]] constexpr bool promises_not_run(int status)
 {
-    constexpr int request_timeout = 408;
-    constexpr int too_many_requests = 429;
-    constexpr int service_unavailable = 503;
-    return status == request_timeout || status == too_many_requests ||
-           status == service_unavailable;
+    return status == http_status::request_timeout || status == http_status::too_many_requests ||
+           status == http_status::service_unavailable;
 }
 
 [[nodiscard]] final_answer choose_final_answer(const give_up_facts& facts);
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -4,11 +4,11 @@
 #include "cedarpoint/config/fleet_settings.h"
 #include "cedarpoint/config/json_reader.h"
 #include "cedarpoint/config/settings.h"
+#include "cedarpoint/core/http_status.h"
 #include "cli/exit_code.h"
 #include "cli/operator_client.h"
 #include "cli/settings_file.h"
 #include "cli/status_view.h"
-#include "io/http_status.h"
 
 #include <QThread>
 
--- a/src/control_daemon/control_api.cpp
+++ b/src/control_daemon/control_api.cpp
@@ -1,7 +1,7 @@
 #include "control_daemon/control_api.h"
 
+#include "cedarpoint/core/http_status.h"
 #include "io/clock.h"
-#include "io/http_status.h"
 #include "io/log_line.h"
 
 #include <string_view>
--- a/src/control_daemon/runner_orders.cpp
+++ b/src/control_daemon/runner_orders.cpp
@@ -1,6 +1,6 @@
 #include "control_daemon/runner_orders.h"
 
-#include "io/http_status.h"
+#include "cedarpoint/core/http_status.h"
 
 #include <array>
 #include <utility>
--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -1,9 +1,9 @@
 #include "daemon/caller_gateway.h"
 
+#include "cedarpoint/core/http_status.h"
 #include "daemon/engine_headers.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
-#include "io/http_status.h"
 #include "io/log_line.h"
 
 #include <fmt/format.h>
--- a/src/daemon/caller_gateway_answers.cpp
+++ b/src/daemon/caller_gateway_answers.cpp
@@ -2,10 +2,10 @@
 
 #include "daemon/caller_gateway.h"
 
+#include "cedarpoint/core/http_status.h"
 #include "daemon/engine_headers.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
-#include "io/http_status.h"
 #include "io/log_line.h"
 
 #include <utility>
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -2,11 +2,11 @@
 
 #include "cedarpoint/config/json_reader.h"
 #include "cedarpoint/config/plan.h"
+#include "cedarpoint/core/http_status.h"
 #include "cedarpoint/core/secret.h"
 #include "daemon/daemon.h"
 #include "daemon/status_report.h"
 #include "io/clock.h"
-#include "io/http_status.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
--- a/src/daemon/runner_client.cpp
+++ b/src/daemon/runner_client.cpp
@@ -1,7 +1,7 @@
 #include "daemon/runner_client.h"
 
 #include "cedarpoint/config/json_reader.h"
-#include "io/http_status.h"
+#include "cedarpoint/core/http_status.h"
 #include "io/log_line.h"
 
 #include <nlohmann/json.hpp>
--- a/src/entry/own_answer.cpp
+++ b/src/entry/own_answer.cpp
@@ -1,6 +1,6 @@
 #include "entry/own_answer.h"
 
-#include "io/http_status.h"
+#include "cedarpoint/core/http_status.h"
 
 #include <array>
 
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -2,9 +2,9 @@
 
 #include "entry/relay.h"
 
+#include "cedarpoint/core/http_status.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
-#include "io/http_status.h"
 #include "io/log_line.h"
 
 #include <fmt/format.h>
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -1,8 +1,8 @@
 #include "entry/runner_attempt.h"
 
+#include "cedarpoint/core/http_status.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
-#include "io/http_status.h"
 
 #include <utility>
 
--- a/src/fleet/answer_verdict.cpp
+++ b/src/fleet/answer_verdict.cpp
@@ -1,14 +1,12 @@
 #include "cedarpoint/fleet/answer_verdict.h"
 
+#include "cedarpoint/core/http_status.h"
+
 #include <fmt/format.h>
 
 namespace cedarpoint {
 namespace {
 
-constexpr int first_error = 400;
-constexpr int misdirected = 421;
-constexpr int first_server_error = 500;
-
 attempt_verdict judge_success(const answer_facts& in)
 {
     if (!in.is_authentic) {
@@ -26,15 +24,15 @@
 
 attempt_verdict judge_answer(const answer_facts& in)
 {
-    if (in.disclaims || in.status == misdirected) {
+    if (in.disclaims || in.status == http_status::misdirected_request) {
         return {attempt_outcome::not_run, target_effect::failure,
                 fmt::format("status {} not executed", in.status)};
     }
-    if (in.status < first_error) {
+    if (in.status < http_status::first_error) {
         return judge_success(in);
     }
     const auto why = fmt::format("status {}", in.status);
-    if (in.status < first_server_error) {
+    if (in.status < http_status::first_server_error) {
         return {attempt_outcome::client_error, target_effect::none, why};
     }
     return {attempt_outcome::server_error, target_effect::failure, why};
--- a/src/io/simple_listeners.cpp
+++ b/src/io/simple_listeners.cpp
@@ -1,6 +1,6 @@
 #include "io/simple_listeners.h"
 
-#include "io/http_status.h"
+#include "cedarpoint/core/http_status.h"
 
 namespace cedarpoint {
 namespace {
