--- a/include/cedarpoint/fleet/fleet_state.h
+++ b/include/cedarpoint/fleet/fleet_state.h
@@ -23,6 +23,7 @@
     failure_domain_id failure_domain;
     fabric_domain_id fabric_domain;
     int slots = 0;
+    model_id loaded_model; ///< of the latest group that it was ready in; empty before the first
 };
 
 /// A group whose members were all ready: its head may be open from this entry of the log on.
@@ -75,6 +76,7 @@
 
 private:
     void note_registration(registered_runner in);
+    void note_formed(formed_group in);
     void note_departure(const wire::departure& in);
 
     /// Departures that are remembered. Runners have a new id at each start, so old ones only take
--- a/include/cedarpoint/fleet/group_lifecycle.h
+++ b/include/cedarpoint/fleet/group_lifecycle.h
@@ -59,6 +59,9 @@
     void enter(instant now, planned_group& group, plan_phase phase, const std::string& why);
     /// Evaluates the state of each group.
     void advance_all(instant now);
+    /// A serving group takes no new requests and ends with its last one. Nothing if it does not
+    /// serve.
+    void retire(instant now, const group_id& name, const std::string& why);
     void on_order_result(instant now, const group_order& order, order_result result);
 
     /// Heads that the leader can't reach, while some of their members answer: entry daemons are
--- a/include/cedarpoint/fleet/group_plan.h
+++ b/include/cedarpoint/fleet/group_plan.h
@@ -21,6 +21,11 @@
     /// Empties the plan for a new term. The models that runners joined last stay known.
     void clear();
 
+    /// The runner has loaded the model, as an earlier leader knew.
+    void note_loaded(const runner_id& runner, const model_id& model)
+    {
+        last_models_[runner] = model;
+    }
     /// Adds a group; its members belong to it from now on, even if they belonged to another one.
     planned_group& add(planned_group group);
     /// Adds a group; members that belong to another group stay there.
@@ -44,6 +49,8 @@
     [[nodiscard]] const group_map& groups() const { return groups_; }
     [[nodiscard]] planned_group* find(const group_id& name);
     [[nodiscard]] bool is_bound(const runner_id& runner) const { return bound_.contains(runner); }
+    /// The group that the runner belongs to; null if it belongs to none.
+    [[nodiscard]] const planned_group* group_of(const runner_id& runner) const;
     /// True if the runner belongs to this group, as far as the plan knows.
     [[nodiscard]] bool belongs_to(const runner_id& runner, const planned_group& group) const;
     /// True if the runner was freed, in this term, from the group that this heartbeat of it names,
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -4,6 +4,7 @@
 #include "cedarpoint/fleet/failure_detector.h"
 #include "cedarpoint/fleet/fleet_configuration.h"
 #include "cedarpoint/fleet/fleet_state.h"
+#include "cedarpoint/fleet/group_conversion.h"
 #include "cedarpoint/fleet/group_lifecycle.h"
 #include "cedarpoint/fleet/group_order.h"
 #include "cedarpoint/fleet/group_placement.h"
@@ -16,6 +17,7 @@
 #include "cedarpoint/fleet/planner_outbox.h"
 #include "cedarpoint/fleet/runner_registry.h"
 #include "cedarpoint/fleet/weight_staging.h"
+#include "cedarpoint/fleet/work_average.h"
 
 #include <cstdint>
 #include <functional>
@@ -27,7 +29,8 @@
 /// Decides on the leading control daemon which runners form which groups. Puts together the parts
 /// that decide, in the order of a tick: `leader_recovery` takes over groups of earlier leaders,
 /// `group_lifecycle` moves groups through their states as `failure_detector` sees the runners,
-/// `group_placement` forms new ones, `weight_staging` brings weights to free runners. Does no I/O:
+/// `group_conversion` takes groups apart for another model, `group_placement` forms new ones,
+/// `weight_staging` brings weights to free runners. Does no I/O:
 /// a tick returns the steps to carry out. Soft state, begun anew with each term.
 class group_planner {
 public:
@@ -57,14 +60,20 @@
     /// True unless the fleet is starting and runners are still announcing themselves.
     [[nodiscard]] bool has_heard_fleet(instant now) const;
     void form_groups(instant now);
+    /// Retires groups for a model that is shorter of room than theirs; true if it did.
+    bool convert_groups(instant now, const placement_snapshot& in);
     void begin_group(instant now, const proposed_group& proposed);
     [[nodiscard]] bool is_usable(const runner_record& record) const;
     [[nodiscard]] bool is_free(instant now, const runner_record& record) const;
+    /// Heard in this term, and in no group that is being formed or ended.
+    [[nodiscard]] bool is_settled_runner(const runner_record& record) const;
     [[nodiscard]] placement_snapshot take_snapshot(instant now) const;
+    void count_groups(placement_snapshot& out) const;
     void add_runners(instant now, placement_snapshot& out) const;
-    void add_loads(instant now, placement_snapshot& out) const;
-    [[nodiscard]] model_load measure_load(instant now, const fleet_service& service,
-                                          const engine_model& model) const;
+    void measure_work(instant now);
+    /// Requests for the model in service now, and those turned away per second.
+    [[nodiscard]] double count_requests(instant now, const engine_model& model) const;
+    [[nodiscard]] std::size_t count_serving(const model_id& model) const;
     [[nodiscard]] std::string summarize_models(const placement_snapshot& in) const;
     [[nodiscard]] std::string summarize_free(const placement_snapshot& in) const;
 
@@ -80,8 +89,11 @@
     leader_recovery recovery_;
     load_limiter loads_;
     weight_staging staging_;
+    group_conversion conversions_;
+    work_average work_;
     std::uint64_t term_ = 0;
     std::uint64_t groups_formed_ = 0; ///< in this term
+    bool took_over_groups_ = false;   ///< the log held groups when the term began
     instant settled_at_;
 };
 
--- a/include/cedarpoint/fleet/load_limiter.h
+++ b/include/cedarpoint/fleet/load_limiter.h
@@ -12,11 +12,14 @@
 class load_limiter {
 public:
     void set_limits(double per_second, int at_once);
-    /// Lifts the rate: before the first request nobody else uses the store.
+    /// Lifts both bounds: loads that begin before the first request are short, and the store does
+    /// not count them.
     void set_unmetered(bool unmetered) { unmetered_ = unmetered; }
 
     /// True if `count` more loads may begin now, while `running` are under way.
     [[nodiscard]] bool allows(instant now, std::size_t count, std::size_t running) const;
+    /// The same for one load that nothing waits for.
+    [[nodiscard]] bool allows_background(instant now, std::size_t running) const;
     void begin(instant now, std::size_t count);
 
 private:
--- a/include/cedarpoint/fleet/placement_snapshot.h
+++ b/include/cedarpoint/fleet/placement_snapshot.h
@@ -3,7 +3,6 @@
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/fleet/announcement.h"
 #include "cedarpoint/fleet/fleet_configuration.h"
-#include "cedarpoint/fleet/preferred_models.h"
 
 #include <cstddef>
 #include <map>
@@ -19,16 +18,8 @@
     bool free = false;                    ///< may be ordered to join a group now
     bool staging = false;                 ///< weights are being copied to its host
     const model_id* last_model = nullptr; ///< that it joined a group for last; null if none
-};
-
-/// How much a model is used.
-struct model_load {
-    int in_flight = 0;           ///< requests at the heads of its serving groups
-    int slots = 0;               ///< requests that these groups can serve at a time
-    double rejections_per_s = 0; ///< requests turned away
-
-    /// Requests per slot: above 1 requests are turned away.
-    [[nodiscard]] double utilization() const;
+    bool settled = false; ///< heard by this leader, and in no group that is formed or ended
+    const model_id* kept_for = nullptr; ///< a conversion keeps it for this model; null if none
 };
 
 /// What placement and staging decide from: values that one tick takes from the registry, the plan
@@ -40,18 +31,28 @@
     const fleet_configuration* configuration = nullptr; ///< never null
     std::vector<runner_snapshot> runners;               ///< by id
     free_map free;                                      ///< the free ones by fabric domain
-    preferred_models preferred;
-    std::map<model_id, std::size_t> groups; ///< that serve or are about to
-    std::map<model_key, model_load> loads;
-    std::map<model_key, std::size_t> base_groups; ///< see `group_targets.h`
-    std::size_t joins_loading = 0;                ///< members that read weights from the store
-    bool has_traffic = false;                     ///< false before the first request
+    std::map<model_id, std::size_t> groups;             ///< that serve or are about to
+    /// The same in each fabric domain, and in each failure domain.
+    std::map<std::pair<fabric_domain_id, model_id>, std::size_t> groups_by_domain;
+    std::map<std::pair<failure_domain_id, model_id>, std::size_t> groups_by_failure_domain;
+    std::map<model_key, double> work;         ///< see `work_average.h`
+    std::map<model_id, std::size_t> expected; ///< groups that conversions under way will form
+    std::size_t joins_loading = 0;            ///< members that read weights from the store
+    bool has_traffic = false;                 ///< false before the first request
 
     [[nodiscard]] std::size_t count_groups(const model_id& model) const;
-    [[nodiscard]] const model_load& load_of(const fleet_service& service,
-                                            const engine_model& model) const;
+    [[nodiscard]] std::size_t count_groups_in(const fabric_domain_id& domain,
+                                              const model_id& model) const;
+    [[nodiscard]] std::size_t count_groups_in(const failure_domain_id& domain,
+                                              const model_id& model) const;
+    [[nodiscard]] std::size_t count_with_expected(const model_id& model) const;
+    [[nodiscard]] double work_of(const fleet_service& service, const engine_model& model) const;
 };
 
+/// True if the runner has loaded the model, or can from its host at once: it joins for it within
+/// seconds, without the weight store.
+[[nodiscard]] bool can_join_soon(const runner_snapshot& runner, const engine_model& model);
+[[nodiscard]] bool has_loaded(const runner_snapshot& runner, const engine_model& model);
 [[nodiscard]] bool has_staged(const announcement& runner, const model_id& model);
 
 } // namespace cedarpoint
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -22,7 +22,8 @@
                              *address,
                              failure_domain_id{in.failure_domain()},
                              fabric_domain_id{in.fabric_domain()},
-                             static_cast<int>(in.slots())};
+                             static_cast<int>(in.slots()),
+                             model_id{in.loaded_model()}};
 }
 
 wire::registration encode(const registered_runner& in)
@@ -34,6 +35,7 @@
     out.set_failure_domain(in.failure_domain.str());
     out.set_fabric_domain(in.fabric_domain.str());
     out.set_slots(static_cast<std::uint32_t>(in.slots));
+    out.set_loaded_model(in.loaded_model.str());
     return out;
 }
 
@@ -135,7 +137,7 @@
             note_registration(std::move(*runner));
         }
         if (in.has_formed()) {
-            groups_[group_id{in.formed().name()}] = decode(in.formed());
+            note_formed(decode(in.formed()));
         }
         if (in.has_ended()) {
             groups_.erase(group_id{in.ended().name()});
@@ -158,6 +160,17 @@
     registrations_[runner] = std::move(in);
 }
 
+void fleet_state::note_formed(formed_group in)
+{
+    for (const auto& member : in.members) {
+        if (const auto found = registrations_.find(member); found != registrations_.end()) {
+            found->second.loaded_model = in.model;
+        }
+    }
+    const auto name = in.name;
+    groups_[name] = std::move(in);
+}
+
 void fleet_state::note_departure(const wire::departure& in)
 {
     const runner_id runner{in.runner()};
--- /dev/null
+++ b/src/fleet/group_conversion.cpp
@@ -0,0 +1,303 @@
+#include "cedarpoint/fleet/group_conversion.h"
+
+#include "cedarpoint/fleet/group_targets.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace cedarpoint {
+namespace {
+
+/// The utilization of the taking model must fall to this part of what it was, or a conversion is
+/// not worth the seconds without the retired groups. Not measured on its own.
+constexpr double largest_remainder = 0.95;
+
+/// Time between the beginnings of two conversions, so that the second sees the first in the reports
+/// of entry daemons, which come every 200 ms. Not measured.
+constexpr duration conversion_interval = milliseconds{300};
+
+/// A conversion that has not formed its groups by then is given up: the longest retirement and some
+/// seconds to join. Not measured.
+constexpr duration conversion_limit = seconds{12};
+
+/// One of this many runners may be under conversion; one conversion may always be.
+constexpr std::size_t runners_per_converted = 8;
+
+/// A model that has got groups by a conversion gives none for this long: the work that the averages
+/// show is older than the conversion. Not measured on its own.
+constexpr duration taker_rest = seconds{5};
+
+using runner_index = std::map<runner_id, const runner_snapshot*>;
+
+runner_index index_of(const placement_snapshot& in)
+{
+    runner_index out;
+    for (const auto& runner : in.runners) {
+        out.emplace(runner.latest->id, &runner);
+    }
+    return out;
+}
+
+/// The groups of one model that serve in one fabric domain, the least used first.
+using domain_groups = std::map<fabric_domain_id, std::vector<const planned_group*>>;
+
+/// What one call of `begin_next` looks at.
+struct search {
+    const placement_snapshot& in;
+    const runner_index runners;
+    const fleet_service& service;
+    const engine_model& to;
+    const engine_model& from;
+};
+
+/// The members that can serve the taking model within seconds.
+std::set<runner_id> find_ready(const search& at, const planned_group& group)
+{
+    std::set<runner_id> out;
+    for (const auto& member : group.members) {
+        const auto found = at.runners.find(member);
+        if (found != at.runners.end() && found->second->usable &&
+            can_join_soon(*found->second, at.to)) {
+            out.insert(member);
+        }
+    }
+    return out;
+}
+
+/// Groups of the giving model in each failure domain.
+std::map<failure_domain_id, std::size_t>
+count_by_failure_domain(const search& at, const group_plan& plan, const model_id& model)
+{
+    std::map<failure_domain_id, std::size_t> out;
+    for (const auto& [name, group] : plan.groups()) {
+        const auto head = at.runners.find(group.head());
+        if (group.model == model && group.phase <= plan_phase::serving &&
+            head != at.runners.end()) {
+            ++out[head->second->latest->failure_domain];
+        }
+    }
+    return out;
+}
+
+domain_groups find_givers(const search& at, const group_plan& plan)
+{
+    domain_groups out;
+    for (const auto& [name, group] : plan.groups()) {
+        if (group.model == at.from.name && group.phase == plan_phase::serving &&
+            !find_ready(at, group).empty()) {
+            out[at.runners.at(group.head())->latest->fabric_domain].push_back(&group);
+        }
+    }
+    return out;
+}
+
+std::set<runner_id> find_free(const search& at, const fabric_domain_id& domain)
+{
+    std::set<runner_id> out;
+    const auto found = at.in.free.find(domain);
+    if (found == at.in.free.end()) {
+        return out;
+    }
+    for (const auto* runner : found->second) {
+        const bool kept = runner->kept_for != nullptr && *runner->kept_for != at.to.name;
+        if (runner->latest->service == at.service.name && !kept && can_join_soon(*runner, at.to)) {
+            out.insert(runner->latest->id);
+        }
+    }
+    return out;
+}
+
+/// The fewest groups of the domain that, with its free runners, make room for one group.
+conversion_proposal propose_in(const search& at, const fabric_domain_id& domain,
+                               const std::vector<const planned_group*>& givers, std::size_t most)
+{
+    conversion_proposal out;
+    out.service = &at.service;
+    out.to = &at.to;
+    out.from = &at.from;
+    out.domain = domain;
+    out.runners = find_free(at, domain);
+    for (const auto* group : givers) {
+        if (out.gained > 0 || out.retired.size() == most) {
+            break;
+        }
+        out.retired.push_back(group);
+        out.runners.merge(find_ready(at, *group));
+        out.gained = out.runners.size() / std::max<std::size_t>(at.to.group_size, 1);
+    }
+    return out;
+}
+
+/// True if the giving model has much more room, also without the retired groups, and the busier of
+/// the two is clearly better off afterwards.
+bool is_worth_while(const search& at, const conversion_proposal& next)
+{
+    const auto taking = at.in.count_with_expected(at.to.name);
+    const auto giving = at.in.count_with_expected(at.from.name);
+    if (next.gained == 0 || giving <= next.retired.size()) {
+        return false;
+    }
+    const auto left = giving - next.retired.size();
+    const auto before = utilization_with(at.in, at.service, at.to, taking);
+    const auto after = utilization_with(at.in, at.service, at.to, taking + next.gained);
+    return is_worth_switching(at.in, at.service, at.from, left, at.to) &&
+           after < before * largest_remainder;
+}
+
+/// Runners given up for each runner gained; the fewest come first, then failure domains with the
+/// fewest groups of the taking model.
+auto rank(const conversion_proposal& in, std::size_t taking_there)
+{
+    const auto given = in.retired.size() * in.from->group_size;
+    const auto gained = in.gained * in.to->group_size;
+    return std::tuple{static_cast<double>(given) / static_cast<double>(gained), taking_there};
+}
+
+std::optional<conversion_proposal> find_best(const search& at, const group_plan& plan)
+{
+    const auto giving = count_by_failure_domain(at, plan, at.from.name);
+    const auto taking = count_by_failure_domain(at, plan, at.to.name);
+    std::optional<conversion_proposal> best;
+    std::size_t best_taking = 0;
+    for (const auto& [domain, givers] : find_givers(at, plan)) {
+        const auto& place = at.runners.at(givers.front()->head())->latest->failure_domain;
+        auto next = propose_in(at, domain, givers, giving.at(place) - 1);
+        const auto found = taking.find(place);
+        const auto there = found == taking.end() ? 0 : found->second;
+        if (is_worth_while(at, next) && (!best || rank(next, there) < rank(*best, best_taking))) {
+            best = std::move(next);
+            best_taking = there;
+        }
+    }
+    return best;
+}
+
+/// The model with the highest utilization; null if none has any work.
+const engine_model* find_taker(const placement_snapshot& in, const fleet_service& service)
+{
+    const engine_model* out = nullptr;
+    double highest = 0;
+    for (const auto& model : service.engine->models) {
+        const auto utilization =
+            utilization_with(in, service, model, in.count_with_expected(model.name));
+        if (utilization > highest) {
+            out = &model;
+            highest = utilization;
+        }
+    }
+    return out;
+}
+
+std::optional<conversion_proposal> find_for(const placement_snapshot& in, const group_plan& plan,
+                                            const fleet_service& service,
+                                            const std::set<model_id>& may_not_give)
+{
+    const auto* taker = find_taker(in, service);
+    if (taker == nullptr) {
+        return {};
+    }
+    for (const auto& giver : service.engine->models) {
+        if (giver.name == taker->name || may_not_give.contains(giver.name)) {
+            continue;
+        }
+        if (auto out = find_best({in, index_of(in), service, *taker, giver}, plan)) {
+            return out;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+std::optional<conversion_proposal>
+group_conversion::begin_next(instant now, const placement_snapshot& in, const group_plan& plan)
+{
+    if (now < next_at_ || count_runners() > in.runners.size() / runners_per_converted) {
+        return {};
+    }
+    for (const auto& service : in.configuration->services) {
+        if (!service.engine) {
+            continue;
+        }
+        if (auto next = find_for(in, plan, service, find_resting(now))) {
+            taken_at_[next->to->name] = now;
+            under_way_.push_back({next->to->name, next->to->group_size, next->gained, next->runners,
+                                  now + conversion_limit});
+            next_at_ = now + conversion_interval;
+            return next;
+        }
+    }
+    return {};
+}
+
+std::set<model_id> group_conversion::find_resting(instant now) const
+{
+    std::set<model_id> out;
+    for (const auto& [model, at] : taken_at_) {
+        if (now - at < taker_rest) {
+            out.insert(model);
+        }
+    }
+    return out;
+}
+
+std::size_t group_conversion::count_runners() const
+{
+    std::size_t out = 0;
+    for (const auto& each : under_way_) {
+        out += each.runners.size();
+    }
+    return out;
+}
+
+void group_conversion::forget_finished(instant now, const placement_snapshot& in)
+{
+    std::erase_if(under_way_, [&](const conversion& each) {
+        const auto left =
+            std::count_if(in.runners.begin(), in.runners.end(), [&](const runner_snapshot& runner) {
+                return runner.usable && each.runners.contains(runner.latest->id);
+            });
+        return each.expected == 0 || static_cast<std::size_t>(left) < each.group_size ||
+               now >= each.overdue_at;
+    });
+}
+
+void group_conversion::on_formed(const model_id& model, const std::vector<runner_id>& members)
+{
+    for (auto& each : under_way_) {
+        const bool meant =
+            each.to == model && each.expected > 0 &&
+            std::any_of(members.begin(), members.end(),
+                        [&](const runner_id& member) { return each.runners.contains(member); });
+        if (meant) {
+            --each.expected;
+            for (const auto& member : members) {
+                each.runners.erase(member);
+            }
+            return;
+        }
+    }
+}
+
+const model_id* group_conversion::kept_for(const runner_id& runner) const
+{
+    for (const auto& each : under_way_) {
+        if (each.expected > 0 && each.runners.contains(runner)) {
+            return &each.to;
+        }
+    }
+    return nullptr;
+}
+
+std::map<model_id, std::size_t> group_conversion::count_expected() const
+{
+    std::map<model_id, std::size_t> out;
+    for (const auto& each : under_way_) {
+        out[each.to] += each.expected;
+    }
+    return out;
+}
+
+} // namespace cedarpoint
--- a/src/fleet/group_lifecycle.cpp
+++ b/src/fleet/group_lifecycle.cpp
@@ -225,6 +225,13 @@
     }
 }
 
+void group_lifecycle::retire(instant now, const group_id& name, const std::string& why)
+{
+    if (auto* group = plan_.find(name); group != nullptr && group->phase == plan_phase::serving) {
+        enter(now, *group, plan_phase::retiring, why);
+    }
+}
+
 void group_lifecycle::release(instant now, planned_group& group, const std::string& why)
 {
     enter(now, group, plan_phase::releasing, why);
--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -3,6 +3,7 @@
 #include "cedarpoint/fleet/group_targets.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace cedarpoint {
@@ -17,24 +18,132 @@
 /// measured on its own; of the round "survivors went to the model that was quicker".
 constexpr double cost_per_second = 0.03;
 
+/// Costs of a group before there is work, in shares of the model's wanted groups: of each group of
+/// the model that its failure domain has already, of a fabric domain that has none yet, and of each
+/// runner that is left without a group. So each failure domain gets every model, and a fabric
+/// domain one model as far as that goes: the survivors of two of its groups make a third.
+constexpr double cost_of_same_failure_domain = 0.05;
+constexpr double cost_of_new_domain = 0.1;
+constexpr double cost_of_stranded = 0.2;
+
+/// The advantage of a model's first group in a failure domain: above all costs, so that a domain
+/// that is cut off serves every model.
+constexpr double advantage_of_first_group = 10;
+
 duration join_time(const runner_snapshot& runner, const engine_model& model)
 {
-    if (runner.last_model != nullptr && *runner.last_model == model.name) {
+    if (has_loaded(runner, model)) {
         return rejoin_time;
     }
     return has_staged(*runner.latest, model.name) ? model.warm_time : model.load_time;
 }
 
-/// The part of the model's wanted groups that it has, less its utilization, plus the time until the
-/// group could serve: the model that is shortest of room goes first.
-double placement_cost(const placement_snapshot& in, const fleet_service& service,
-                      const engine_model& model, duration until_joined)
+/// The fewest of `runners` that are left over when groups of the service are formed of the others.
+std::size_t count_stranded(const fleet_service& service, std::size_t runners)
+{
+    std::vector<bool> reachable(runners + 1, false);
+    reachable[0] = true;
+    std::size_t most = 0;
+    for (std::size_t used = 1; used <= runners; ++used) {
+        for (const auto& model : service.engine->models) {
+            const auto size = std::max<std::size_t>(model.group_size, 1);
+            reachable[used] = reachable[used] || (size <= used && reachable[used - size]);
+        }
+        most = reachable[used] ? used : most;
+    }
+    return runners - most;
+}
+
+/// Before there is work: the model that has the least part of its wanted groups goes first.
+double initial_cost(const placement_snapshot& in, const proposed_group& next, std::size_t free)
+{
+    const auto groups = static_cast<double>(in.count_groups(next.model->name));
+    const auto wanted = static_cast<double>(base_groups(in, *next.service, *next.model));
+    const auto place = in.free.at(next.domain).front()->latest->failure_domain;
+    const auto there = static_cast<double>(in.count_groups_in(place, next.model->name));
+    const bool is_new = in.count_groups_in(next.domain, next.model->name) == 0;
+    const auto stranded =
+        static_cast<double>(count_stranded(*next.service, free - next.members.size())) -
+        static_cast<double>(count_stranded(*next.service, free));
+    return groups / wanted + cost_of_same_failure_domain * there +
+           (is_new ? cost_of_new_domain : 0) + cost_of_stranded * stranded -
+           (there == 0 ? advantage_of_first_group : 0);
+}
+
+/// What a group costs, in shares of a model's groups, less what it is worth. Once there is work,
+/// the model that is shortest of room goes first.
+double placement_cost(const placement_snapshot& in, const proposed_group& next, std::size_t free,
+                      duration until_joined)
+{
+    const auto wait = cost_per_second * std::chrono::duration<double>(until_joined).count();
+    const auto groups = in.count_with_expected(next.model->name);
+    return in.has_traffic ? wait - utilization_with(in, *next.service, *next.model, groups)
+                          : wait + initial_cost(in, next, free);
+}
+
+bool may_join(const runner_snapshot& runner, const fleet_service& service,
+              const engine_model& model)
+{
+    const bool kept_for_other = runner.kept_for != nullptr && *runner.kept_for != model.name;
+    // While weights are copied to its host a runner can only join for the model it has loaded.
+    return runner.latest->service == service.name && !kept_for_other &&
+           (has_loaded(runner, model) || !runner.staging);
+}
+
+/// A runner that could join, in the order in which runners are chosen.
+struct candidate {
+    duration time{};                      ///< until it has joined
+    const engine_model* loaded = nullptr; ///< another model, whose loaded weights it gives up
+    runner_id runner;
+
+    [[nodiscard]] auto rank() const { return std::tuple{time, loaded != nullptr, runner}; }
+};
+
+const engine_model* find_model(const fleet_service& service, const model_id& name)
+{
+    const auto& models = service.engine->models;
+    const auto found = std::find_if(models.begin(), models.end(),
+                                    [&](const engine_model& model) { return model.name == name; });
+    return found == models.end() ? nullptr : &*found;
+}
+
+/// The model whose loaded weights the runner gives up if it joins; null if it gives up none, or if
+/// a conversion has decided that it does.
+const engine_model* find_given_up(const runner_snapshot& runner, const fleet_service& service,
+                                  const engine_model& model)
 {
-    const auto groups = static_cast<double>(in.count_groups(model.name));
-    const auto wanted = static_cast<double>(wanted_groups(in, service, model));
-    const auto wait_s = std::chrono::duration<double>(until_joined).count();
-    return groups / std::max(wanted, 1.0) - in.load_of(service, model).utilization() +
-           cost_per_second * wait_s;
+    const bool decided = runner.kept_for != nullptr && *runner.kept_for == model.name;
+    return decided || runner.last_model == nullptr || has_loaded(runner, model)
+               ? nullptr
+               : find_model(service, *runner.last_model);
+}
+
+std::vector<candidate> find_candidates(const std::vector<const runner_snapshot*>& free,
+                                       const fleet_service& service, const engine_model& model)
+{
+    std::vector<candidate> out;
+    for (const auto* runner : free) {
+        if (may_join(*runner, service, model)) {
+            out.push_back({join_time(*runner, model), find_given_up(*runner, service, model),
+                           runner->latest->id});
+        }
+    }
+    std::sort(out.begin(), out.end(),
+              [](const candidate& a, const candidate& b) { return a.rank() < b.rank(); });
+    return out;
+}
+
+/// Once there is work no group waits for weights, and runners change their model only for one that
+/// is much shorter of room.
+bool is_worth_joining(const placement_snapshot& in, const fleet_service& service,
+                      const engine_model& model, const std::vector<candidate>& members)
+{
+    return members.back().time != model.load_time &&
+           std::all_of(members.begin(), members.end(), [&](const candidate& each) {
+               return each.loaded == nullptr ||
+                      is_worth_switching(in, service, *each.loaded,
+                                         in.count_with_expected(each.loaded->name), model);
+           });
 }
 
 } // namespace
@@ -44,33 +153,24 @@
                                                           const fleet_service& service,
                                                           const engine_model& model)
 {
-    if (in.count_groups(model.name) >= wanted_groups(in, service, model)) {
-        return {};
-    }
-    std::vector<std::pair<duration, runner_id>> candidates;
-    for (const auto* runner : in.free.at(domain)) {
-        if (runner->latest->service == service.name && !runner->staging) {
-            candidates.emplace_back(join_time(*runner, model), runner->latest->id);
-        }
-    }
-    if (candidates.size() < model.group_size) {
+    const auto& free = in.free.at(domain);
+    auto members = find_candidates(free, service, model);
+    if (members.size() < model.group_size) {
         return {};
     }
-    std::sort(candidates.begin(), candidates.end());
-    candidates.resize(model.group_size);
-    const auto slowest = candidates.back().first;
-    if (in.has_traffic && slowest == model.load_time) {
+    members.resize(model.group_size);
+    if (in.has_traffic && !is_worth_joining(in, service, model, members)) {
         return {};
     }
     proposed_group out;
     out.service = &service;
     out.model = &model;
     out.domain = domain;
-    for (const auto& [time, runner] : candidates) {
-        out.members.push_back(runner);
-        out.loads += time == model.load_time ? 1 : 0;
+    for (const auto& each : members) {
+        out.members.push_back(each.runner);
+        out.loads += each.time == model.load_time ? 1 : 0;
     }
-    out.cost = placement_cost(in, service, model, slowest);
+    out.cost = placement_cost(in, out, free.size(), members.back().time);
     return out;
 }
 
@@ -85,9 +185,7 @@
             }
             for (const auto& model : service.engine->models) {
                 auto next = propose_in(in, domain, service, model);
-                const bool may_load = next && (next->loads == 0 ||
-                                               (in.preferred.allows(domain, model.name) &&
-                                                loads.allows(now, next->loads, in.joins_loading)));
+                const bool may_load = next && loads.allows(now, next->loads, in.joins_loading);
                 if (may_load && (!best || next->cost < best->cost)) {
                     best = std::move(next);
                 }
--- a/src/fleet/group_plan.cpp
+++ b/src/fleet/group_plan.cpp
@@ -30,6 +30,16 @@
     return groups_[name] = std::move(group);
 }
 
+const planned_group* group_plan::group_of(const runner_id& runner) const
+{
+    const auto bound = bound_.find(runner);
+    if (bound == bound_.end()) {
+        return nullptr;
+    }
+    const auto found = groups_.find(bound->second);
+    return found == groups_.end() ? nullptr : &found->second;
+}
+
 bool group_plan::belongs_to(const runner_id& runner, const planned_group& group) const
 {
     const auto found = bound_.find(runner);
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -45,7 +45,10 @@
     outbox_.begin_term(term);
     detector_.begin_term();
     staging_.clear();
+    conversions_.clear();
+    work_.clear();
     recovery_.inherit_logged_groups(now);
+    took_over_groups_ = !plan_.groups().empty();
 }
 
 void group_planner::set_configuration(const fleet_configuration* configuration)
@@ -65,6 +68,10 @@
 
 void group_planner::on_order_result(instant now, const group_order& order, order_result result)
 {
+    if (order.kind == order_kind::stage) {
+        staging_.on_order_result(now, order.to, order.model, result);
+        return;
+    }
     lifecycle_.on_order_result(now, order, result);
 }
 
@@ -83,11 +90,13 @@
     if (configuration_ == nullptr) {
         return {};
     }
-    loads_.set_unmetered(!reports_.has_traffic());
+    // Groups in the log say that the fleet has served before this term.
+    loads_.set_unmetered(!reports_.has_traffic() && !took_over_groups_);
     if (is_settled(now)) {
         recovery_.adopt_reported_groups(now, *configuration_);
     }
     lifecycle_.advance_all(now);
+    measure_work(now);
     if (is_settled(now) && has_heard_fleet(now)) {
         form_groups(now);
     }
@@ -106,20 +115,36 @@
 {
     staging_.forget_finished(now, registry_);
     auto in = take_snapshot(now);
+    conversions_.forget_finished(now, in);
+    if (in.has_traffic && convert_groups(now, in)) {
+        in = take_snapshot(now);
+    }
     while (const auto proposed = group_placement::propose(now, in, loads_)) {
         begin_group(now, *proposed);
-        auto& free = in.free.at(proposed->domain);
-        std::erase_if(free, [&](const runner_snapshot* runner) {
-            return plan_.is_bound(runner->latest->id);
-        });
-        in.groups = plan_.count_active();
-        in.joins_loading = plan_.count_loads();
+        conversions_.on_formed(proposed->model->name, proposed->members);
+        in = take_snapshot(now);
     }
     for (const auto& order : staging_.plan(now, in, loads_)) {
         outbox_.stage(order.runner, order.model);
     }
 }
 
+bool group_planner::convert_groups(instant now, const placement_snapshot& in)
+{
+    const auto next = conversions_.begin_next(now, in, plan_);
+    if (!next) {
+        return false;
+    }
+    std::vector<group_id> names;
+    for (const auto* group : next->retired) {
+        names.push_back(group->name);
+    }
+    for (const auto& name : names) {
+        lifecycle_.retire(now, name, "makes room for " + next->to->name.str());
+    }
+    return true;
+}
+
 void group_planner::begin_group(instant now, const proposed_group& proposed)
 {
     planned_group group;
@@ -150,64 +175,79 @@
            !detector_.is_silent(now, record) && !state_.is_leaving(runner);
 }
 
+bool group_planner::is_settled_runner(const runner_record& record) const
+{
+    const auto* group = plan_.group_of(record.latest.id);
+    return !record.assumed && (group == nullptr || group->phase == plan_phase::serving);
+}
+
 placement_snapshot group_planner::take_snapshot(instant now) const
 {
     placement_snapshot out;
     out.configuration = configuration_;
-    out.groups = plan_.count_active();
+    count_groups(out);
+    out.expected = conversions_.count_expected();
     out.joins_loading = plan_.count_loads();
     out.has_traffic = reports_.has_traffic();
     add_runners(now, out);
-    add_loads(now, out);
+    out.work = work_.all();
     return out;
 }
 
+void group_planner::count_groups(placement_snapshot& out) const
+{
+    out.groups = plan_.count_active();
+    out.groups_by_domain.clear();
+    out.groups_by_failure_domain.clear();
+    for (const auto& [name, group] : plan_.groups()) {
+        const auto* head = registry_.find(group.head());
+        if (group.phase <= plan_phase::serving && head != nullptr) {
+            ++out.groups_by_domain[{head->latest.fabric_domain, group.model}];
+            ++out.groups_by_failure_domain[{head->latest.failure_domain, group.model}];
+        }
+    }
+}
+
 void group_planner::add_runners(instant now, placement_snapshot& out) const
 {
-    std::vector<runner_place> places;
     for (const auto& [runner, record] : registry_.records()) {
         const auto* service = configuration_->find_service(record.latest.service);
         if (service == nullptr || !service->engine) {
             continue;
         }
         out.runners.push_back({&record.latest, is_usable(record), is_free(now, record),
-                               staging_.is_under_way(runner), plan_.last_model_of(runner)});
-        places.push_back(
-            {service->name, record.latest.failure_domain, record.latest.fabric_domain});
+                               staging_.is_under_way(runner), plan_.last_model_of(runner),
+                               is_settled_runner(record), conversions_.kept_for(runner)});
     }
     for (const auto& runner : out.runners) {
         if (runner.free) {
             out.free[runner.latest->fabric_domain].push_back(&runner);
         }
     }
-    out.preferred = preferred_models::assign(*configuration_, places);
 }
 
-void group_planner::add_loads(instant now, placement_snapshot& out) const
+void group_planner::measure_work(instant now)
 {
     for (const auto& service : configuration_->services) {
         if (!service.engine) {
             continue;
         }
         for (const auto& model : service.engine->models) {
-            const placement_snapshot::model_key key{service.name, model.name};
-            out.loads[key] = measure_load(now, service, model);
-            out.base_groups[key] = base_groups(out, service, model);
+            work_.record(now, {service.name, model.name}, count_requests(now, model));
         }
     }
 }
 
-model_load group_planner::measure_load(instant now, const fleet_service& service,
-                                       const engine_model& model) const
+double group_planner::count_requests(instant now, const engine_model& model) const
 {
-    model_load out;
+    auto out = reports_.rejection_rate(now, model.name);
     for (const auto& [name, group] : plan_.groups()) {
-        if (group.model == model.name && group.phase == plan_phase::serving) {
-            out.in_flight += reports_.health_of(now, group.head()).in_flight;
-            out.slots += service.engine->slots;
+        const bool takes_part =
+            group.phase == plan_phase::serving || group.phase == plan_phase::retiring;
+        if (group.model == model.name && takes_part) {
+            out += reports_.health_of(now, group.head()).in_flight;
         }
     }
-    out.rejections_per_s = reports_.rejection_rate(now, model.name);
     return out;
 }
 
@@ -230,20 +270,25 @@
             continue;
         }
         for (const auto& model : service.engine->models) {
-            const auto serving =
-                std::count_if(groups().begin(), groups().end(), [&](const auto& each) {
-                    return each.second.model == model.name &&
-                           each.second.phase == plan_phase::serving;
-                });
-            out += fmt::format("{}: {} serving of {} planned of {} wanted, utilization {:.2f}; ",
-                               model.name.str(), serving, in.count_groups(model.name),
-                               wanted_groups(in, service, model),
-                               in.load_of(service, model).utilization());
+            const auto planned = in.count_groups(model.name);
+            const auto expected = in.count_with_expected(model.name);
+            out += fmt::format("{}: {} serving of {} planned, {} more by conversion, "
+                               "utilization {:.2f}; ",
+                               model.name.str(), count_serving(model.name), planned,
+                               expected - planned, utilization_with(in, service, model, expected));
         }
     }
     return out;
 }
 
+std::size_t group_planner::count_serving(const model_id& model) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(groups().begin(), groups().end(), [&](const auto& each) {
+            return each.second.model == model && each.second.phase == plan_phase::serving;
+        }));
+}
+
 std::string group_planner::summarize_free(const placement_snapshot& in) const
 {
     std::string out;
@@ -253,13 +298,14 @@
         out += fmt::format("{}: {} free", domain.str(), runners.size());
         const auto* service = configuration_->find_service(runners.front()->latest->service);
         for (const auto& model : service->engine->models) {
-            out += fmt::format(", {} with {}", staging_.count_staged(runners, model.name),
+            const auto ready = staging_.count_ready(runners, model);
+            out += fmt::format(", {} ready and {} soon for {}", ready.now, ready.soon,
                                model.name.str());
         }
         out += "; ";
     }
-    return out + fmt::format("{} joins loading, {} staging, {} free", in.joins_loading,
-                             staging_.count(), free);
+    return out + fmt::format("{} joins loading, {} staging, {} conversions, {} free",
+                             in.joins_loading, staging_.count(), conversions_.count(), free);
 }
 
 } // namespace cedarpoint
--- a/src/fleet/group_targets.cpp
+++ b/src/fleet/group_targets.cpp
@@ -2,19 +2,23 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 
 namespace cedarpoint {
 namespace {
 
-/// The part of the runners that groups are formed of where models share fabric domains; the rest
-/// are spares, which replace lost members at once. Not measured on its own; it came with the round
-/// "survivors went to the model that was quicker -> wanted groups by pressure".
-constexpr double used_part = 0.8;
+/// A model without a share of the work still counts with this much, so that it gets a group.
+constexpr double smallest_share = 0.01;
 
-/// Requests per slot above which a model that has its groups gets one more. Not measured on its
-/// own; of the same round.
-constexpr double high_utilization = 0.5;
+/// The utilization of a model without any group, whose work can't be measured: short of room.
+constexpr double utilization_without_group = 4;
+
+/// A model below this utilization is not short of room. Round "runners change their model"
+/// (docs/CUSTOMER-ROUNDS.md).
+constexpr double utilization_to_take = 0.4;
+
+/// A model takes runners from another one whose utilization is lower by this factor. The same
+/// round.
+constexpr double least_gap = 3;
 
 std::size_t count_usable(const placement_snapshot& in, const fleet_service& service)
 {
@@ -24,54 +28,37 @@
         }));
 }
 
-/// Groups of each model when the domains are shared: the same number of each.
-std::size_t shared_groups(const placement_snapshot& in, const fleet_service& service)
-{
-    double runners_of_one_each = 0;
-    for (const auto& model : service.engine->models) {
-        runners_of_one_each += static_cast<double>(model.group_size);
-    }
-    const auto runners = static_cast<double>(count_usable(in, service)) * used_part;
-    const auto rounds = runners / std::max(runners_of_one_each, 1.0);
-    return static_cast<std::size_t>(std::lround(std::max(1.0, rounds)));
-}
+} // namespace
 
-/// Groups that fit into the fabric domains that prefer the model.
-std::size_t fitting_groups(const placement_snapshot& in, const fleet_service& service,
-                           const engine_model& model)
+std::size_t base_groups(const placement_snapshot& in, const fleet_service& service,
+                        const engine_model& model)
 {
-    std::map<fabric_domain_id, std::size_t> runners;
-    for (const auto& runner : in.runners) {
-        const auto& domain = runner.latest->fabric_domain;
-        if (runner.usable && runner.latest->service == service.name &&
-            in.preferred.allows(domain, model.name)) {
-            ++runners[domain];
-        }
-    }
-    std::size_t out = 0;
-    for (const auto& [domain, count] : runners) {
-        out += count / std::max<std::size_t>(model.group_size, 1);
+    double shares = 0;
+    for (const auto& each : service.engine->models) {
+        shares += std::max(each.share, smallest_share);
     }
-    return out;
+    const auto runners = static_cast<double>(count_usable(in, service)) *
+                         std::max(model.share, smallest_share) / shares;
+    const auto groups = runners / static_cast<double>(std::max<std::size_t>(model.group_size, 1));
+    return std::max<std::size_t>(static_cast<std::size_t>(std::lround(groups)), 1);
 }
 
-} // namespace
-
-std::size_t base_groups(const placement_snapshot& in, const fleet_service& service,
-                        const engine_model& model)
+double utilization_with(const placement_snapshot& in, const fleet_service& service,
+                        const engine_model& model, std::size_t groups)
 {
-    return in.preferred.empty() ? shared_groups(in, service)
-                                : std::max<std::size_t>(fitting_groups(in, service, model), 1);
+    if (groups == 0) {
+        return utilization_without_group;
+    }
+    const auto slots = static_cast<double>(std::max(service.engine->slots, 1));
+    return in.work_of(service, model) / (slots * static_cast<double>(groups));
 }
 
-std::size_t wanted_groups(const placement_snapshot& in, const fleet_service& service,
-                          const engine_model& model)
+bool is_worth_switching(const placement_snapshot& in, const fleet_service& service,
+                        const engine_model& from, std::size_t from_groups, const engine_model& to)
 {
-    const auto base = in.base_groups.at({service.name, model.name});
-    const auto groups = in.count_groups(model.name);
-    const bool short_of_room =
-        groups >= base && in.load_of(service, model).utilization() > high_utilization;
-    return short_of_room ? groups + 1 : base;
+    const auto taking = utilization_with(in, service, to, in.count_with_expected(to.name));
+    return taking >= utilization_to_take &&
+           taking >= least_gap * utilization_with(in, service, from, from_groups);
 }
 
 } // namespace cedarpoint
--- a/src/fleet/leader_recovery.cpp
+++ b/src/fleet/leader_recovery.cpp
@@ -67,6 +67,11 @@
 
 void leader_recovery::inherit_logged_groups(instant now)
 {
+    for (const auto& [runner, registered] : state_.registrations()) {
+        if (!registered.loaded_model.empty()) {
+            plan_.note_loaded(runner, registered.loaded_model);
+        }
+    }
     for (const auto* formed : groups_by_epoch(state_)) {
         planned_group group;
         group.name = formed->name;
--- a/src/fleet/load_limiter.cpp
+++ b/src/fleet/load_limiter.cpp
@@ -13,9 +13,6 @@
 /// The part of the rate that is used; the rest covers orders that are carried out later still. Not
 /// measured.
 constexpr double used_part = 0.8;
-/// Times `at_once` that may run before the first request, when loads end sooner than the published
-/// time. Not measured on its own; came with "staging took the store's places -> joins first".
-constexpr std::size_t factor_before_traffic = 3;
 
 } // namespace
 
@@ -27,9 +24,8 @@
 
 bool load_limiter::has_room(std::size_t count, std::size_t running) const
 {
-    const auto places = unmetered_ ? at_once_ * factor_before_traffic : at_once_ + 1;
     // A group that needs more than all places has to begin some time: then it begins alone.
-    return running == 0 || running + count <= places;
+    return unmetered_ || running == 0 || running + count <= at_once_;
 }
 
 bool load_limiter::is_within_rate(instant now, std::size_t count) const
@@ -49,6 +45,11 @@
     return has_room(count, running) && (unmetered_ || is_within_rate(now, count));
 }
 
+bool load_limiter::allows_background(instant now, std::size_t running) const
+{
+    return unmetered_ || (running == 0 && is_within_rate(now, 1));
+}
+
 void load_limiter::begin(instant now, std::size_t count)
 {
     while (!begun_.empty() && now - begun_.front() >= counted_for) {
--- a/src/fleet/weight_staging.cpp
+++ b/src/fleet/weight_staging.cpp
@@ -3,6 +3,8 @@
 #include "cedarpoint/fleet/group_targets.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace cedarpoint {
 namespace {
@@ -11,6 +13,64 @@
 /// runner may be chosen again. Not measured.
 constexpr int load_times_to_overdue = 2;
 
+/// An order that was not answered with success is sent again after the first, and the runner counts
+/// as one without weights under way after the second: until then it holds a place of the store.
+/// Round "orders to stage are repeated".
+constexpr duration repeat_interval = seconds{1};
+constexpr duration unanswered_limit = seconds{6};
+
+/// The least factor on the worth of a group of a model that few runners of the fabric domain hold.
+/// Survivors of two groups of one model make a third without the store, so a domain keeps to its
+/// model (round "a domain keeps to its model").
+constexpr double least_home_factor = 0.1;
+
+/// Stands for the work of a group that lacks no weights, so that its worth is finite.
+constexpr double shortest_work_s = 0.1;
+
+/// The service's models, the one that is shortest of room first.
+std::vector<const engine_model*> by_utilization(const placement_snapshot& in,
+                                                const fleet_service& service)
+{
+    std::vector<const engine_model*> out;
+    for (const auto& model : service.engine->models) {
+        out.push_back(&model);
+    }
+    const auto utilization = [&](const engine_model* model) {
+        return utilization_with(in, service, *model, in.count_with_expected(model->name));
+    };
+    std::stable_sort(out.begin(), out.end(),
+                     [&](const auto* a, const auto* b) { return utilization(a) > utilization(b); });
+    return out;
+}
+
+/// True if the runner serves one model and its host holds no weights of another.
+bool lacks_alternate(const runner_snapshot& runner)
+{
+    const auto& staged = runner.latest->staged;
+    return runner.usable && runner.settled && !runner.free && runner.last_model != nullptr &&
+           std::all_of(staged.begin(), staged.end(),
+                       [&](const model_id& model) { return model == *runner.last_model; });
+}
+
+/// What a completion is worth for each second that the store works for it: the part of the slots
+/// that the model's work takes, over the time of the loads. Without any load it goes before all.
+double completion_worth(const placement_snapshot& in, const fleet_service& service,
+                        const engine_model& model, std::size_t lacking)
+{
+    const auto groups = in.count_with_expected(model.name);
+    const auto load_s = std::chrono::duration<double>(model.load_time).count();
+    return utilization_with(in, service, model, groups) /
+           (load_s * static_cast<double>(lacking) + shortest_work_s);
+}
+
+bool all_can_join_soon(const weight_staging::runner_list& runners, std::size_t first,
+                       const engine_model& model)
+{
+    return std::all_of(
+        runners.begin(), runners.begin() + static_cast<std::ptrdiff_t>(first),
+        [&](const runner_snapshot* runner) { return can_join_soon(*runner, model); });
+}
+
 } // namespace
 
 /// What one call of `plan` works with.
@@ -21,12 +81,20 @@
     std::vector<staging_order> orders;
 };
 
+/// Weights that would complete one group.
+struct weight_staging::completion {
+    const engine_model* model = nullptr;
+    std::vector<const runner_snapshot*> lacking; ///< the runners to stage on
+    double worth = 0;                            ///< the highest goes first
+};
+
 void weight_staging::forget_finished(instant now, const runner_registry& registry)
 {
     std::erase_if(under_way_, [&](const auto& each) {
         const auto& [runner, transfer] = each;
         const auto* record = registry.find(runner);
-        return record == nullptr || has_staged(record->latest, transfer.model) ||
+        const bool unanswered = transfer.unanswered_until && now >= *transfer.unanswered_until;
+        return record == nullptr || has_staged(record->latest, transfer.model) || unanswered ||
                now >= transfer.overdue_at;
     });
 }
@@ -35,19 +103,42 @@
                                                 load_limiter& loads)
 {
     plan_step step{now, in, loads, {}};
-    stage_missing(step);
-    stage_empty_runners(step);
+    repeat_unanswered(step);
+    for (const auto& service : in.configuration->services) {
+        if (!service.engine) {
+            continue;
+        }
+        const auto models = by_utilization(in, service);
+        if (may_load(step)) {
+            complete_groups(step, service, models);
+            prepare_conversion(step, service, models);
+            stage_empty_runners(step, service, models);
+        }
+        for (const auto* model : models) {
+            stage_alternates(step, service, *model);
+        }
+    }
     return std::move(step.orders);
 }
 
-std::size_t weight_staging::count_staged(const runner_list& runners, const model_id& model) const
+bool weight_staging::will_have(const runner_snapshot& runner, const engine_model& model) const
+{
+    const auto found = under_way_.find(runner.latest->id);
+    return has_loaded(runner, model) ||
+           (found != under_way_.end() ? found->second.model == model.name
+                                      : has_staged(*runner.latest, model.name));
+}
+
+ready_counts weight_staging::count_ready(const runner_list& runners,
+                                         const engine_model& model) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(runners.begin(), runners.end(), [&](const runner_snapshot* runner) {
-            const auto found = under_way_.find(runner->latest->id);
-            return found != under_way_.end() ? found->second.model == model
-                                             : has_staged(*runner->latest, model);
-        }));
+    ready_counts out;
+    for (const auto* runner : runners) {
+        const bool now = can_join_soon(*runner, model);
+        out.now += now ? 1 : 0;
+        out.soon += !now && will_have(*runner, model) ? 1 : 0;
+    }
+    return out;
 }
 
 bool weight_staging::may_load(const plan_step& step) const
@@ -55,112 +146,241 @@
     return step.loads.allows(step.now, 1, step.in.joins_loading + under_way_.size());
 }
 
+bool weight_staging::may_load_ahead(const plan_step& step) const
+{
+    return step.loads.allows_background(step.now, step.in.joins_loading + under_way_.size());
+}
+
 void weight_staging::begin(plan_step& step, const runner_snapshot& runner,
                            const engine_model& model)
 {
     const auto& id = runner.latest->id;
     step.loads.begin(step.now, 1);
-    under_way_[id] = {model.name, step.now + model.load_time * load_times_to_overdue};
+    under_way_[id] = {model.name,
+                      step.now + model.load_time * load_times_to_overdue,
+                      step.now + unanswered_limit,
+                      {}};
     step.orders.push_back({id, model.name});
 }
 
-void weight_staging::stage_missing(plan_step& step)
+void weight_staging::repeat_unanswered(plan_step& step)
 {
-    for (const auto& service : step.in.configuration->services) {
-        if (!service.engine) {
-            continue;
+    for (auto& [runner, transfer] : under_way_) {
+        if (transfer.repeat_at && step.now >= *transfer.repeat_at) {
+            transfer.repeat_at.reset();
+            step.orders.push_back({runner, transfer.model});
         }
-        for (const auto& model : service.engine->models) {
-            if (step.in.count_groups(model.name) < wanted_groups(step.in, service, model)) {
-                stage_for_group(step, model);
+    }
+}
+
+void weight_staging::on_order_result(instant now, const runner_id& runner, const model_id& model,
+                                     order_result result)
+{
+    const auto found = under_way_.find(runner);
+    if (found == under_way_.end() || found->second.model != model) {
+        return;
+    }
+    if (result == order_result::taken) {
+        found->second.unanswered_until.reset();
+    }
+    else {
+        found->second.repeat_at = now + repeat_interval;
+    }
+}
+
+void weight_staging::complete_groups(plan_step& step, const fleet_service& service,
+                                     const std::vector<const engine_model*>& models)
+{
+    std::vector<completion> all;
+    for (const auto& [domain, runners] : step.in.free) {
+        runner_list left;
+        std::copy_if(runners.begin(), runners.end(), std::back_inserter(left),
+                     [&](const runner_snapshot* runner) {
+                         return runner->latest->service == service.name &&
+                                runner->kept_for == nullptr;
+                     });
+        while (auto next = find_completion(step.in, service, models, domain, left)) {
+            all.push_back(std::move(*next));
+        }
+    }
+    std::stable_sort(all.begin(), all.end(),
+                     [](const auto& a, const auto& b) { return a.worth > b.worth; });
+    for (const auto& each : all) {
+        for (const auto* runner : each.lacking) {
+            if (!may_load(step)) {
+                return;
             }
+            begin(step, *runner, *each.model);
         }
     }
 }
 
-void weight_staging::stage_for_group(plan_step& step, const engine_model& model)
+void weight_staging::prepare_conversion(plan_step& step, const fleet_service& service,
+                                        const std::vector<const engine_model*>& models)
 {
-    const auto* runners = find_domain(step.in, model);
-    if (runners == nullptr) {
-        return;
+    const auto& to = *models.front();
+    std::vector<const runner_snapshot*> best;
+    for (const auto& [domain, runners] : find_takeable(step.in, service, models)) {
+        runner_list lacking;
+        std::copy_if(runners.begin(), runners.end(), std::back_inserter(lacking),
+                     [&](const runner_snapshot* runner) { return !will_have(*runner, to); });
+        const auto ready = runners.size() - lacking.size();
+        const bool fits = runners.size() >= to.group_size && ready < to.group_size;
+        if (!fits) {
+            continue;
+        }
+        lacking.resize(to.group_size - ready);
+        if (best.empty() || lacking.size() < best.size()) {
+            best = std::move(lacking);
+        }
     }
-    auto missing = model.group_size - count_staged(*runners, model.name);
-    for (; missing > 0; --missing) {
-        const auto* runner = find_runner(*runners, model);
-        if (runner == nullptr || !may_load(step)) {
+    for (const auto* runner : best) {
+        if (is_under_way(runner->latest->id) || !may_load(step)) {
             return;
         }
-        begin(step, *runner, model);
+        begin(step, *runner, to);
     }
 }
 
-const weight_staging::runner_list* weight_staging::find_domain(const placement_snapshot& in,
-                                                               const engine_model& model) const
+std::map<fabric_domain_id, weight_staging::runner_list>
+weight_staging::find_takeable(const placement_snapshot& in, const fleet_service& service,
+                              const std::vector<const engine_model*>& models)
 {
-    // The domain that lacks the fewest weights for a group. One that lacks none has its group
-    // already, or is about to.
-    const runner_list* best = nullptr;
-    std::size_t most_staged = 0;
-    for (const auto& [domain, runners] : in.free) {
-        const auto staged = count_staged(runners, model.name);
-        const bool suits = in.preferred.allows(domain, model.name) &&
-                           runners.size() >= model.group_size && staged < model.group_size;
-        if (suits && (best == nullptr || staged > most_staged)) {
-            best = &runners;
-            most_staged = staged;
+    const auto& to = *models.front();
+    std::map<fabric_domain_id, runner_list> out;
+    for (const auto& runner : in.runners) {
+        const bool usable = runner.latest->service == service.name && runner.usable &&
+                            runner.settled && runner.kept_for == nullptr;
+        if (!usable) {
+            continue;
+        }
+        auto& there = out[runner.latest->fabric_domain];
+        if (runner.free) {
+            there.insert(there.begin(), &runner);
+            continue;
+        }
+        const auto* from = runner.last_model == nullptr
+                               ? nullptr
+                               : in.configuration->find_model(service.name, *runner.last_model);
+        const bool gives =
+            from != nullptr && from->name != to.name &&
+            is_worth_switching(in, service, *from, in.count_with_expected(from->name), to);
+        if (gives) {
+            there.push_back(&runner);
         }
     }
-    return best;
+    return out;
 }
 
-const runner_snapshot* weight_staging::find_runner(const runner_list& runners,
-                                                   const engine_model& model) const
+std::optional<weight_staging::completion>
+weight_staging::find_completion(const placement_snapshot& in, const fleet_service& service,
+                                const std::vector<const engine_model*>& models,
+                                const fabric_domain_id& domain, runner_list& left) const
 {
-    const runner_snapshot* best = nullptr;
-    for (const auto* runner : runners) {
-        const auto& staged = runner->latest->staged;
-        if (is_under_way(runner->latest->id) || has_staged(*runner->latest, model.name)) {
+    const auto held = count_held(in, domain);
+    std::optional<completion> best;
+    runner_list best_left;
+    for (const auto* model : models) {
+        const auto ready_end =
+            std::stable_partition(left.begin(), left.end(), [&](const runner_snapshot* runner) {
+                return will_have(*runner, *model);
+            });
+        const auto ready = std::min<std::size_t>(static_cast<std::size_t>(ready_end - left.begin()),
+                                                 model->group_size);
+        completion next;
+        next.model = model;
+        runner_list others{left.begin() + static_cast<std::ptrdiff_t>(ready), left.end()};
+        std::erase_if(others, [&](const runner_snapshot* runner) {
+            const bool taken = next.lacking.size() < model->group_size - ready &&
+                               !is_under_way(runner->latest->id);
+            if (taken) {
+                next.lacking.push_back(runner);
+            }
+            return taken;
+        });
+        // Placement has not formed a group that lacks nothing: it is not worth its runners now.
+        const bool declined = next.lacking.empty() && all_can_join_soon(left, ready, *model);
+        if (declined || ready + next.lacking.size() < model->group_size) {
             continue;
         }
-        if (staged.empty()) {
-            return runner;
-        }
-        // Weights that other runners there have as well are the ones to replace.
-        if (best == nullptr && count_staged(runners, staged.front()) > 1) {
-            best = runner;
+        next.worth = completion_worth(in, service, *model, next.lacking.size()) *
+                     home_factor(held, model->name);
+        if (!best || next.worth > best->worth) {
+            best = std::move(next);
+            best_left = std::move(others);
         }
     }
+    if (best) {
+        left = std::move(best_left);
+    }
     return best;
 }
 
-void weight_staging::stage_empty_runners(plan_step& step)
+void weight_staging::stage_empty_runners(plan_step& step, const fleet_service& service,
+                                         const std::vector<const engine_model*>& models)
 {
-    for (const auto& [domain, runners] : step.in.free) {
-        for (const auto* runner : runners) {
-            const bool empty = runner->latest->staged.empty() && !is_under_way(runner->latest->id);
-            if (empty && may_load(step)) {
-                begin(step, *runner, rarest_model(step.in, *runner, runners));
-            }
+    for (const auto& runner : step.in.runners) {
+        const bool empty = runner.free && runner.latest->staged.empty() &&
+                           runner.last_model == nullptr && !is_under_way(runner.latest->id);
+        if (runner.latest->service != service.name || !empty || !may_load(step)) {
+            continue;
         }
+        const auto held = count_held(step.in, runner.latest->fabric_domain);
+        const auto* most = *std::max_element(
+            models.begin(), models.end(), [&](const engine_model* a, const engine_model* b) {
+                return home_factor(held, a->name) < home_factor(held, b->name);
+            });
+        begin(step, runner, *most);
     }
 }
 
-const engine_model& weight_staging::rarest_model(const placement_snapshot& in,
-                                                 const runner_snapshot& runner,
-                                                 const runner_list& peers) const
+weight_staging::model_counts weight_staging::count_held(const placement_snapshot& in,
+                                                        const fabric_domain_id& domain) const
 {
-    const auto& models = in.configuration->find_service(runner.latest->service)->engine->models;
-    const engine_model* out = nullptr;
-    std::size_t fewest = 0;
-    for (const auto& model : models) {
-        const auto staged = count_staged(peers, model.name);
-        const bool suits = in.preferred.allows(runner.latest->fabric_domain, model.name);
-        if (suits && (out == nullptr || staged < fewest)) {
-            out = &model;
-            fewest = staged;
+    model_counts out;
+    for (const auto& runner : in.runners) {
+        if (runner.latest->fabric_domain != domain || !runner.usable) {
+            continue;
+        }
+        const auto found = under_way_.find(runner.latest->id);
+        if (runner.last_model != nullptr) {
+            ++out[*runner.last_model];
+        }
+        else if (found != under_way_.end()) {
+            ++out[found->second.model];
+        }
+        else if (!runner.latest->staged.empty()) {
+            ++out[runner.latest->staged.front()];
+        }
+    }
+    return out;
+}
+
+double weight_staging::home_factor(const model_counts& held, const model_id& model)
+{
+    std::size_t all = 0;
+    for (const auto& [each, count] : held) {
+        all += count;
+    }
+    const auto found = held.find(model);
+    const auto own = found == held.end() ? 0 : found->second;
+    return all == 0
+               ? 1
+               : std::max(static_cast<double>(own) / static_cast<double>(all), least_home_factor);
+}
+
+void weight_staging::stage_alternates(plan_step& step, const fleet_service& service,
+                                      const engine_model& model)
+{
+    for (const auto& runner : step.in.runners) {
+        if (!may_load_ahead(step)) {
+            return;
+        }
+        if (runner.latest->service == service.name && lacks_alternate(runner) &&
+            !has_loaded(runner, model) && !is_under_way(runner.latest->id)) {
+            begin(step, runner, model);
         }
     }
-    return out == nullptr ? models.front() : *out;
 }
 
 } // namespace cedarpoint
--- /dev/null
+++ b/tests/fleet/conversion_plans_test.cpp
@@ -0,0 +1,138 @@
+// Capacity that follows the work, against runners that die, are cut off and carry orders out, and
+// leaders that change half-way.
+
+#include "fleet/planner_world.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::planner_world;
+using testing_support::told;
+
+/// Two fabric domains in each of two failure domains; both models are served, and the hosts of
+/// those that serve one model hold the other one's weights.
+class a_fleet_whose_work_changes : public testing::Test {
+protected:
+    a_fleet_whose_work_changes()
+    {
+        for (const auto* domain : {"a-0", "a-1", "b-0", "b-1"}) {
+            world.add_runners(domain, 9);
+        }
+        world.work = {{"large", 20}, {"small", 20}};
+        world.run(seconds{14});
+    }
+    /// Lets time pass until a group is being converted.
+    void run_until_converting()
+    {
+        const auto before = world.groups_converted();
+        for (int step = 0; step < 500 && world.groups_converted() == before; ++step) {
+            world.run(milliseconds{20});
+        }
+        ASSERT_GT(world.groups_converted(), before);
+    }
+    planner_world world{{.weights_at_once = false}};
+};
+
+TEST_F(a_fleet_whose_work_changes, gives_the_busier_model_more_groups_within_seconds)
+{
+    const auto large = world.serving("large");
+    const auto small = world.serving("small");
+    ASSERT_GE(large, 2U);
+    ASSERT_GE(small, 4U);
+
+    world.work["large"] = static_cast<int>(large) * 26;
+    world.run(seconds{10});
+    EXPECT_GT(world.serving("large"), large) << "no weights come from the store that soon";
+    EXPECT_LT(world.serving("small"), small);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST_F(a_fleet_whose_work_changes, converts_nothing_while_both_models_have_room)
+{
+    world.run(seconds{30});
+    EXPECT_EQ(world.groups_converted(), 0U);
+}
+
+TEST_F(a_fleet_whose_work_changes, settles_and_goes_back_when_the_work_does)
+{
+    world.work["large"] = 100;
+    world.run(seconds{60});
+    const auto there = world.groups_converted();
+    EXPECT_GE(there, 1U);
+    world.run(seconds{60});
+    EXPECT_EQ(world.groups_converted(), there) << "unchanged work converts nothing more";
+
+    world.work = {{"large", 20}, {"small", 120}};
+    world.run(seconds{60});
+    const auto back = world.groups_converted();
+    EXPECT_GT(back, there);
+    EXPECT_LE(back - there, 12U) << "each group once at most";
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST_F(a_fleet_whose_work_changes, serves_on_when_the_work_turns_half_way)
+{
+    for (int turn = 0; turn < 6; ++turn) {
+        world.work = turn % 2 == 0 ? std::map<std::string, int>{{"large", 120}, {"small", 20}}
+                                   : std::map<std::string, int>{{"large", 20}, {"small", 120}};
+        world.run(seconds{4});
+        EXPECT_GE(world.serving("large"), 2U) << "one in each failure domain";
+        EXPECT_GE(world.serving("small"), 2U);
+    }
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST_F(a_fleet_whose_work_changes, loses_nothing_when_the_leader_changes_half_way)
+{
+    const auto large = world.serving("large");
+    world.work["large"] = 120;
+    run_until_converting();
+    world.change_leader();
+    world.run(seconds{15});
+    EXPECT_GT(world.serving("large"), large);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST_F(a_fleet_whose_work_changes, uses_the_others_when_a_runner_under_conversion_dies)
+{
+    const auto all = world.serving("large") + world.serving("small");
+    world.work["large"] = 120;
+    const auto before = world.alive();
+    run_until_converting();
+    // Any member that no longer serves is under conversion.
+    for (const auto& runner : before) {
+        if (world.group_of(runner).empty()) {
+            world.kill(runner);
+            break;
+        }
+    }
+    world.kill(world.members_of_some_group("small").back());
+    world.run(seconds{20});
+    EXPECT_GE(world.serving("large") + world.serving("small"), all - 3);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+TEST_F(a_fleet_whose_work_changes, keeps_the_rules_when_a_cut_comes_in_between)
+{
+    world.work["large"] = 120;
+    run_until_converting();
+    const auto everyone = world.alive();
+    for (std::size_t at = 0; at < everyone.size() / 2; ++at) {
+        world.set_unreachable(everyone[at], true);
+    }
+    world.run(seconds{6});
+    EXPECT_EQ(told(world.broken()), "");
+    for (std::size_t at = 0; at < everyone.size() / 2; ++at) {
+        world.set_unreachable(everyone[at], false);
+    }
+    world.run(seconds{15});
+    EXPECT_GE(world.serving("large"), 3U);
+    EXPECT_GE(world.serving("small"), 2U);
+    EXPECT_EQ(told(world.broken()), "");
+}
+
+} // namespace
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/fleet/group_conversion_test.cpp
@@ -0,0 +1,195 @@
+// When capacity moves from one model to another, on plain snapshots and plans.
+
+#include "cedarpoint/fleet/group_conversion.h"
+#include "fleet/snapshot_maker.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::large;
+using testing_support::small;
+using testing_support::snapshot_maker;
+
+constexpr instant start{seconds{100}};
+
+/// Two fabric domains of one failure domain, each with one large group, two small ones and a free
+/// runner; everyone who serves holds the other model's weights on its host.
+class a_conversion : public testing::Test {
+protected:
+    a_conversion()
+    {
+        for (const auto* domain : {"a0", "a1"}) {
+            add_group(domain, large, 4);
+            add_group(domain, small, 3);
+            add_group(domain, small, 3);
+            world.add(domain, 1, {large, small});
+            ++next_;
+        }
+    }
+    void add_group(const std::string& domain, const model_id& model, std::size_t size)
+    {
+        world.add(domain, static_cast<int>(size), {model == large ? small : large});
+        std::vector<std::size_t> members;
+        planned_group group;
+        for (std::size_t n = 0; n < size; ++n) {
+            members.push_back(next_);
+            group.members.push_back(world.runner(next_).id);
+            ++next_;
+        }
+        group.name = group_id{fmt::format("g{}", plan.groups().size())};
+        group.model = model;
+        group.phase = plan_phase::serving;
+        plan.add(std::move(group));
+        world.set_serving(members, model);
+    }
+    std::optional<conversion_proposal> begin(instant now)
+    {
+        return conversions.begin_next(now, world.snapshot(), plan);
+    }
+
+    snapshot_maker world;
+    group_plan plan;
+    group_conversion conversions;
+
+private:
+    std::size_t next_ = 0;
+};
+
+TEST_F(a_conversion, takes_the_fewest_groups_that_make_room_with_the_free_runners)
+{
+    world.set_work(large, 16);
+    world.set_work(small, 4);
+    const auto next = begin(start);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->to->name, large);
+    ASSERT_EQ(next->retired.size(), 1U) << "three members and a free runner make four";
+    EXPECT_EQ(next->retired.front()->model, small);
+    EXPECT_EQ(next->gained, 1U);
+    for (const auto& runner : next->runners) {
+        ASSERT_NE(conversions.kept_for(runner), nullptr);
+        EXPECT_EQ(*conversions.kept_for(runner), large);
+    }
+    EXPECT_EQ(conversions.count_expected().at(large), 1U);
+}
+
+TEST_F(a_conversion, is_not_begun_for_a_model_with_room)
+{
+    world.set_work(large, 7);
+    world.set_work(small, 1);
+    EXPECT_FALSE(begin(start)) << "0.35 of the slots";
+    world.set_work(large, 9);
+    EXPECT_TRUE(begin(start)) << "0.45";
+}
+
+TEST_F(a_conversion, is_not_begun_where_the_giving_model_would_be_nearly_as_busy)
+{
+    world.set_work(large, 16);
+    world.set_work(small, 8.1);
+    EXPECT_FALSE(begin(start)) << "0.8 and 0.27 with one group less";
+    world.set_work(small, 8);
+    EXPECT_TRUE(begin(start)) << "0.8 and 0.267";
+}
+
+TEST_F(a_conversion, settles_when_the_work_stays_the_same)
+{
+    world.set_work(large, 16);
+    world.set_work(small, 8);
+    int begun = 0;
+    for (auto now = start; now < start + seconds{60}; now += milliseconds{500}) {
+        const auto next = begin(now);
+        if (!next) {
+            continue;
+        }
+        ++begun;
+        const std::vector<runner_id> members{next->runners.begin(), next->runners.end()};
+        conversions.on_formed(next->to->name, members);
+        conversions.forget_finished(now, world.snapshot());
+        // What the planner does: the retired groups end, the new one serves.
+        for (const auto* group : next->retired) {
+            plan.find(group->name)->phase = plan_phase::releasing;
+            world.count_group(next->domain, small, -1);
+        }
+        world.count_group(next->domain, large, 1);
+    }
+    EXPECT_EQ(begun, 1) << "the reverse conversion would not lower the higher utilization";
+}
+
+TEST_F(a_conversion, waits_while_many_runners_are_under_conversion)
+{
+    world.set_work(large, 60);
+    world.set_work(small, 4);
+    ASSERT_TRUE(begin(start));
+    EXPECT_FALSE(begin(start + milliseconds{100})) << "the reports do not show the first one yet";
+    EXPECT_FALSE(begin(start + seconds{1})) << "4 of 22 runners are more than one of eight";
+}
+
+TEST_F(a_conversion, leaves_a_failure_domain_one_group_of_each_model)
+{
+    world.set_work(large, 60);
+    world.set_work(small, 1);
+    std::size_t retired = 0;
+    for (auto now = start; now < start + seconds{60}; now += seconds{1}) {
+        if (const auto next = begin(now)) {
+            retired += next->retired.size();
+            for (const auto* group : next->retired) {
+                plan.find(group->name)->phase = plan_phase::releasing;
+            }
+            conversions.on_formed(next->to->name, {next->runners.begin(), next->runners.end()});
+            conversions.forget_finished(now, world.snapshot());
+        }
+    }
+    EXPECT_LE(retired, 3U) << "of four small ones in the only failure domain";
+}
+
+TEST_F(a_conversion, is_not_undone_before_its_effect_shows)
+{
+    world.set_work(large, 16);
+    world.set_work(small, 4);
+    const auto next = begin(start);
+    ASSERT_TRUE(next);
+    conversions.on_formed(large, {next->runners.begin(), next->runners.end()});
+    conversions.forget_finished(start, world.snapshot());
+    world.set_work(large, 2);
+    world.set_work(small, 36);
+    EXPECT_FALSE(begin(start + seconds{4}));
+    EXPECT_TRUE(begin(start + seconds{6})) << "the work has really turned";
+}
+
+TEST_F(a_conversion, ends_with_its_group_without_its_runners_or_when_it_is_overdue)
+{
+    world.set_work(large, 16);
+    world.set_work(small, 4);
+    auto next = begin(start);
+    ASSERT_TRUE(next);
+    const auto runner = *next->runners.begin();
+
+    // Its group is formed.
+    conversions.on_formed(large, {next->runners.begin(), next->runners.end()});
+    conversions.forget_finished(start, world.snapshot());
+    EXPECT_EQ(conversions.count(), 0U);
+    EXPECT_EQ(conversions.kept_for(runner), nullptr);
+
+    // One of its runners is lost: the others make no group.
+    next = begin(start + seconds{1});
+    ASSERT_TRUE(next);
+    auto without = world.snapshot();
+    for (auto& each : without.runners) {
+        each.usable = each.usable && each.latest->id != *next->runners.begin();
+    }
+    conversions.forget_finished(start + seconds{1}, without);
+    EXPECT_EQ(conversions.count(), 0U);
+
+    // It takes too long.
+    next = begin(start + seconds{2});
+    ASSERT_TRUE(next);
+    conversions.forget_finished(start + seconds{13}, world.snapshot());
+    EXPECT_EQ(conversions.count(), 1U);
+    conversions.forget_finished(start + seconds{14}, world.snapshot());
+    EXPECT_EQ(conversions.count(), 0U);
+}
+
+} // namespace
+} // namespace cedarpoint
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -13,6 +13,7 @@
 /// A runner that keeps the group rules of the engines: epochs, phases, weights on its host.
 struct fake_runner {
     announcement told; ///< what its next heartbeat says
+    model_id loaded;   ///< of the last group that it joined
     bool alive = true;
     bool unreachable = false; ///< no entry daemon on the leader's side reaches it
     bool cut = false;         ///< the leader's side does not reach it, nor it the leader's side
@@ -69,12 +70,18 @@
     [[nodiscard]] const std::vector<std::string>& broken() const { return broken_; }
     /// Groups that were formed over several fabric domains.
     [[nodiscard]] std::size_t spread_groups() const;
-    /// Fabric domains whose runners hold the weights of more than one model.
+    /// Fabric domains where runners have loaded more than one model.
     [[nodiscard]] std::size_t mixed_domains() const;
+    /// Groups that were retired to make room for another model.
+    [[nodiscard]] std::size_t groups_converted() const { return converted_.size(); }
+    /// The leader's plan in one line, for a test's output.
+    [[nodiscard]] std::string plan() const { return leader_->planner().summary(now_); }
     [[nodiscard]] instant now() const { return now_; }
     [[nodiscard]] bool is_in_log(const group_id& group) const;
     /// Requests in flight at each open head, as the entry daemon reports it.
     int in_flight = 4;
+    /// Requests of a model in all, shared evenly by its groups; in place of `in_flight`.
+    std::map<std::string, int> work;
     /// Orders are carried out, and their answers are lost.
     bool lose_answers = false;
 
@@ -90,6 +97,9 @@
     void perform(const planner_step& step);
     order_result carry_out(const group_order& order);
     order_result join(fake_runner& runner, const group_order& order);
+    /// Makes the runner load the model; how long that takes.
+    duration load_weights(fake_runner& runner, const model_id& model) const;
+    [[nodiscard]] int in_flight_at(const fake_runner& head) const;
     void check_join(const group_order& order);
     void check_open(const fake_runner& head, const group_order& order);
     [[nodiscard]] bool group_moves(const fake_runner& head) const;
@@ -109,6 +119,7 @@
     std::map<runner_id, group_order> latest_joins_;
     std::vector<std::string> broken_;
     int made_ = 0;
+    std::map<group_id, instant> converted_; ///< groups retired for another model, and when
 };
 
 /// The lines of `planner_world::broken` as one text, for a test's output.
--- /dev/null
+++ b/tests/fleet/snapshot_maker.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "cedarpoint/fleet/group_placement.h"
+#include "cedarpoint/fleet/placement_snapshot.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cedarpoint::testing_support {
+
+inline const model_id large{"large"};
+inline const model_id small{"small"};
+
+/// Makes the snapshots that placement, staging and conversion decide from: one service with the
+/// models `large` (groups of 4) and `small` (groups of 3), 10 slots a group. Runners are named by
+/// the order in which they were added.
+class snapshot_maker {
+public:
+    snapshot_maker();
+
+    void set_sizes(std::size_t of_large, std::size_t of_small);
+    /// Free runners of one fabric domain, all with the same weights on their hosts. The failure
+    /// domain is the first letter of the fabric domain.
+    void add(const std::string& domain, int count, const std::vector<model_id>& staged);
+    [[nodiscard]] announcement& runner(std::size_t at) { return announced_.at(at); }
+    void set_loaded(std::size_t at, const model_id& model) { loaded_[at] = model; }
+    void set_staging(std::size_t at) { staging_.push_back(at); }
+    void keep_for(std::size_t at, const model_id& model) { kept_for_[at] = model; }
+    /// The runners serve in a group of the model.
+    void set_serving(const std::vector<std::size_t>& runners, const model_id& model);
+    /// The proposed group is formed.
+    void form(const proposed_group& group);
+    /// A group of the model is there, or is there no more; its runners stay as they are.
+    void count_group(const fabric_domain_id& domain, const model_id& model, int change);
+    /// Requests in service and turned away, as `work_average` has them.
+    void set_work(const model_id& model, double requests);
+    /// A conversion will form that many groups.
+    void expect(const model_id& model, std::size_t groups) { expected_[model] = groups; }
+
+    /// Valid until the next call of any member.
+    [[nodiscard]] const placement_snapshot& snapshot();
+    [[nodiscard]] std::size_t count_free();
+    [[nodiscard]] const fleet_service& pool() const { return configuration_.services.front(); }
+    [[nodiscard]] const engine_model& model(const model_id& name) const;
+
+    bool has_traffic = true;
+
+private:
+    fleet_configuration configuration_;
+    std::deque<announcement> announced_; ///< the snapshot points into it
+    std::map<std::size_t, model_id> loaded_;
+    std::map<std::size_t, model_id> kept_for_;
+    std::map<std::size_t, bool> serving_;
+    std::vector<std::size_t> staging_;
+    std::map<model_id, double> work_;
+    std::map<model_id, std::size_t> expected_;
+    std::map<std::pair<fabric_domain_id, model_id>, std::size_t> groups_;
+    std::map<fabric_domain_id, failure_domain_id> places_;
+    placement_snapshot in_;
+};
+
+} // namespace cedarpoint::testing_support
