--- a/src/fleet/weight_staging.cpp
+++ b/src/fleet/weight_staging.cpp
@@ -105,7 +105,7 @@
     plan_step step{now, in, loads, {}};
     repeat_unanswered(step);
     for (const auto& service : in.configuration->services) {
-        if (!service.engine) {
+        if (!service.engine || service.engine->models.empty()) {
             continue;
         }
         const auto models = by_utilization(in, service);
--- a/tests/fleet/placement_test.cpp
+++ b/tests/fleet/placement_test.cpp
@@ -343,6 +343,14 @@
     EXPECT_TRUE(stage().empty());
 }
 
+TEST_F(a_fleet_of_runners, has_nothing_to_do_for_a_service_without_models)
+{
+    world.add("a", 4, {});
+    world.remove_models();
+    EXPECT_FALSE(propose());
+    EXPECT_TRUE(stage().empty());
+}
+
 TEST_F(a_fleet_of_runners, takes_weights_for_lost_after_twice_their_time)
 {
     others_serve();
--- a/tests/fleet/snapshot_maker.h
+++ b/tests/fleet/snapshot_maker.h
@@ -21,6 +21,7 @@
 public:
     snapshot_maker();
 
+    void remove_models() { configuration_.services.front().engine->models.clear(); }
     void set_sizes(std::size_t of_large, std::size_t of_small);
     /// Free runners of one fabric domain, all with the same weights on their hosts. The failure
     /// domain is the first letter of the fabric domain.
