--- a/src/fleet/group_targets.cpp
+++ b/src/fleet/group_targets.cpp
@@ -18,7 +18,7 @@
 
 /// A model takes runners from another one whose utilization is lower by this factor. The same
 /// round.
-constexpr double least_gap = 3;
+constexpr double least_gap = 2;
 
 std::size_t count_usable(const placement_snapshot& in, const fleet_service& service)
 {
