--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -26,8 +26,8 @@
 constexpr double cost_of_new_domain = 0.1;
 constexpr double cost_of_stranded = 0.2;
 
-/// The advantage of a model's first group in a failure domain: above all costs, so that a domain
-/// that is cut off serves every model.
+/// The advantage of a model's first group: above all costs, so that each model is served. For the
+/// first in each failure domain it was worth less (round "first groups", docs/CUSTOMER-ROUNDS.md).
 constexpr double advantage_of_first_group = 10;
 
 duration join_time(const runner_snapshot& runner, const engine_model& model)
@@ -67,7 +67,7 @@
         static_cast<double>(count_stranded(*next.service, free));
     return groups / wanted + cost_of_same_failure_domain * there +
            (is_new ? cost_of_new_domain : 0) + cost_of_stranded * stranded -
-           (there == 0 ? advantage_of_first_group : 0);
+           (groups == 0 ? advantage_of_first_group : 0);
 }
 
 /// What a group costs, in shares of a model's groups, less what it is worth. Once there is work,
