--- a/include/cedarpoint/fleet/group_conversion.h
+++ b/include/cedarpoint/fleet/group_conversion.h
@@ -44,7 +44,8 @@
     [[nodiscard]] std::optional<conversion_proposal>
     begin_next(instant now, const placement_snapshot& in, const group_plan& plan);
     /// Ends conversions that have formed their groups, can't form them any more, or are overdue.
-    void forget_finished(instant now, const placement_snapshot& in);
+    /// True if it ended one; what `kept_for` has returned before is not valid any more then.
+    bool forget_finished(instant now, const placement_snapshot& in);
     /// A group was formed of these runners.
     void on_formed(const model_id& model, const std::vector<runner_id>& members);
 
--- a/src/fleet/group_conversion.cpp
+++ b/src/fleet/group_conversion.cpp
@@ -252,9 +252,9 @@
     return out;
 }
 
-void group_conversion::forget_finished(instant now, const placement_snapshot& in)
+bool group_conversion::forget_finished(instant now, const placement_snapshot& in)
 {
-    std::erase_if(under_way_, [&](const conversion& each) {
+    const auto ended = std::erase_if(under_way_, [&](const conversion& each) {
         const auto left =
             std::count_if(in.runners.begin(), in.runners.end(), [&](const runner_snapshot& runner) {
                 return runner.usable && each.runners.contains(runner.latest->id);
@@ -262,6 +262,7 @@
         return each.expected == 0 || static_cast<std::size_t>(left) < each.group_size ||
                now >= each.overdue_at;
     });
+    return ended > 0;
 }
 
 void group_conversion::on_formed(const model_id& model, const std::vector<runner_id>& members)
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -115,7 +115,9 @@
 {
     staging_.forget_finished(now, registry_);
     auto in = take_snapshot(now);
-    conversions_.forget_finished(now, in);
+    if (conversions_.forget_finished(now, in)) {
+        in = take_snapshot(now); // it points to the models that conversions keep runners for
+    }
     if (in.has_traffic && convert_groups(now, in)) {
         in = take_snapshot(now);
     }
--- a/tests/fleet/group_conversion_test.cpp
+++ b/tests/fleet/group_conversion_test.cpp
@@ -185,9 +185,9 @@
     // It takes too long.
     next = begin(start + seconds{2});
     ASSERT_TRUE(next);
-    conversions.forget_finished(start + seconds{13}, world.snapshot());
+    EXPECT_FALSE(conversions.forget_finished(start + seconds{13}, world.snapshot()));
     EXPECT_EQ(conversions.count(), 1U);
-    conversions.forget_finished(start + seconds{14}, world.snapshot());
+    EXPECT_TRUE(conversions.forget_finished(start + seconds{14}, world.snapshot()));
     EXPECT_EQ(conversions.count(), 0U);
 }
 
