serve writes a line when its disk begins or ceases to refuse writes

Cause: since a refused write is waited for, daemons with a list of peers said nothing of it; found on reading the change: refused_write of control_plane had no caller. Change: daemon::note_disk, the same line as the fleet's control daemon writes.

--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -48,6 +48,8 @@
     bool open_mesh(reason& why);
     [[nodiscard]] control_hooks make_control_hooks();
     [[nodiscard]] caller_gateway::hooks make_gateway_hooks();
+    /// Tells the log when the disk begins or ceases to refuse writes.
+    void note_disk();
     void tick();
     void refresh_view();
     void refresh_metrics();
@@ -71,6 +73,7 @@
     revision view_revision_;
     bool stopping_ = false;
     bool ended_ = false;
+    bool disk_refuses_ = false; ///< the disk refused the latest write
 };
 
 } // namespace cedarpoint
