Sight: an entry daemon says which runners have named a rate limit, and counts what it sends there

Cause: neither logs nor metrics could tell whether a daemon knows a runner's limit, since when, or how much it sends there all the same. Change: the header is read (lowest of several, anything that is no rate is passed over with a line), kept in an order that overtaking answers can't upset, and told: event=rate_limit, cedarpoint_rate_limited_runners, cedarpoint_rate_limited_sends_total. No decision goes by it yet. The soak's daemon process moves to tests/support, for the test to come.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -178,6 +178,8 @@
     context_.metrics.set_view(static_cast<double>(follower_.view().version()),
                               now - follower_.heard());
     context_.metrics.set_in_flight(static_cast<double>(requests_.size()));
+    context_.metrics.set_rate_limited_runners(
+        static_cast<double>(context_.targets.count_rate_limited()));
     check_stop(now);
 }
 
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -24,7 +24,13 @@
       view_version_{registry_.add_gauge("cedarpoint_view_version", "Version of the view in use")},
       view_age_{registry_.add_gauge("cedarpoint_view_age_seconds", "Since the leader was heard")},
       in_flight_{
-          registry_.add_gauge("cedarpoint_requests_in_flight", "Requests without an end yet")}
+          registry_.add_gauge("cedarpoint_requests_in_flight", "Requests without an end yet")},
+      rate_limited_runners_{registry_.add_gauge("cedarpoint_rate_limited_runners",
+                                                "Runners that have named a rate limit")},
+      rate_limited_sends_{registry_
+                              .add_counters("cedarpoint_rate_limited_sends_total",
+                                            "Requests sent to runners that have named a rate limit")
+                              .Add({})}
 {
 }
 
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -22,6 +22,9 @@
     /// `age`: since the leader was heard.
     void set_view(double version, duration age);
     void set_in_flight(double count) { in_flight_.Set(count); }
+    void set_rate_limited_runners(double count) { rate_limited_runners_.Set(count); }
+    /// A request is sent to a runner that has named a rate limit.
+    void count_rate_limited_send() { rate_limited_sends_.Increment(); }
 
     [[nodiscard]] std::string text() const { return registry_.text(); }
 
@@ -35,6 +38,8 @@
     prometheus::Gauge& view_version_;
     prometheus::Gauge& view_age_;
     prometheus::Gauge& in_flight_;
+    prometheus::Gauge& rate_limited_runners_;
+    prometheus::Counter& rate_limited_sends_;
     // Looked up once: a family searches its labels at each call, which costs on the path of a
     // request.
     std::map<std::string, prometheus::Counter*> known_ends_;
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -3,6 +3,7 @@
 #include "cedarpoint/core/http_status.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
+#include "io/log_line.h"
 
 #include <utility>
 
@@ -32,6 +33,9 @@
     request.id_header = context_.platform.headers().request_id;
     request.id = options_.id;
     connection_ = context_.pool.take(address_, options_.longest_idle);
+    if (context_.targets.find_rate_limit(runner_) != nullptr) {
+        context_.metrics.count_rate_limited_send();
+    }
     context_.targets.on_sent(steady_now(), runner_);
     connection_->start(std::move(request), make_exchange_handlers());
 }
@@ -100,12 +104,44 @@
 
 void runner_attempt::on_head(const http_head& head)
 {
-    context_.targets.on_byte(steady_now(), runner_);
+    const auto now = steady_now();
+    context_.targets.on_byte(now, runner_);
     head_ = head;
+    note_rate_limit(now);
     streaming_ = options_.expects_stream && head.status == http_status::ok &&
                  is_event_stream(head) && is_authentic(head);
 }
 
+void runner_attempt::note_rate_limit(instant now)
+{
+    if (head_->status == http_status::misdirected_request) {
+        return; // from another runner, which has the address now
+    }
+    using kind_t = rate_limit_reading::kind_t;
+    const auto values = head_->fields.values(context_.platform.headers().rate_limit);
+    const auto reading = read_rate_limit(values);
+    if (reading.kind == kind_t::unreadable) {
+        log_line{"rate_limit_unreadable"}
+            .with("runner", runner_.str())
+            .with("text", values.front())
+            .write();
+        return;
+    }
+    if (reading.kind == kind_t::absent && !is_authentic(*head_)) {
+        return; // only an answer that the runner itself has surely made ends a limit
+    }
+    if (!context_.targets.on_rate_limit(runner_, reading, *sent_at_, now)) {
+        return;
+    }
+    const auto* limit = context_.targets.find_rate_limit(runner_);
+    log_line{"rate_limit"}
+        .with("runner", runner_.str())
+        .with("limited", limit != nullptr)
+        .with("rate", limit != nullptr ? limit->rate().per_second : 0)
+        .with("id", options_.id)
+        .write();
+}
+
 void runner_attempt::on_body(const std::string& bytes)
 {
     context_.targets.on_byte(steady_now(), runner_);
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -77,6 +77,7 @@
     [[nodiscard]] attempt_verdict judge_complete() const;
     [[nodiscard]] bool is_authentic(const http_head& head) const;
     void note(const attempt_verdict& verdict);
+    void note_rate_limit(instant now);
     void arm_stall_timer(milliseconds limit);
     void release();
 
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -161,6 +161,36 @@
     on_failure(now, runner);
 }
 
+bool target_set::on_rate_limit(const runner_id& runner, const rate_limit_reading& in,
+                               instant sent_at, instant heard_at)
+{
+    auto found = rate_limits_.find(runner);
+    if (in.kind == rate_limit_reading::kind_t::named) {
+        if (found == rate_limits_.end()) {
+            rate_limits_[runner].on_named(in.rate, heard_at);
+            return true;
+        }
+        const auto before = found->second.rate();
+        found->second.on_named(in.rate, heard_at);
+        return found->second.rate() != before;
+    }
+    if (found == rate_limits_.end() || in.kind == rate_limit_reading::kind_t::unreadable) {
+        return false;
+    }
+    found->second.on_not_named(sent_at);
+    if (found->second.is_limited()) {
+        return false;
+    }
+    rate_limits_.erase(found);
+    return true;
+}
+
+const rate_limit_record* target_set::find_rate_limit(const runner_id& runner) const
+{
+    const auto found = rate_limits_.find(runner);
+    return found == rate_limits_.end() ? nullptr : &found->second;
+}
+
 std::map<runner_id, runner_observation> target_set::take_observations(instant now)
 {
     std::map<runner_id, runner_observation> out;
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -34,6 +34,17 @@
                        [&](const auto& e) { return equal_ignoring_case(e.first, name); });
 }
 
+std::vector<std::string_view> http_fields::values(std::string_view name) const
+{
+    std::vector<std::string_view> out;
+    for (const auto& [each, value] : all_) {
+        if (equal_ignoring_case(each, name)) {
+            out.emplace_back(value);
+        }
+    }
+    return out;
+}
+
 std::string serialize_head(const http_head& head)
 {
     const auto phrase =
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -17,6 +17,8 @@
     /// The first value under a name; empty if there is none.
     [[nodiscard]] std::string_view get(std::string_view name) const;
     [[nodiscard]] bool has(std::string_view name) const;
+    /// Every value under a name, in their order.
+    [[nodiscard]] std::vector<std::string_view> values(std::string_view name) const;
     [[nodiscard]] const std::vector<std::pair<std::string, std::string>>& all() const
     {
         return all_;
--- a/tests/fleet/fleet_site.cpp
+++ b/tests/fleet/fleet_site.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet_site.h"
 
 #include "daemon/site.h"
+#include "io/clock.h"
 
 #include <QCoreApplication>
 #include <QTcpServer>
@@ -164,10 +165,15 @@
     }
     head.fields.add("X-Cedarpoint-Instance-Signature", "signed-by-" + id_);
     ++served_;
+    arrivals.push_back({steady_now(), std::string{request.fields.get("X-Cedarpoint-Request-Id")},
+                        !rate_limit.empty()});
     if (service_ == "pool") {
         stream(request, reply);
         return;
     }
+    if (!rate_limit.empty()) {
+        head.fields.add("Server-Limit", rate_limit);
+    }
     if (fail_next > 0) {
         --fail_next;
         head.status = 500;
@@ -182,6 +188,9 @@
                     std::string{request.fields.get("X-Cedarpoint-Request-Id")});
     head.fields.add("X-Cedarpoint-Instance-Signature", "signed-by-" + id_);
     head.fields.add("Content-Type", "text/event-stream");
+    if (!rate_limit.empty()) {
+        head.fields.add("Server-Limit", rate_limit);
+    }
     reply->begin(std::move(head));
     const std::string after{request.fields.get("Last-Event-Id")};
     for (int event = after.empty() ? 1 : std::stoi(after) + 1; event <= 3; ++event) {
--- a/tests/fleet/fleet_site.h
+++ b/tests/fleet/fleet_site.h
@@ -43,6 +43,13 @@
     int fail_next = 0;                 ///< plain requests that are answered with 500
     bool cut_stream = false;           ///< the next stream breaks off after its first event
     std::vector<std::string> accounts; ///< that requests were passed on for
+    std::string rate_limit;            ///< named in each answer unless it is empty
+    struct arrival {
+        instant at;
+        std::string request;
+        bool told = false; ///< the answer names a rate limit
+    };
+    std::vector<arrival> arrivals; ///< requests, answered in the same moment
 
 private:
     void on_request(const http_request& request, const std::shared_ptr<http_reply>& reply);
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -7,8 +7,7 @@
 #include "fleet/fleet_site.h"
 #include "io/clock.h"
 #include "soak/loopback_proxy.h"
-
-#include <QProcess>
+#include "support/daemon_process.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -22,6 +21,7 @@
 namespace {
 
 using testing_support::call;
+using testing_support::daemon_process;
 using testing_support::loopback_proxy;
 using testing_support::platform_runner;
 using testing_support::wait_until;
@@ -69,37 +69,6 @@
                        version);
 }
 
-/// One process of the real program.
-class daemon_process {
-public:
-    daemon_process(const std::string& file, const std::string& log)
-    {
-        process_.setProcessChannelMode(QProcess::MergedChannels);
-        process_.setStandardOutputFile(QString::fromStdString(log), QIODevice::Append);
-        process_.start(BINARY_DIR "/cedarpoint",
-                       {"fleet", "--settings", QString::fromStdString(file)});
-        process_.waitForStarted();
-    }
-    ~daemon_process()
-    {
-        signal(SIGCONT);
-        signal(SIGKILL);
-        process_.waitForFinished();
-    }
-    daemon_process(const daemon_process&) = delete;
-    daemon_process& operator=(const daemon_process&) = delete;
-    void signal(int number) const
-    {
-        if (process_.state() == QProcess::Running) {
-            ::kill(static_cast<pid_t>(process_.processId()), number);
-        }
-    }
-    [[nodiscard]] bool is_running() const { return process_.state() == QProcess::Running; }
-
-private:
-    QProcess process_;
-};
-
 class fleet_soak : public testing::TestWithParam<std::uint64_t> {
 protected:
     fleet_soak() : random{GetParam()}, net{static_cast<int>(GetParam() % 200) + 20}
--- /dev/null
+++ b/tests/support/daemon_process.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <QProcess>
+
+#include <csignal>
+#include <string>
+
+namespace cedarpoint::testing_support {
+
+/// One process of the real program, a daemon of a fleet. Killed with its owner.
+class daemon_process {
+public:
+    daemon_process(const std::string& settings_file, const std::string& log)
+    {
+        process_.setProcessChannelMode(QProcess::MergedChannels);
+        process_.setStandardOutputFile(QString::fromStdString(log), QIODevice::Append);
+        process_.start(BINARY_DIR "/cedarpoint",
+                       {"fleet", "--settings", QString::fromStdString(settings_file)});
+        process_.waitForStarted();
+    }
+    ~daemon_process()
+    {
+        signal(SIGCONT);
+        signal(SIGKILL);
+        process_.waitForFinished();
+    }
+    daemon_process(const daemon_process&) = delete;
+    daemon_process& operator=(const daemon_process&) = delete;
+
+    void signal(int number) const
+    {
+        if (process_.state() == QProcess::Running) {
+            ::kill(static_cast<pid_t>(process_.processId()), number);
+        }
+    }
+    [[nodiscard]] bool is_running() const { return process_.state() == QProcess::Running; }
+
+private:
+    QProcess process_;
+};
+
+} // namespace cedarpoint::testing_support
