Rate limits in a folder of their own, kept by daemons with a list of peers as well

Cause: 'serve' sends to a runner in need what 'fleet' did before: nobody reads a limit there, and each daemon counts for itself. Change: rate_limits/ holds the types, the leader's allocator and a daemon's permits, for both forms. Without a leader a daemon of 'serve' keeps its even part of three quarters of the rate (Cedarpoint-Rate-Limit in a runner's answers); requests that find no permit wait in the queue like those that find no slot. Its log line is that of a fleet. Why it holds: parts come at times of their own, and n of them put at most 4.8 s of three quarters of the rate and n requests into 4 s, with few fixed daemons less than the 6 s and 5 that the users' rule allows.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -7,9 +7,9 @@
 #include "cedarpoint/fleet/group_planner.h"
 #include "cedarpoint/fleet/health_reports.h"
 #include "cedarpoint/fleet/platform_adapter.h"
-#include "cedarpoint/fleet/rate_limit_allocator.h"
 #include "cedarpoint/fleet/runner_registry.h"
 #include "cedarpoint/fleet/view_builder.h"
+#include "cedarpoint/rate_limits/permit_allocator.h"
 
 #include <cstdint>
 #include <functional>
@@ -80,7 +80,7 @@
     view_source view_;
     std::uint64_t viewed_version_ = 0; ///< of the configuration in the view
     follower_tracker followers_;
-    rate_limit_allocator rate_limits_;
+    permit_allocator rate_limits_;
     std::vector<planner_step> records_; ///< commands for the log, until the next tick
     std::uint64_t term_ = 0;
 };
--- a/include/cedarpoint/fleet/fleet_messages.h
+++ b/include/cedarpoint/fleet/fleet_messages.h
@@ -48,7 +48,7 @@
 [[nodiscard]] std::optional<std::map<runner_id, int>> decode_loads(const wire::fleet_update& in);
 
 /// What the leader says of rate limits to one entry daemon; part of the answer to its report.
-void encode_grants(const std::map<runner_id, rate_limit_grant>& in, wire::fleet_update& out);
-[[nodiscard]] std::map<runner_id, rate_limit_grant> decode_grants(const wire::fleet_update& in);
+void encode_grants(const std::map<runner_id, permit_grant>& in, wire::fleet_update& out);
+[[nodiscard]] std::map<runner_id, permit_grant> decode_grants(const wire::fleet_update& in);
 
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/health_reports.h
+++ b/include/cedarpoint/fleet/health_reports.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "cedarpoint/core/decaying_count.h"
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
-#include "cedarpoint/fleet/decaying_count.h"
 #include "cedarpoint/fleet/health_report.h"
 #include "cedarpoint/fleet/latency_tracker.h"
 
--- a/include/cedarpoint/fleet/target_set.h
+++ b/include/cedarpoint/fleet/target_set.h
@@ -4,8 +4,8 @@
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/fleet/fleet_target.h"
 #include "cedarpoint/fleet/health_report.h"
-#include "cedarpoint/fleet/send_permits.h"
 #include "cedarpoint/fleet/view_content.h"
+#include "cedarpoint/rate_limits/send_permits.h"
 
 #include <cstdint>
 #include <map>
--- a/include/cedarpoint/fleet/rate_limit_allocator.h
+++ b/include/cedarpoint/rate_limits/permit_allocator.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "cedarpoint/core/decaying_count.h"
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
-#include "cedarpoint/fleet/decaying_count.h"
-#include "cedarpoint/fleet/health_report.h"
-#include "cedarpoint/fleet/rate_limit.h"
+#include "cedarpoint/rate_limits/permit_messages.h"
+#include "cedarpoint/rate_limits/rate_limit.h"
 
 #include <cstdint>
 #include <deque>
@@ -23,14 +23,13 @@
 /// there lately. A permit lasts less than a second (`send_permits`); one that expires unused is
 /// issued anew. Permits that may be in use at a time are bounded, so the arrivals of a window of
 /// some seconds are: by those, and by the rate.
-class rate_limit_allocator {
+class permit_allocator {
 public:
     /// Begins anew; `seed`: of the draws.
     void clear(std::uint64_t seed);
     void on_report(instant now, const daemon_id& from, const rate_limit_sightings& in);
     /// The limits that hold, each with the permits issued to the daemon since its latest report.
-    [[nodiscard]] std::map<runner_id, rate_limit_grant> take_grants(instant now,
-                                                                    const daemon_id& to);
+    [[nodiscard]] std::map<runner_id, permit_grant> take_grants(instant now, const daemon_id& to);
     void forget(const runner_id& runner) { limits_.erase(runner); }
 
 private:
--- a/include/cedarpoint/fleet/rate_limit.h
+++ b/include/cedarpoint/rate_limits/rate_limit.h
@@ -3,7 +3,6 @@
 #include "cedarpoint/core/time.h"
 
 #include <compare>
-#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -83,10 +82,4 @@
     std::optional<instant> ended_at_; ///< when the end was noticed here; empty while it holds
 };
 
-/// What the leader tells an entry daemon of one runner's limit.
-struct rate_limit_grant {
-    request_rate rate;         ///< as the runner named it
-    std::uint32_t permits = 0; ///< requests that the daemon may send there
-};
-
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/send_permits.h
+++ b/include/cedarpoint/rate_limits/send_permits.h
@@ -2,8 +2,8 @@
 
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
-#include "cedarpoint/fleet/health_report.h"
-#include "cedarpoint/fleet/rate_limit.h"
+#include "cedarpoint/rate_limits/permit_messages.h"
+#include "cedarpoint/rate_limits/rate_limit.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -14,26 +14,32 @@
 
 namespace cedarpoint {
 
+/// How a daemon makes permits of its own.
+struct own_permit_options {
+    /// The part of a rate that daemons without a leader use together.
+    double used_part = 0.5;
+    std::size_t daemons = 0; ///< that share each rate; 0: not known yet, then none are made
+    std::uint64_t seed = 0;  ///< of the draw that puts them at times of their own
+};
+
 /// One daemon's permits to send requests to runners that have named a rate limit. A limit holds for
 /// all daemons together, so from the answer that names it on, nothing is sent there without a
 /// permit; the others learn of it from the leader.
 ///
-/// Permits come from the leader (`rate_limit_allocator`). While no leader speaks of the limit, the
-/// daemon makes its own: its even part of half the rate, at times that don't fall together with
-/// other daemons'. Half, because a leader may be there for the rest of them.
+/// Permits come from the leader (`permit_allocator`). While no leader speaks of the limit, the
+/// daemon makes its own: its even part of the rate, at times that don't fall together with other
+/// daemons'. Where there may be a leader for the rest of them, only a part of the rate is used so.
 class send_permits {
 public:
-    /// `seed`: of the draw that puts own permits at a time of their own.
-    explicit send_permits(std::uint64_t seed) : random_{seed} {}
+    explicit send_permits(own_permit_options options) : options_{options}, random_{options.seed} {}
 
     /// An answer came at `now` to a request sent at `sent_at`. True if it changes whether the
     /// runner is limited, or its rate.
     bool on_answer(instant now, const runner_id& runner, const rate_limit_reading& in,
                    instant sent_at);
     /// The leader's answer to the report that was made at `asked_at`: all limits that it knows.
-    void on_grants(instant asked_at, const std::map<runner_id, rate_limit_grant>& in);
-    /// Daemons that share each rate; 0: not known, then there are no own permits.
-    void set_daemons(std::size_t count) { daemons_ = count; }
+    void on_grants(instant asked_at, const std::map<runner_id, permit_grant>& in);
+    void set_daemons(std::size_t count) { options_.daemons = count; }
 
     /// True if a request may be sent to the runner now. If it is limited, counts one that could go
     /// there: the leader issues permits by these counts.
@@ -75,7 +81,7 @@
     [[nodiscard]] duration draw_within(duration interval);
 
     std::map<runner_id, limit> limits_;
-    std::size_t daemons_ = 0;
+    own_permit_options options_;
     std::mt19937_64 random_;
 };
 
--- a/include/cedarpoint/request/dispatcher.h
+++ b/include/cedarpoint/request/dispatcher.h
@@ -23,6 +23,7 @@
     duration longest_wait = seconds{30}; ///< in the queue, for requests without a deadline
     int max_attempts = 4;                ///< for one request, the first one included
     double limit_share = 1.0;            ///< fraction of the accounts' fleet-wide limits, 0 to 1
+    own_permit_options permits{};        ///< for runners that name a rate limit
 };
 
 /// Decides about every request of one daemon, from its arrival to its final answer, by asking
@@ -48,6 +49,9 @@
     void attempt_sending(attempt_id attempt);
     /// The head of the answer is about to be passed to the caller.
     void attempt_answering(attempt_id attempt);
+    /// The head of an answer says this of its runner's rate limit. True if it changes whether the
+    /// runner is limited, or its rate.
+    bool attempt_rate_limit(instant now, attempt_id attempt, const rate_limit_reading& in);
     /// One more whole event was passed to the caller.
     void attempt_event(attempt_id attempt);
     /// Whether a 5xx answer should come back as `server_error` rather than be passed on.
--- a/include/cedarpoint/request/open_requests.h
+++ b/include/cedarpoint/request/open_requests.h
@@ -34,6 +34,7 @@
     int attempts = 0;
     attempt_id attempt; ///< the latest
     runner_id upstream; ///< of the latest attempt
+    instant began_at;   ///< the latest attempt
 
     /// Notes that its attempt ended so, and says what the failure rule must know.
     [[nodiscard]] failed_attempt fail(attempt_end how);
@@ -53,7 +54,7 @@
     [[nodiscard]] open_request& at(const request_id& request) { return requests_.at(request); }
 
     /// Gives the request a new attempt, with a number of its own, at the place.
-    void begin_attempt(open_request& it, const runner_id& upstream);
+    void begin_attempt(instant now, open_request& it, const runner_id& upstream);
     /// From now on nothing is heard of the attempt.
     void end_attempt(attempt_id attempt) { attempts_.erase(attempt.value); }
     /// The request that the attempt runs for. Null if the attempt has ended.
--- a/include/cedarpoint/routing/router.h
+++ b/include/cedarpoint/routing/router.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/rate_limits/send_permits.h"
 #include "cedarpoint/routing/breaker.h"
 #include "cedarpoint/routing/target.h"
 
@@ -66,19 +67,28 @@
     /// Prefixes remembered; the least recently used goes first. Not measured.
     static constexpr std::size_t max_prefixes = 65536;
 
-    explicit router(failure_domain_id home) : home_{std::move(home)} {}
+    router(failure_domain_id home, own_permit_options permits)
+        : home_{std::move(home)}, permits_{permits}
+    {
+    }
 
     /// Replaces the targets; what is in flight stays counted.
     void set_targets(target_table all) { targets_ = std::move(all); }
     [[nodiscard]] const target_table& targets() const { return targets_; }
 
     /// Counts nothing: the choice holds once `on_dispatch` is called for it.
-    [[nodiscard]] route_choice choose(instant now, const route_query& query) const;
+    [[nodiscard]] route_choice choose(instant now, const route_query& query);
 
     /// A request sets out to `place`. `prefix`: hash of its prompt's beginning, 0 for none.
     void on_dispatch(instant now, const target& place, std::uint64_t prefix);
     /// It came to its end; `failed` counts against the upstream's breaker.
     void on_end(instant now, const runner_id& upstream, bool failed);
+    /// An answer came at `now` to a request sent at `sent_at`; see `send_permits::on_answer`.
+    bool on_rate_limit(instant now, const runner_id& upstream, const rate_limit_reading& in,
+                       instant sent_at)
+    {
+        return permits_.on_answer(now, upstream, in, sent_at);
+    }
     /// This daemon's requests there; other daemons' are in `target::reported_others`.
     [[nodiscard]] int in_flight(const runner_id& upstream) const;
 
@@ -88,8 +98,7 @@
         std::list<std::uint64_t>::iterator order;
     };
 
-    [[nodiscard]] std::string why_out(instant now, const target& it,
-                                      const route_query& query) const;
+    [[nodiscard]] std::string why_out(instant now, const target& it, const route_query& query);
     [[nodiscard]] double score(const target& it, const route_query& query) const;
     /// Requests there, of this daemon and of others.
     [[nodiscard]] int requests_at(const target& it) const;
@@ -101,6 +110,7 @@
     target_table targets_;
     std::unordered_map<runner_id, int> in_flight_;
     std::unordered_map<runner_id, breaker> breakers_;
+    send_permits permits_; ///< no leader speaks of limits here, so all are this daemon's own
     std::unordered_map<std::uint64_t, prefix_entry> prefixes_;
     std::list<std::uint64_t> prefix_order_; ///< least recently used first
 };
--- a/src/daemon/caller_gateway.h
+++ b/src/daemon/caller_gateway.h
@@ -61,6 +61,7 @@
     };
 
     void on_request(http_request request, std::shared_ptr<http_reply> reply);
+    void note_rate_limit(attempt_id id, const attempt& it);
     void answer_models(const http_request& request, http_reply& reply);
     void refuse_now(http_reply& reply, const refusal& error, const std::string& request);
     void do_start(const start_attempt& it);
--- a/src/daemon/caller_gateway_answers.cpp
+++ b/src/daemon/caller_gateway_answers.cpp
@@ -7,6 +7,7 @@
 #include "io/clock.h"
 #include "io/header_rules.h"
 #include "io/log_line.h"
+#include "io/rate_limit_log.h"
 
 #include <utility>
 
@@ -44,6 +45,7 @@
         on_end(id, call_end::cut, {"answer", it.upstream.str(), "it is another request's answer"});
         return;
     }
+    note_rate_limit(id, it);
     if (head.fields.has(engine_header::not_run)) {
         it.call->cancel();
         retire(id);
@@ -67,6 +69,15 @@
     }
 }
 
+void caller_gateway::note_rate_limit(attempt_id id, const attempt& it)
+{
+    const auto reading = read_rate_limit(it.head.fields.values(engine_header::rate_limit));
+    const bool changed = core_.attempt_rate_limit(steady_now(), id, reading);
+    if (changed || reading.kind == rate_limit_reading::kind_t::unreadable) {
+        log_rate_limit(it.upstream, reading, it.request.str());
+    }
+}
+
 void caller_gateway::begin_answer(attempt_id id, const attempt& it, exchange& to)
 {
     if (to.reply->has_begun()) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "cedarpoint/core/hash.h"
 #include "io/clock.h"
 #include "io/log_line.h"
 
@@ -45,6 +46,10 @@
     dispatch_options out;
     // The balancer spreads calls evenly, so each daemon holds an even share of each limit.
     out.limit_share = own.peers.empty() ? 1.0 : 1.0 / static_cast<double>(own.peers.size());
+    // No leader divides rates here. A quarter is left for daemons whose parts come together.
+    out.permits.used_part = 0.75;
+    out.permits.daemons = std::max<std::size_t>(own.peers.size(), 1);
+    out.permits.seed = hash_of(own.id.str());
     return out;
 }
 
--- a/src/daemon/engine_headers.h
+++ b/src/daemon/engine_headers.h
@@ -10,6 +10,8 @@
 inline constexpr const char* attempt = "X-Request-Id";
 /// In a runner's answer: it did not take the request.
 inline constexpr const char* not_run = "Cedarpoint-Not-Run";
+/// In a runner's answer: requests a second that it takes from all daemons together.
+inline constexpr const char* rate_limit = "Cedarpoint-Rate-Limit";
 } // namespace engine_header
 
 /// True for headers that are passed neither to runners nor from them: they are between the caller
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -3,7 +3,7 @@
 #include "cedarpoint/core/http_status.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
-#include "io/log_line.h"
+#include "io/rate_limit_log.h"
 
 #include <utility>
 
@@ -118,28 +118,18 @@
         return; // from another runner, which has the address now
     }
     using kind_t = rate_limit_reading::kind_t;
-    const auto values = head_->fields.values(context_.platform.headers().rate_limit);
-    const auto reading = read_rate_limit(values);
-    if (reading.kind == kind_t::unreadable) {
-        log_line{"rate_limit_unreadable"}
-            .with("runner", runner_.str())
-            .with("text", values.front())
-            .write();
-        return;
-    }
+    const auto& name = context_.platform.headers().rate_limit;
+    const auto reading = read_rate_limit(head_->fields.values(name));
     if (reading.kind == kind_t::absent && !is_authentic(*head_)) {
         return; // only an answer that the runner itself has surely made ends a limit
     }
-    if (!context_.targets.permits().on_answer(now, runner_, reading, *sent_at_)) {
-        return;
+    const bool changed = context_.targets.permits().on_answer(now, runner_, reading, *sent_at_);
+    if (changed || reading.kind == kind_t::unreadable) {
+        log_rate_limit(runner_, reading, options_.id);
+    }
+    if (changed) {
+        context_.hurry_report(); // others send there until the leader tells them
     }
-    context_.hurry_report(); // others send there until the leader tells them
-    log_line{"rate_limit"}
-        .with("runner", runner_.str())
-        .with("named", reading.kind == kind_t::named)
-        .with("rate", reading.rate.per_second)
-        .with("id", options_.id)
-        .write();
 }
 
 void runner_attempt::on_body(const std::string& bytes)
--- a/src/fleet/fleet_messages.cpp
+++ b/src/fleet/fleet_messages.cpp
@@ -258,7 +258,7 @@
     return out;
 }
 
-void encode_grants(const std::map<runner_id, rate_limit_grant>& in, wire::fleet_update& out)
+void encode_grants(const std::map<runner_id, permit_grant>& in, wire::fleet_update& out)
 {
     for (const auto& [runner, grant] : in) {
         auto* each = out.add_rate_limits();
@@ -268,9 +268,9 @@
     }
 }
 
-std::map<runner_id, rate_limit_grant> decode_grants(const wire::fleet_update& in)
+std::map<runner_id, permit_grant> decode_grants(const wire::fleet_update& in)
 {
-    std::map<runner_id, rate_limit_grant> out;
+    std::map<runner_id, permit_grant> out;
     for (const auto& each : in.rate_limits()) {
         out[runner_id{each.runner()}] = {request_rate{each.rate()}, each.permits()};
     }
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 target_set::target_set(failure_domain_id own_domain, std::uint64_t seed)
-    : own_domain_{std::move(own_domain)}, random_{seed}, permits_{random_()}
+    : own_domain_{std::move(own_domain)}, random_{seed}, permits_{{.seed = random_()}}
 {
 }
 
--- a/src/fleet/rate_limit_allocator.cpp
+++ b/src/rate_limits/permit_allocator.cpp
@@ -1,4 +1,4 @@
-#include "cedarpoint/fleet/rate_limit_allocator.h"
+#include "cedarpoint/rate_limits/permit_allocator.h"
 
 #include <algorithm>
 #include <cmath>
@@ -44,14 +44,13 @@
 
 } // namespace
 
-void rate_limit_allocator::clear(std::uint64_t seed)
+void permit_allocator::clear(std::uint64_t seed)
 {
     limits_.clear();
     random_.seed(seed);
 }
 
-void rate_limit_allocator::on_report(instant now, const daemon_id& from,
-                                     const rate_limit_sightings& in)
+void permit_allocator::on_report(instant now, const daemon_id& from, const rate_limit_sightings& in)
 {
     for (const auto& [runner, seen] : in) {
         auto found = limits_.find(runner);
@@ -74,7 +73,7 @@
                   [&](const auto& each) { return each.second.record.is_over(now - over_kept); });
 }
 
-void rate_limit_allocator::take(instant now, const rate_limit_observation& in, limit& into)
+void permit_allocator::take(instant now, const rate_limit_observation& in, limit& into)
 {
     fill(now, into); // what has come up to now has come at the rate before
     const auto before = into.record.rate();
@@ -87,12 +86,12 @@
     }
 }
 
-double rate_limit_allocator::limit::most_kept(instant now) const
+double permit_allocator::limit::most_kept(instant now) const
 {
     return std::max(least_kept, record.allowed(now).per_second * kept_seconds);
 }
 
-double rate_limit_allocator::limit::room(instant now) const
+double permit_allocator::limit::room(instant now) const
 {
     double in_use = 0;
     for (const auto& each : open) {
@@ -102,7 +101,7 @@
     return record.allowed(now).per_second * open_seconds + open_beside - in_use;
 }
 
-void rate_limit_allocator::limit::close(std::uint32_t count)
+void permit_allocator::limit::close(std::uint32_t count)
 {
     while (count > 0 && !open.empty()) {
         auto& oldest = open.front();
@@ -115,14 +114,14 @@
     }
 }
 
-void rate_limit_allocator::fill(instant now, limit& of)
+void permit_allocator::fill(instant now, limit& of)
 {
     const auto passed = std::chrono::duration<double>(now - of.filled_at).count();
     of.budget = std::min(of.budget + of.record.allowed(now).per_second * passed, of.most_kept(now));
     of.filled_at = now;
 }
 
-void rate_limit_allocator::issue(instant now, limit& of)
+void permit_allocator::issue(instant now, limit& of)
 {
     std::erase_if(of.shares,
                   [&](const auto& each) { return now - each.second.reported_at > share_lifetime; });
@@ -146,8 +145,8 @@
     divide(static_cast<std::uint32_t>(count), takers, weights);
 }
 
-void rate_limit_allocator::divide(std::uint32_t count, const std::vector<share*>& takers,
-                                  const std::vector<double>& weights)
+void permit_allocator::divide(std::uint32_t count, const std::vector<share*>& takers,
+                              const std::vector<double>& weights)
 {
     const auto all = std::accumulate(weights.begin(), weights.end(), 0.0);
     auto left = count;
@@ -162,10 +161,9 @@
     }
 }
 
-std::map<runner_id, rate_limit_grant> rate_limit_allocator::take_grants(instant now,
-                                                                        const daemon_id& to)
+std::map<runner_id, permit_grant> permit_allocator::take_grants(instant now, const daemon_id& to)
 {
-    std::map<runner_id, rate_limit_grant> out;
+    std::map<runner_id, permit_grant> out;
     for (auto& [runner, own] : limits_) {
         if (own.record.is_over(now)) {
             continue;
--- a/src/fleet/rate_limit.cpp
+++ b/src/rate_limits/rate_limit.cpp
@@ -1,4 +1,4 @@
-#include "cedarpoint/fleet/rate_limit.h"
+#include "cedarpoint/rate_limits/rate_limit.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/fleet/send_permits.cpp
+++ b/src/rate_limits/send_permits.cpp
@@ -1,4 +1,4 @@
-#include "cedarpoint/fleet/send_permits.h"
+#include "cedarpoint/rate_limits/send_permits.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,9 +13,6 @@
 /// Without a word of the leader for this long, a daemon makes permits of its own.
 constexpr duration leader_patience = seconds{1};
 
-/// The part of a rate that daemons without a leader use.
-constexpr double part_without_leader = 0.5;
-
 } // namespace
 
 bool send_permits::on_answer(instant now, const runner_id& runner, const rate_limit_reading& in,
@@ -45,7 +42,7 @@
     return is_lower || own.record.rate() != before;
 }
 
-void send_permits::on_grants(instant asked_at, const std::map<runner_id, rate_limit_grant>& in)
+void send_permits::on_grants(instant asked_at, const std::map<runner_id, permit_grant>& in)
 {
     for (const auto& [runner, grant] : in) {
         auto& own = limits_[runner];
@@ -142,8 +139,8 @@
 
 duration send_permits::own_interval(instant now, const limit& of) const
 {
-    const auto rate = of.record.allowed(now).per_second * part_without_leader;
-    const auto seconds = static_cast<double>(daemons_) / rate;
+    const auto rate = of.record.allowed(now).per_second * options_.used_part;
+    const auto seconds = static_cast<double>(options_.daemons) / rate;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds});
 }
 
@@ -154,7 +151,7 @@
 
 void send_permits::make_own(instant now, limit& of)
 {
-    if (daemons_ == 0) {
+    if (options_.daemons == 0) {
         return;
     }
     if (!of.record.named_at() && of.told) {
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 dispatcher::dispatcher(failure_domain_id home, dispatch_options options)
-    : options_{options}, router_{std::move(home)}
+    : options_{options}, router_{std::move(home), options.permits}
 {
 }
 
@@ -152,7 +152,7 @@
         return false;
     }
     const auto& place = *choice.chosen;
-    open_.begin_attempt(it, place.upstream);
+    open_.begin_attempt(now, it, place.upstream);
     std::string why = choice.reason;
     if (place.group && it.facts.session &&
         sessions_.place(now, it.call.account, *it.facts.session, *place.group)) {
@@ -180,6 +180,12 @@
     }
 }
 
+bool dispatcher::attempt_rate_limit(instant now, attempt_id attempt, const rate_limit_reading& in)
+{
+    const auto* it = open_.find_attempt(attempt);
+    return it != nullptr && router_.on_rate_limit(now, it->upstream, in, it->began_at);
+}
+
 void dispatcher::attempt_event(attempt_id attempt)
 {
     if (auto* it = open_.find_attempt(attempt)) {
--- a/src/request/open_requests.cpp
+++ b/src/request/open_requests.cpp
@@ -38,8 +38,9 @@
     return it == requests_.end() ? nullptr : &it->second;
 }
 
-void open_requests::begin_attempt(open_request& it, const runner_id& upstream)
+void open_requests::begin_attempt(instant now, open_request& it, const runner_id& upstream)
 {
+    it.began_at = now;
     it.at = open_request::phase::running;
     it.sending = false;
     it.attempt = attempt_id{++last_attempt_};
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -6,6 +6,13 @@
 namespace {
 
 constexpr const char* full_note = "full";
+constexpr const char* rate_limited_note = "rate limited";
+
+/// For a place that could take the request if it had less to do.
+bool is_busy(const std::string& note)
+{
+    return note == full_note || note == rate_limited_note;
+}
 
 bool serves(const target& it, const route_query& query)
 {
@@ -46,7 +53,7 @@
 }
 
 /// The first reason that fits, for the decision log; empty if the place can take the request.
-std::string router::why_out(instant now, const target& it, const route_query& query) const
+std::string router::why_out(instant now, const target& it, const route_query& query)
 {
     if (query.tried.contains(it.upstream)) {
         return "tried";
@@ -67,6 +74,9 @@
     if (requests_at(it) >= it.slots) {
         return full_note;
     }
+    if (!permits_.may_send(now, it.upstream)) {
+        return rate_limited_note;
+    }
     return {};
 }
 
@@ -81,7 +91,7 @@
     return by_load + by_spread + by_domain + by_session + by_prefix;
 }
 
-route_choice router::choose(instant now, const route_query& query) const
+route_choice router::choose(instant now, const route_query& query)
 {
     route_choice out;
     double best = 0;
@@ -90,7 +100,7 @@
             continue;
         }
         scored_target row{&it, score(it, query), why_out(now, it, query)};
-        out.any_alive = out.any_alive || row.note.empty() || row.note == full_note;
+        out.any_alive = out.any_alive || row.note.empty() || is_busy(row.note);
         if (row.note.empty() && (out.chosen == nullptr || row.score > best)) {
             out.chosen = &it;
             best = row.score;
@@ -118,6 +128,7 @@
 void router::on_dispatch(instant now, const target& place, std::uint64_t prefix)
 {
     ++in_flight_[place.upstream];
+    permits_.on_sent(now, place.upstream);
     breakers_[place.upstream].on_dispatch(now);
     if (prefix != 0 && place.group) {
         remember_prefix(prefix, *place.group);
--- a/tests/fleet/rate_limit_division_test.cpp
+++ b/tests/rate_limits/permit_division_test.cpp
@@ -1,8 +1,8 @@
 // How a runner's rate is divided among entry daemons: many of them, one leader or none, with the
 // time that messages take. No process, no socket, no real time.
 
-#include "cedarpoint/fleet/rate_limit_allocator.h"
-#include "cedarpoint/fleet/send_permits.h"
+#include "cedarpoint/rate_limits/permit_allocator.h"
+#include "cedarpoint/rate_limits/send_permits.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -31,8 +31,8 @@
         for (std::size_t made = 0; made < daemons; ++made) {
             auto& next = daemons_.emplace_back();
             next.id = daemon_id{fmt::format("e-{}", made)};
-            next.permits = std::make_unique<send_permits>(random_());
-            next.permits->set_daemons(daemons);
+            next.permits = std::make_unique<send_permits>(
+                own_permit_options{.daemons = daemons, .seed = random_()});
             next.next_report = now_ + draw(report_interval);
         }
     }
@@ -158,7 +158,7 @@
     std::mt19937_64 random_;
     instant now_ = start;
     std::vector<daemon> daemons_;
-    rate_limit_allocator leader_;
+    permit_allocator leader_;
     std::vector<instant> arrivals_;
 };
 
@@ -260,7 +260,7 @@
 
 TEST(a_daemon_with_permits, sends_nothing_from_the_naming_on_until_it_has_one)
 {
-    send_permits it{1};
+    send_permits it{own_permit_options{.seed = 1}};
     const runner_id runner{"i-1"};
     EXPECT_TRUE(it.may_send(start, runner)) << "no limit is known";
     rate_limit_reading named;
@@ -282,7 +282,7 @@
 
 TEST(a_daemon_with_permits, learns_of_limits_and_of_their_end_from_the_leader)
 {
-    send_permits it{1};
+    send_permits it{own_permit_options{.seed = 1}};
     const runner_id runner{"i-1"};
     it.on_grants(start, {{runner, {{2}, 0}}});
     EXPECT_FALSE(it.may_send(start, runner)) << "no answer to this daemon has named a limit";
@@ -303,7 +303,7 @@
 
 TEST(a_daemon_with_permits, makes_none_of_its_own_while_it_does_not_know_how_many_share_the_rate)
 {
-    send_permits it{1};
+    send_permits it{own_permit_options{.seed = 1}};
     const runner_id runner{"i-1"};
     rate_limit_reading named;
     named.kind = rate_limit_reading::kind_t::named;
--- a/tests/fleet/rate_limit_test.cpp
+++ b/tests/rate_limits/rate_limit_test.cpp
@@ -1,6 +1,6 @@
 // What a runner says of its rate limit, and what follows from several answers.
 
-#include "cedarpoint/fleet/rate_limit.h"
+#include "cedarpoint/rate_limits/rate_limit.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/request/dispatcher_scenario_test.cpp
+++ b/tests/request/dispatcher_scenario_test.cpp
@@ -34,7 +34,7 @@
             {"head", &dispatcher_play::head},       {"event", &dispatcher_play::event},
             {"end", &dispatcher_play::end},         {"gone", &dispatcher_play::gone},
             {"tick", &dispatcher_play::tick},       {"stop", &dispatcher_play::stop},
-            {"show", &dispatcher_play::show},
+            {"show", &dispatcher_play::show},       {"names", &dispatcher_play::names},
         };
         for (const auto& it : table) {
             if (step.verb() == it.verb) {
@@ -161,6 +161,18 @@
         return {};
     }
 
+    /// names ATTEMPT VALUE ...: the head of its answer, with these values of a rate limit.
+    lines names(const scenario_step& in)
+    {
+        std::vector<std::string> values;
+        for (std::size_t n = 1; n < in.size(); ++n) {
+            values.push_back(in.word(n));
+        }
+        const auto reading = read_rate_limit({values.begin(), values.end()});
+        const bool changed = it_.attempt_rate_limit(now_, attempt_of(in), reading);
+        return {changed ? "the rate limit has changed" : "no news"};
+    }
+
     lines event(const scenario_step& in)
     {
         for (int n = 0; n < number(in.word(1), 1); ++n) {
@@ -240,7 +252,8 @@
     }
 
     configuration config_;
-    dispatcher it_{failure_domain_id{"home"}, {}};
+    dispatcher it_{failure_domain_id{"home"},
+                   {.permits = {.used_part = 0.75, .daemons = 2, .seed = 1}}};
     instant now_{};
 };
 
