Retry budget: a daemon that restarts has no part of the slack in its first window

What callers saw: nothing yet. Cause: daemons that use their parts of the slack, restart and use them anew repeat up to twice the slack in one window. Change: a part only after a window of the daemon's life; the ratio of its own traffic counts at once, as before. Why it holds: whatever the life before has used has left the window by then.

--- a/include/cedarpoint/fleet/windowed_retry_budget.h
+++ b/include/cedarpoint/fleet/windowed_retry_budget.h
@@ -11,12 +11,18 @@
 
 /// One entry daemon's part of a retry budget that holds for the whole fleet (rule BUDGET): in any
 /// window the fleet may retry `ratio` of its requests and `slack` more. Kept without a message per
-/// request: each daemon uses the ratio of its own traffic and an even part of the slack.
+/// request: each daemon uses the ratio of its own traffic and an even part of the slack. In the
+/// first window of its life it has no part: a daemon that has just restarted does not know what it
+/// had used of the slack before.
 ///
 /// The daemons with a list of peers have no such bound and use `token_retry_budget`.
 class windowed_retry_budget {
 public:
-    explicit windowed_retry_budget(retry_budget_options options) : options_{options} {}
+    /// `started`: when the daemon's life began.
+    windowed_retry_budget(retry_budget_options options, instant started)
+        : options_{options}, started_{started}
+    {
+    }
 
     void on_first_attempt(instant now);
     /// True if one more retry may be sent now; counts it. `daemons`: entry daemons that share the
@@ -30,6 +36,7 @@
     static int sum(const std::deque<bucket>& in);
 
     retry_budget_options options_;
+    instant started_;
     std::deque<bucket> first_attempts_;
     std::deque<bucket> retries_;
 };
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -43,7 +43,7 @@
     : own_{std::move(own)}, context_{.platform = installed_platform(),
                                      .routes = nullptr,
                                      .targets = target_set{own_.failure_domain, random_seed()},
-                                     .budget = windowed_retry_budget{own_.budget},
+                                     .budget = windowed_retry_budget{own_.budget, steady_now()},
                                      .pool = {},
                                      .metrics = {},
                                      .entry_daemons = 0, // not known yet
--- a/src/fleet/windowed_retry_budget.cpp
+++ b/src/fleet/windowed_retry_budget.cpp
@@ -50,7 +50,8 @@
 bool windowed_retry_budget::take(instant now, std::size_t daemons)
 {
     forget_old(now);
-    const auto slack = daemons == 0 ? 0 : options_.slack / static_cast<double>(daemons);
+    const bool has_part = daemons > 0 && now - started_ >= options_.window;
+    const auto slack = has_part ? options_.slack / static_cast<double>(daemons) : 0;
     const auto most = options_.safety * (options_.ratio * sum(first_attempts_) + slack);
     if (sum(retries_) + 1 > most) {
         return false;
