--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -34,7 +34,8 @@
     void begin_term(instant now, std::uint64_t term);
     [[nodiscard]] std::vector<planner_step> tick(instant now);
 
-    /// False for a heartbeat that is older than one taken before.
+    /// False for a heartbeat that is older than one taken before, and for one that names a service
+    /// which the configuration does not have and the address of another runner.
     bool announce(instant now, const announcement& in);
     void on_probe_answered(instant now, const runner_id& runner);
     /// `refused`: the address answered with a reset.
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -42,6 +42,8 @@
     [[nodiscard]] const runner_record* find(const runner_id& runner) const;
     /// False once another runner has announced itself under the same address.
     [[nodiscard]] bool owns_address(const runner_record& record) const;
+    /// True if the address that a heartbeat names belongs to another runner.
+    [[nodiscard]] bool has_other_owner(const announcement& in) const;
     /// Present as far as is known: neither dead nor replaced at its address.
     [[nodiscard]] bool is_present(const runner_record& record) const
     {
--- a/src/control_daemon/control_api.cpp
+++ b/src/control_daemon/control_api.cpp
@@ -161,6 +161,8 @@
             .with("runner", runner.str())
             .with("reason", why.str())
             .write();
+        metrics_.count_call(std::string{name_of(control_call::heartbeat)},
+                            http_status::bad_request);
         answer(reply, http_status::bad_request, R"({"error":"the heartbeat is not valid"})");
         return;
     }
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -77,7 +77,9 @@
 
 bool fleet_leader::announce(instant now, const announcement& in)
 {
-    if (!registry_.announce(now, in)) {
+    // An entry that names a service of nobody must not take the address of a runner in use.
+    const bool is_known = !configuration_ || configuration_->find_service(in.service) != nullptr;
+    if ((!is_known && registry_.has_other_owner(in)) || !registry_.announce(now, in)) {
         return false;
     }
     planner_.on_alive(in.id);
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -19,14 +19,19 @@
     records_[id] = {std::move(assumed), now, true, false, false, {}};
 }
 
-bool runner_registry::may_own(instant now, const announcement& in, bool news) const
+bool runner_registry::has_other_owner(const announcement& in) const
 {
     const auto owner = owners_.find(in.address);
-    if (owner == owners_.end() || owner->second == in.id) {
+    return owner != owners_.end() && owner->second != in.id;
+}
+
+bool runner_registry::may_own(instant now, const announcement& in, bool news) const
+{
+    if (!has_other_owner(in)) {
         return true;
     }
     // A heartbeat that was held up for seconds may come from one that ended before the owner began.
-    const auto* other = find(owner->second);
+    const auto* other = find(owners_.at(in.address));
     const bool owner_speaks = other != nullptr && now - other->heard < owner_silence;
     return !owner_speaks || (news ? in.sequence <= young_sequence : true);
 }
--- a/tests/fleet/fleet_leader_test.cpp
+++ b/tests/fleet/fleet_leader_test.cpp
@@ -185,5 +185,30 @@
     EXPECT_EQ(follower.view().configuration()->revision(), 5U);
 }
 
+announcement heartbeat_of(const std::string& id, const std::string& service, std::uint64_t sequence)
+{
+    announcement out;
+    out.id = runner_id{id};
+    out.service = service_id{service};
+    out.address = endpoint{"10.0.0.1", 80};
+    out.sequence = sequence;
+    return out;
+}
+
+// What was seen: nothing yet; an entry of another writer at the address of a runner in use was
+// taken for the runner that has the address now.
+// How it came about: any service would do, also one that no configuration has.
+// What proved it: the runner in use was no longer its address's owner.
+TEST_F(a_leader_with_a_large_configuration, keeps_a_runner_whose_address_a_service_of_nobody_names)
+{
+    ASSERT_TRUE(leader.announce(start, heartbeat_of("i-1", "shop", 40)));
+    EXPECT_FALSE(leader.announce(start + seconds{1}, heartbeat_of("x", "nobody", 1)));
+    const auto* in_use = leader.registry().find(runner_id{"i-1"});
+    ASSERT_NE(in_use, nullptr);
+    EXPECT_TRUE(leader.registry().is_present(*in_use));
+    EXPECT_TRUE(leader.announce(start + seconds{2}, heartbeat_of("i-2", "shop", 1)))
+        << "one of a service that is known may have the address now";
+}
+
 } // namespace
 } // namespace cedarpoint
--- a/tests/platform/platform_adapter_test.cpp
+++ b/tests/platform/platform_adapter_test.cpp
@@ -97,7 +97,8 @@
     const auto out = installed_platform().read_announcement(
         runner_id{"i-7"},
         R"({"service":"pool","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":26,
-            "state":"draining","models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,
+            "state":"draining","coldRemainingMs":0,
+            "models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,
             "domain":"z1-d0","staged":["m"],
             "group":{"name":"g","epoch":12,"rank":2,"state":"ready"}})",
         why);
@@ -125,6 +126,59 @@
     }
 }
 
+// What was seen: requests went to an address that heartbeats of another writer had named.
+// How it came about: what a runner has to tell had defaults, so that "no state" was ready, "no
+// slots" was one, and numbers of other types were cut to size.
+// What proved it: each of these heartbeats was taken.
+TEST(a_heartbeat, of_another_writer_names_no_runner)
+{
+    const json whole{
+        {"service", "s"}, {"address", "1.1.1.1:1"}, {"zone", "z"},          {"version", "v1"},
+        {"slots", 2},     {"state", "ready"},       {"coldRemainingMs", 0}, {"sequence", 4}};
+    reason why;
+    const auto is_taken = [&](const json& in) {
+        return installed_platform().read_announcement(runner_id{"i"}, in.dump(), why).has_value();
+    };
+    ASSERT_TRUE(is_taken(whole)) << why.str();
+    for (const auto& [key, value] : whole.items()) {
+        auto without = whole;
+        without.erase(key);
+        EXPECT_FALSE(is_taken(without)) << "without " << key;
+        for (const json& other : {json(nullptr), json(true), json::array(), json::object()}) {
+            auto wrong = whole;
+            wrong[key] = other;
+            EXPECT_FALSE(is_taken(wrong)) << key << " " << other.dump();
+        }
+    }
+    const std::vector<std::pair<std::string, json>> odd{
+        {"state", "resting"},
+        {"state", ""},
+        {"slots", 0},
+        {"slots", -1},
+        {"slots", 2.5},
+        {"slots", 5'000'000'000},
+        {"sequence", -4},
+        {"sequence", 4.5},
+        {"sequence", "4"},
+        {"service", ""},
+        {"address", "nowhere"},
+        {"models", "m"},
+        {"models", json::array({1})},
+        {"staged", {{"m", 1}}},
+        {"domain", true},
+        {"group", "g"},
+        {"group", {{"name", "g"}, {"epoch", 1}, {"state", "ready"}}},
+        {"group", {{"name", "g"}, {"epoch", -1}, {"rank", 0}, {"state", "ready"}}}};
+    for (const auto& [key, value] : odd) {
+        auto wrong = whole;
+        wrong[key] = value;
+        EXPECT_FALSE(is_taken(wrong)) << key << " " << value.dump();
+    }
+    for (const auto* text : {"", "[]", "4", "null", "{", "\xff\xfe", "{\"service\":"}) {
+        EXPECT_FALSE(installed_platform().read_announcement(runner_id{"i"}, text, why)) << text;
+    }
+}
+
 TEST(a_call, is_known_by_its_method_and_path)
 {
     const auto& platform = installed_platform();
