Limited fleet: the runners of this test take some time to answer

Not the rate limit: the runner was unlimited from 06:00:31 on and got nothing in the seconds 31, 32, 35 and 36 and some 10 in 33 and 34, in step with the leader's views 29 to 32: it was marked slow by answers of 0.1 ms against 0.01 ms, and lost the mark four seconds after its last answer. Change: the test's runners answer after 20 ms, so that times to answer are not chance. Checks and bounds are as they were.

--- a/tests/fleet/fleet_site.cpp
+++ b/tests/fleet/fleet_site.cpp
@@ -79,12 +79,14 @@
 }
 
 platform_runner::platform_runner(std::string id, std::string service,
-                                 std::vector<endpoint> controls)
+                                 std::vector<endpoint> controls, std::uint64_t born,
+                                 std::uint64_t sequence)
     : id_{std::move(id)}, service_{std::move(service)}, controls_{std::move(controls)},
       listener_{runner_limits(),
                 [this](const http_request& request, const std::shared_ptr<http_reply>& reply) {
                     on_request(request, reply);
-                }}
+                }},
+      born_{born}, sequence_{sequence}
 {
     reason why;
     listener_.start({"127.0.0.1", 0}, why);
@@ -105,6 +107,9 @@
              {"domain", "z-d0"},
              {"staged", {"small"}},
              {"models", json::array({{{"name", "small"}, {"version", 1}}})}};
+    if (born_ > 0) {
+        out["born"] = born_;
+    }
     if (!group_.empty()) {
         out["group"] = {{"name", group_}, {"epoch", epoch_}, {"rank", rank_}, {"state", state_}};
     }
@@ -180,7 +185,12 @@
         --fail_next;
         head.status = 500;
     }
-    reply->send(std::move(head), "plain " + request.body);
+    if (answer_time == milliseconds{0}) {
+        reply->send(std::move(head), "plain " + request.body);
+        return;
+    }
+    QTimer::singleShot(answer_time,
+                       [reply, head, body = request.body] { reply->send(head, "plain " + body); });
 }
 
 void platform_runner::stream(const http_request& request, const std::shared_ptr<http_reply>& reply)
--- a/tests/fleet/fleet_site.h
+++ b/tests/fleet/fleet_site.h
@@ -30,7 +30,9 @@
 /// with three events or a plain text.
 class platform_runner {
 public:
-    platform_runner(std::string id, std::string service, std::vector<endpoint> controls);
+    /// `born`: of its life, 0 if it does not tell; `sequence`: of the heartbeat before its first.
+    platform_runner(std::string id, std::string service, std::vector<endpoint> controls,
+                    std::uint64_t born = 0, std::uint64_t sequence = 0);
     platform_runner(const platform_runner&) = delete;
     platform_runner& operator=(const platform_runner&) = delete;
     ~platform_runner() = default;
@@ -44,12 +46,13 @@
     bool cut_stream = false;           ///< the next stream breaks off after its first event
     std::vector<std::string> accounts; ///< that requests were passed on for
     std::string rate_limit;            ///< named in each answer unless it is empty
+    milliseconds answer_time{0};       ///< of a plain request
     struct arrival {
         instant at;
         std::string request;
         bool told = false; ///< the answer names a rate limit
     };
-    std::vector<arrival> arrivals; ///< requests, answered in the same moment
+    std::vector<arrival> arrivals; ///< requests that were run
 
 private:
     void on_request(const http_request& request, const std::shared_ptr<http_reply>& reply);
@@ -68,7 +71,8 @@
     bool announcing_ = false;
     bool draining_ = false;
     bool drain_acknowledged_ = false;
-    std::uint64_t sequence_ = 0;
+    std::uint64_t born_;
+    std::uint64_t sequence_;
     int served_ = 0;
     std::string group_;
     std::uint64_t epoch_ = 0;
--- a/tests/rate_limits/limited_fleet_test.cpp
+++ b/tests/rate_limits/limited_fleet_test.cpp
@@ -186,6 +186,8 @@
         for (int made = 0; made < 3; ++made) {
             runners.push_back(
                 std::make_unique<platform_runner>(fmt::format("s-{}", made), "shop", controls));
+            // Without work the times to answer are chance, and one runner counts as slow by it.
+            runners.back()->answer_time = milliseconds{20};
         }
         ASSERT_TRUE(wait_until([&] {
             return std::any_of(controls.begin(), controls.end(), [&](const endpoint& at) {
