A runner that starts again under its id is a new life: heard at once, and holding nothing

What callers saw: a runner that started again under its id got none of 20 requests a second: its heartbeats, numbered from 1, counted as older than those of the life before. Cause: each start of a runner was taken to have an id of its own. Change: 'born' makes a strong type; heartbeats are ordered by life, then number, and one of an earlier life is refused however high its number. A new life has no address, answer, loaded model or mark of another owner from before. A member's freedom, and a group that was never opened, are of the life that said so: a late order that a later life takes counts. Departures in the log are of a life (those of earlier versions, which did not tell, count for all); a good-bye of an earlier life is acknowledged and changes nothing. Why it holds for the groups: a new life reports no membership, so its group is given up as before, and its members are freed by their own answers only.

--- a/include/cedarpoint/fleet/fleet_state.h
+++ b/include/cedarpoint/fleet/fleet_state.h
@@ -24,6 +24,7 @@
     fabric_domain_id fabric_domain;
     int slots = 0;
     model_id loaded_model; ///< of the latest group that it was ready in; empty before the first
+    birth born{};          ///< of this life
 };
 
 /// A group whose members were all ready: its head may be open from this entry of the log on.
@@ -53,7 +54,7 @@
     }
     /// The text of the configuration as the operator sent it; empty if there is none.
     [[nodiscard]] std::string document() const;
-    /// True if the runner drains or is gone; neither is ever taken back.
+    /// True if the latest life of the runner drains or is gone; neither is ever taken back.
     [[nodiscard]] bool is_leaving(const runner_id& runner) const;
     [[nodiscard]] bool is_gone(const runner_id& runner) const;
     [[nodiscard]] const std::map<runner_id, registered_runner>& registrations() const
@@ -66,7 +67,7 @@
     [[nodiscard]] static std::string put_configuration(std::uint64_t version,
                                                        const std::string& document);
     /// `gone`: the runner has ended; otherwise it drains.
-    [[nodiscard]] static std::string depart(const runner_id& runner, bool gone);
+    [[nodiscard]] static std::string depart(const runner_id& runner, bool gone, birth life = {});
     [[nodiscard]] static std::string add_runner(const registered_runner& runner);
     /// The runner has been silent for so long that it is forgotten.
     [[nodiscard]] static std::string remove_runner(const runner_id& runner);
@@ -75,16 +76,21 @@
     [[nodiscard]] static std::string end_group(const group_id& group);
 
 private:
+    struct departure {
+        bool gone = false;
+        birth life;
+    };
+
+    [[nodiscard]] const departure* find_departure(const runner_id& runner) const;
     void note_registration(registered_runner in);
     void note_formed(formed_group in);
     void note_departure(const wire::departure& in);
 
-    /// Departures that are remembered. Runners have a new id at each start, so old ones only take
-    /// up room. Not measured.
+    /// Departures that are remembered; old ones only take up room.
     static constexpr std::size_t most_departures = 20'000;
 
     wire::accepted_configuration configuration_;
-    std::map<runner_id, bool> departures_; ///< true: gone
+    std::map<runner_id, departure> departures_;
     std::deque<runner_id> departure_order_;
     std::map<runner_id, registered_runner> registrations_;
     std::map<group_id, formed_group> groups_;
--- a/include/cedarpoint/fleet/group_plan.h
+++ b/include/cedarpoint/fleet/group_plan.h
@@ -33,11 +33,13 @@
     /// A member that had left belongs to the group again.
     void bind(const planned_group& group, const runner_id& member) { bound_[member] = group.name; }
     /// The member has said that it left the group, and may be ordered to join another one. A
-    /// heartbeat later than `latest_sequence` that names the group again says that it is back: an
-    /// order to join may be carried out seconds late.
-    void free(const planned_group& group, const runner_id& member, std::uint64_t latest_sequence);
-    /// The same for a group that was never opened: no report of it counts any more.
-    void free_unopened(const planned_group& group, const runner_id& member);
+    /// heartbeat later than `latest` that names the group again says that it is back: an order to
+    /// join may be carried out seconds late, also by a later life of the member.
+    void free(const planned_group& group, const runner_id& member, heartbeat_number latest);
+    /// The same for a group that was never opened: no report of this life of it counts any more.
+    void free_unopened(const planned_group& group, const runner_id& member, birth life);
+    /// The runner has begun a new life: it has loaded no model.
+    void forget_loaded(const runner_id& runner) { last_models_.erase(runner); }
     /// The member belongs to the group no more, but is not free: what it reports next counts.
     void forget(const planned_group& group, const runner_id& member);
     /// Marks a group whose members are all free or forgotten. The group itself stays until
@@ -67,7 +69,7 @@
     group_map groups_;
     std::map<runner_id, group_id> bound_;
     /// The latest heartbeat of a freed member when it was freed; all for a group never opened.
-    std::map<std::pair<group_id, runner_id>, std::uint64_t> freed_;
+    std::map<std::pair<group_id, runner_id>, heartbeat_number> freed_;
     std::map<runner_id, model_id> last_models_;
     std::set<group_id> ended_;
 };
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -46,6 +46,9 @@
     void on_probe_failed(const runner_id& runner, bool refused);
     /// The runner answered a probe or sent a heartbeat; what it said goes to the registry.
     void on_alive(const runner_id& runner);
+    /// The runner has started again under its id and holds nothing. What its heartbeats report
+    /// ends its part in a group; this forgets what nobody reports.
+    void on_new_life(const runner_id& runner);
     void set_event_handler(std::function<void(const plan_event&)> handler);
 
     [[nodiscard]] const group_plan::group_map& groups() const { return plan_.groups(); }
--- a/include/cedarpoint/fleet/platform_adapter.h
+++ b/include/cedarpoint/fleet/platform_adapter.h
@@ -52,6 +52,8 @@
     /// Empty with `why` unless the heartbeat is valid.
     [[nodiscard]] virtual std::optional<announcement>
     read_announcement(const runner_id& id, std::string_view body, reason& why) const = 0;
+    /// The life of the runner that says good-bye; 0 if the body does not tell.
+    [[nodiscard]] virtual birth read_departing_life(std::string_view body) const = 0;
     [[nodiscard]] virtual std::string write_order(const group_order& order) const = 0;
 };
 
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -10,7 +10,7 @@
 
 namespace cedarpoint {
 
-/// One incarnation of a runner, as its own heartbeats and answers told it.
+/// A runner in its latest life, as its own heartbeats and answers told it.
 struct runner_record {
     announcement latest;
     instant heard;           ///< its latest heartbeat or answer
@@ -28,7 +28,7 @@
 public:
     /// Takes a runner from the replicated state: it counts as heard now, until it speaks itself.
     void expect(instant now, announcement assumed);
-    /// False for a heartbeat that is older than one taken before.
+    /// False for a heartbeat that is older than one taken before, or of an earlier life.
     bool announce(instant now, const announcement& in);
     /// A runner has answered a look. Only that is taken from it: the rest of its answer is some
     /// hundred milliseconds old, and its heartbeats tell each change at once.
@@ -54,6 +54,7 @@
     [[nodiscard]] std::optional<instant> latest_news() const { return latest_news_; }
 
 private:
+    void give_up_address(const runner_record& earlier, const announcement& in);
     [[nodiscard]] bool may_own(instant now, const announcement& in, bool news) const;
 
     std::map<runner_id, runner_record> records_;
--- a/src/control_daemon/control_api.cpp
+++ b/src/control_daemon/control_api.cpp
@@ -99,7 +99,7 @@
         take_heartbeat(parsed.runner, request, reply);
         break;
     default:
-        take_departure(parsed.runner, true, reply);
+        take_departure(parsed.runner, true, platform_.read_departing_life(request.body), reply);
         break;
     }
 }
@@ -172,20 +172,25 @@
         log_new_runner(*read);
     }
     if (read->draining && !state_.is_leaving(runner)) {
-        take_departure(runner, false, reply);
+        take_departure(runner, false, read->born, reply);
         return;
     }
     answer(reply, http_status::ok, "{}");
 }
 
-void control_api::take_departure(const runner_id& runner, bool gone, const reply_ptr& reply)
+void control_api::take_departure(const runner_id& runner, bool gone, birth told,
+                                 const reply_ptr& reply)
 {
-    if (gone ? state_.is_gone(runner) : state_.is_leaving(runner)) {
+    const auto* record = leader_.registry().find(runner);
+    const auto latest = record == nullptr ? birth{} : record->latest.born;
+    const auto life = told == birth{} ? latest : told;
+    const bool is_known = gone ? state_.is_gone(runner) : state_.is_leaving(runner);
+    if (is_known || life < latest) { // an earlier life's good-bye says nothing of the latest
         answer(reply, http_status::ok, "{}");
         return;
     }
     const bool proposed = hooks_.propose(
-        fleet_state::depart(runner, gone),
+        fleet_state::depart(runner, gone, life),
         [this, reply, runner, gone](const std::optional<std::string>& applied) {
             log_line("departure")
                 .with("runner", runner.str())
--- a/src/control_daemon/control_api.h
+++ b/src/control_daemon/control_api.h
@@ -50,7 +50,7 @@
     void take_heartbeat(const runner_id& runner, const http_request& request,
                         const reply_ptr& reply);
     /// `gone`: the runner ends; otherwise it drains.
-    void take_departure(const runner_id& runner, bool gone, const reply_ptr& reply);
+    void take_departure(const runner_id& runner, bool gone, birth told, const reply_ptr& reply);
 
     const platform_adapter& platform_;
     const fleet_state& state_;
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -83,9 +83,15 @@
         return false;
     }
     planner_.on_alive(in.id);
-    if (!state_.registrations().contains(in.id)) {
-        records_.push_back(make_record(fleet_state::add_runner(
-            {in.id, in.service, in.address, in.failure_domain, in.fabric_domain, in.slots})));
+    const auto registered = state_.registrations().find(in.id);
+    const bool is_new = registered == state_.registrations().end();
+    if (!is_new && in.born > registered->second.born) {
+        planner_.on_new_life(in.id);
+    }
+    if (is_new || in.born > registered->second.born) {
+        records_.push_back(make_record(
+            fleet_state::add_runner({in.id, in.service, in.address, in.failure_domain,
+                                     in.fabric_domain, in.slots, model_id{}, in.born})));
     }
     return true;
 }
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -23,7 +23,8 @@
                              failure_domain_id{in.failure_domain()},
                              fabric_domain_id{in.fabric_domain()},
                              static_cast<int>(in.slots()),
-                             model_id{in.loaded_model()}};
+                             model_id{in.loaded_model()},
+                             birth{in.born()}};
 }
 
 wire::registration encode(const registered_runner& in)
@@ -36,6 +37,7 @@
     out.set_fabric_domain(in.fabric_domain.str());
     out.set_slots(static_cast<std::uint32_t>(in.slots));
     out.set_loaded_model(in.loaded_model.str());
+    out.set_born(in.born.value);
     return out;
 }
 
@@ -86,11 +88,12 @@
     return out.SerializeAsString();
 }
 
-std::string fleet_state::depart(const runner_id& runner, bool gone)
+std::string fleet_state::depart(const runner_id& runner, bool gone, birth life)
 {
     wire::fleet_command out;
     out.mutable_departure()->set_runner(runner.str());
     out.mutable_departure()->set_gone(gone);
+    out.mutable_departure()->set_born(life.value);
     return out.SerializeAsString();
 }
 
@@ -174,26 +177,46 @@
 void fleet_state::note_departure(const wire::departure& in)
 {
     const runner_id runner{in.runner()};
-    const auto [found, added] = departures_.try_emplace(runner, in.gone());
+    const auto [found, added] = departures_.try_emplace(runner);
     if (added) {
         departure_order_.push_back(runner);
     }
-    found->second = found->second || in.gone();
+    auto& known = found->second;
+    if (const birth life{in.born()}; added || life > known.life) {
+        known = {in.gone(), life};
+    }
+    else if (life == known.life) {
+        known.gone = known.gone || in.gone();
+    }
     while (departure_order_.size() > most_departures) {
         departures_.erase(departure_order_.front());
         departure_order_.pop_front();
     }
 }
 
+const fleet_state::departure* fleet_state::find_departure(const runner_id& runner) const
+{
+    const auto found = departures_.find(runner);
+    if (found == departures_.end()) {
+        return nullptr;
+    }
+    // Where it is not known which life has left, as in logs of earlier versions, each counts as it.
+    const auto left = found->second.life;
+    const auto registered = registrations_.find(runner);
+    const bool lives_on =
+        left != birth{} && registered != registrations_.end() && registered->second.born > left;
+    return lives_on ? nullptr : &found->second;
+}
+
 bool fleet_state::is_leaving(const runner_id& runner) const
 {
-    return departures_.contains(runner);
+    return find_departure(runner) != nullptr;
 }
 
 bool fleet_state::is_gone(const runner_id& runner) const
 {
-    const auto found = departures_.find(runner);
-    return found != departures_.end() && found->second;
+    const auto* found = find_departure(runner);
+    return found != nullptr && found->gone;
 }
 
 std::string fleet_state::save() const
@@ -203,7 +226,9 @@
     for (const auto& runner : departure_order_) {
         auto* mark = out.add_departures();
         mark->set_runner(runner.str());
-        mark->set_gone(departures_.at(runner));
+        const auto& left = departures_.at(runner);
+        mark->set_gone(left.gone);
+        mark->set_born(left.life.value);
     }
     for (const auto& [runner, registration] : registrations_) {
         *out.add_registrations() = encode(registration);
--- a/src/fleet/group_lifecycle.cpp
+++ b/src/fleet/group_lifecycle.cpp
@@ -271,7 +271,8 @@
 void group_lifecycle::end_unopened(const planned_group& group, const std::string& why)
 {
     for (const auto& member : group.members) {
-        plan_.free_unopened(group, member);
+        const auto* record = registry_.find(member);
+        plan_.free_unopened(group, member, record == nullptr ? birth{} : record->latest.born);
     }
     end(group, why);
 }
@@ -279,7 +280,7 @@
 void group_lifecycle::free(const planned_group& group, const runner_id& member)
 {
     const auto* record = registry_.find(member);
-    plan_.free(group, member, record == nullptr ? 0 : record->latest.sequence);
+    plan_.free(group, member, record == nullptr ? heartbeat_number{} : record->latest.number());
 }
 
 void group_lifecycle::end(const planned_group& group, const std::string& why)
--- a/src/fleet/group_plan.cpp
+++ b/src/fleet/group_plan.cpp
@@ -46,16 +46,15 @@
     return found != bound_.end() && found->second == group.name;
 }
 
-void group_plan::free(const planned_group& group, const runner_id& member,
-                      std::uint64_t latest_sequence)
+void group_plan::free(const planned_group& group, const runner_id& member, heartbeat_number latest)
 {
     forget(group, member);
-    freed_[{group.name, member}] = latest_sequence;
+    freed_[{group.name, member}] = latest;
 }
 
-void group_plan::free_unopened(const planned_group& group, const runner_id& member)
+void group_plan::free_unopened(const planned_group& group, const runner_id& member, birth life)
 {
-    free(group, member, std::numeric_limits<std::uint64_t>::max());
+    free(group, member, {life, std::numeric_limits<std::uint64_t>::max()});
 }
 
 void group_plan::forget(const planned_group& group, const runner_id& member)
@@ -85,7 +84,7 @@
         return false;
     }
     const auto found = freed_.find({runner.membership->group, runner.id});
-    return found != freed_.end() && runner.sequence <= found->second;
+    return found != freed_.end() && runner.number() <= found->second;
 }
 
 const model_id* group_plan::last_model_of(const runner_id& runner) const
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -85,6 +85,11 @@
     detector_.on_alive(runner);
 }
 
+void group_planner::on_new_life(const runner_id& runner)
+{
+    plan_.forget_loaded(runner);
+}
+
 std::vector<planner_step> group_planner::tick(instant now)
 {
     if (configuration_ == nullptr) {
--- a/src/fleet/leader_recovery.cpp
+++ b/src/fleet/leader_recovery.cpp
@@ -46,6 +46,7 @@
         }
         announcement next;
         next.id = runner;
+        next.born = registered.born;
         next.service = registered.service;
         next.address = registered.address;
         next.failure_domain = registered.failure_domain;
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -40,17 +40,20 @@
 {
     auto [found, added] = records_.try_emplace(in.id);
     auto& record = found->second;
-    if (added) {
+    const bool begins_life = added || in.born > record.latest.born;
+    if (begins_life) {
         latest_news_ = now;
+        give_up_address(record, in);
+        record = {}; // what was known of an earlier life says nothing of this one
     }
-    if (!added && (in.sequence <= record.latest.sequence || record.superseded)) {
+    else if (in.number() <= record.latest.number() || record.superseded) {
         return false;
     }
     record.latest = in;
     record.heard = now;
     record.assumed = false;
     record.dead = false;
-    if (may_own(now, in, added)) {
+    if (may_own(now, in, begins_life)) {
         auto& owner = owners_[in.address];
         if (const auto other = records_.find(owner); other != records_.end() && owner != in.id) {
             other->second.superseded = true;
@@ -60,6 +63,14 @@
     return true;
 }
 
+void runner_registry::give_up_address(const runner_record& earlier, const announcement& in)
+{
+    const auto owner = owners_.find(earlier.latest.address);
+    if (owner != owners_.end() && owner->second == in.id && owner->first != in.address) {
+        owners_.erase(owner);
+    }
+}
+
 void runner_registry::note_alive(instant now, const runner_id& runner)
 {
     if (const auto found = records_.find(runner); found != records_.end()) {
--- a/tests/fleet/fleet_daemons_test.cpp
+++ b/tests/fleet/fleet_daemons_test.cpp
@@ -4,6 +4,7 @@
 #include "fleet/fleet_site.h"
 #include "io/clock.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -162,6 +163,45 @@
     EXPECT_EQ(site.get(), document(10));
 }
 
+// What was seen, and how it came about: see `a_runner_that_starts_again_under_its_id`.
+TEST_F(a_fleet, serves_with_a_runner_that_starts_again_under_its_id)
+{
+    shop.clear();
+    shop.push_back(std::make_unique<platform_runner>("s-1", "shop", site.controls(), 1'000, 5'000));
+    ASSERT_TRUE(serves());
+    shop[0]->drain();
+    ASSERT_TRUE(wait_until([&] { return shop[0]->drain_acknowledged(); }));
+    shop.clear();
+    shop.push_back(std::make_unique<platform_runner>("s-1", "shop", site.controls(), 1'001));
+    EXPECT_TRUE(serves()) << "the drain was of the life before";
+}
+
+TEST_F(a_fleet, forms_its_group_anew_when_a_member_or_the_head_starts_again_under_its_id)
+{
+    ASSERT_TRUE(serves());
+    std::uint64_t born = 1'000;
+    for (const bool with_leader_lost : {false, true}) {
+        for (std::size_t which = 0; which < pool.size(); ++which) {
+            const auto id = pool[which]->id();
+            pool[which].reset();
+            const auto leader = site.leader();
+            if (with_leader_lost && leader) {
+                site.stop_control(*leader);
+            }
+            pool[which] = std::make_unique<platform_runner>(id, "pool", site.controls(), ++born);
+            const auto is_whole = [&] {
+                return std::count_if(pool.begin(), pool.end(),
+                                     [](const auto& each) { return each->is_open(); }) == 1 &&
+                       call(site.callers(), "POST", "/ask/x", headers, "why").head.status == 200;
+            };
+            EXPECT_TRUE(wait_until(is_whole)) << id << " of life " << born;
+            if (with_leader_lost && leader) {
+                site.start_control(*leader, false);
+            }
+        }
+    }
+}
+
 TEST_F(a_fleet, sends_nothing_to_a_runner_whose_drain_was_acknowledged)
 {
     ASSERT_TRUE(serves());
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -137,5 +137,46 @@
     EXPECT_EQ(copy.configuration()->revision(), 8U);
 }
 
+TEST(a_departure, is_of_one_life_of_a_runner)
+{
+    const runner_id runner{"i-1"};
+    const auto life = [&](std::uint64_t born) {
+        registered_runner out;
+        out.runner = runner;
+        out.address = endpoint{"10.0.0.1", 80};
+        out.born = {born};
+        return fleet_state::add_runner(out);
+    };
+    fleet_state state;
+    state.apply(life(1000));
+    state.apply(fleet_state::depart(runner, true, {1000}));
+    EXPECT_TRUE(state.is_gone(runner));
+    state.apply(life(1001));
+    fleet_state copy;
+    ASSERT_TRUE(copy.restore(state.save()));
+    for (const auto* each : {&state, &copy}) {
+        EXPECT_FALSE(each->is_leaving(runner)) << "it has started again";
+        EXPECT_EQ(each->registrations().at(runner).born.value, 1001U);
+    }
+    state.apply(fleet_state::depart(runner, true, {1000}));
+    EXPECT_FALSE(state.is_leaving(runner)) << "said late, by the life before";
+    state.apply(fleet_state::depart(runner, false, {1001}));
+    EXPECT_TRUE(state.is_leaving(runner));
+    EXPECT_FALSE(state.is_gone(runner));
+}
+
+TEST(a_departure, of_a_life_that_is_not_known_counts_for_all)
+{
+    const runner_id runner{"i-1"};
+    fleet_state state;
+    state.apply(fleet_state::depart(runner, true));
+    registered_runner reborn;
+    reborn.runner = runner;
+    reborn.address = endpoint{"10.0.0.1", 80};
+    reborn.born = {1000};
+    state.apply(fleet_state::add_runner(reborn));
+    EXPECT_TRUE(state.is_gone(runner)) << "as in logs of earlier versions";
+}
+
 } // namespace
 } // namespace cedarpoint
--- a/tests/fleet/group_evidence_test.cpp
+++ b/tests/fleet/group_evidence_test.cpp
@@ -39,7 +39,7 @@
     }
     void free(const runner_id& runner)
     {
-        plan.free(group, runner, registry.find(runner)->latest.sequence);
+        plan.free(group, runner, registry.find(runner)->latest.number());
     }
 
     planned_group group;
@@ -78,9 +78,20 @@
     EXPECT_FALSE(evidence.is_in_other_group(next, member));
 }
 
+TEST_F(the_members_of_a_group, are_back_if_a_later_life_of_them_names_it)
+{
+    free(member);
+    auto reborn = registry.find(member)->latest;
+    reborn.born = {1'000};
+    reborn.sequence = 1; // an order to join was carried out late, by the life that has just begun
+    ASSERT_TRUE(registry.announce(start, reborn));
+    EXPECT_FALSE(plan.is_freed(registry.find(member)->latest));
+    EXPECT_TRUE(evidence.is_back(group, member));
+}
+
 TEST_F(the_members_of_a_group, that_was_never_opened_are_free_whatever_they_report)
 {
-    plan.free_unopened(group, member);
+    plan.free_unopened(group, member, birth{});
     hear(start, member, group.name);
     EXPECT_TRUE(plan.is_freed(registry.find(member)->latest));
     EXPECT_FALSE(evidence.is_back(group, member));
--- a/tests/fleet/runner_registry_test.cpp
+++ b/tests/fleet/runner_registry_test.cpp
@@ -31,6 +31,49 @@
     EXPECT_TRUE(registry.announce(start, heartbeat_of("i-1", "10.0.0.1:80", 5)));
 }
 
+/// The same, of the life that began at `born`.
+announcement heartbeat_of_life(std::uint64_t born, const std::string& address,
+                               std::uint64_t sequence)
+{
+    auto out = heartbeat_of("i-1", address, sequence);
+    out.born = {born};
+    return out;
+}
+
+// What was seen: a runner whose heartbeats had passed number 5,000 started again under its id at
+// another address; its new life got none of 20 requests a second.
+// How it came about: its heartbeats, numbered from 1, counted as older than those of the life
+// before. What proved it: the registry refused each of them.
+TEST(a_runner_that_starts_again_under_its_id, is_heard_from_its_first_heartbeat_on)
+{
+    runner_registry registry;
+    ASSERT_TRUE(registry.announce(start, heartbeat_of_life(1000, "10.0.0.1:80", 5000)));
+    registry.note_alive(start, runner_id{"i-1"});
+    EXPECT_TRUE(registry.announce(start + seconds{1}, heartbeat_of_life(1001, "10.0.0.2:80", 1)));
+    const auto* record = registry.find(runner_id{"i-1"});
+    ASSERT_NE(record, nullptr);
+    EXPECT_TRUE(registry.is_present(*record));
+    EXPECT_EQ(record->latest.address.str(), "10.0.0.2:80");
+    EXPECT_FALSE(record->answered) << "it was the life before that answered";
+    EXPECT_FALSE(
+        registry.announce(start + seconds{2}, heartbeat_of_life(1000, "10.0.0.1:80", 6000)))
+        << "of the earlier life, however high its number";
+    EXPECT_TRUE(registry.announce(start + seconds{3}, heartbeat_of("i-2", "10.0.0.1:80", 9)))
+        << "the address that it left is free";
+    EXPECT_TRUE(is_present(registry, "i-2"));
+    EXPECT_TRUE(is_present(registry, "i-1"));
+}
+
+TEST(a_runner_that_starts_again_under_its_id, is_heard_although_another_one_took_its_address)
+{
+    runner_registry registry;
+    registry.announce(start, heartbeat_of_life(1000, "10.0.0.1:80", 40));
+    registry.announce(start + seconds{1}, heartbeat_of("i-2", "10.0.0.1:80", 1));
+    ASSERT_FALSE(is_present(registry, "i-1"));
+    EXPECT_TRUE(registry.announce(start + seconds{2}, heartbeat_of_life(2000, "10.0.0.3:80", 1)));
+    EXPECT_TRUE(is_present(registry, "i-1"));
+}
+
 TEST(an_address, goes_to_the_runner_that_began_there_last)
 {
     runner_registry registry;
