--- a/tests/fleet/target_set_test.cpp
+++ b/tests/fleet/target_set_test.cpp
@@ -191,5 +191,28 @@
     EXPECT_EQ(backoff_after(6), milliseconds{4800});
 }
 
+TEST(a_target, that_has_named_a_rate_limit_is_chosen_with_a_permit_only)
+{
+    target_set targets{failure_domain_id{"zone"}, 1};
+    targets.update(decode(two_groups()));
+    const service_id pool{"pool"};
+    const model_id model{"m"};
+    const runner_id limited{"i-1"};
+    rate_limit_reading named;
+    named.kind = rate_limit_reading::kind_t::named;
+    named.rate = {2};
+    ASSERT_TRUE(targets.permits().on_answer(start, limited, named, start));
+    EXPECT_EQ(targets.choose(start, pool, model, {}).target->runner.str(), "i-2");
+    const auto none = targets.choose(start, pool, model, {runner_id{"i-2"}});
+    EXPECT_EQ(none.target, nullptr);
+    EXPECT_EQ(none.outcome, target_choice::outcome_t::rate_limited);
+
+    targets.permits().on_grants(start, {{limited, {{2}, 1}}});
+    EXPECT_EQ(targets.choose(start, pool, model, {runner_id{"i-2"}}).target->runner, limited);
+    targets.on_sent(start, limited);
+    EXPECT_EQ(targets.choose(start, pool, model, {runner_id{"i-2"}}).target, nullptr)
+        << "the permit is spent";
+}
+
 } // namespace
 } // namespace cedarpoint
