Tests: one maker of a fleet of processes and one of callers; a stand-in runner can crash and come back

The stand-in runner could not end and begin another life. Change: tests/support/fleet_processes and open_loop_callers serve all; platform_runner::crash and ended_by. Checks are unchanged.

--- a/tests/fleet/fleet_site.cpp
+++ b/tests/fleet/fleet_site.cpp
@@ -81,25 +81,47 @@
 platform_runner::platform_runner(std::string id, std::string service,
                                  std::vector<endpoint> controls, std::uint64_t born,
                                  std::uint64_t sequence)
-    : id_{std::move(id)}, service_{std::move(service)}, controls_{std::move(controls)},
-      listener_{runner_limits(),
-                [this](const http_request& request, const std::shared_ptr<http_reply>& reply) {
-                    on_request(request, reply);
-                }},
-      born_{born}, sequence_{sequence}
+    : id_{std::move(id)}, service_{std::move(service)}, controls_{std::move(controls)}, born_{born},
+      sequence_{sequence}
 {
-    reason why;
-    listener_.start({"127.0.0.1", 0}, why);
     QObject::connect(&timer_, &QTimer::timeout, [this] { announce(); });
+    begin_life();
+}
+
+void platform_runner::begin_life()
+{
+    listener_ = std::make_unique<http_listener>(
+        runner_limits(),
+        [this](const http_request& request, const std::shared_ptr<http_reply>& reply) {
+            on_request(request, reply);
+        });
+    reason why;
+    EXPECT_TRUE(listener_->start(address_, why)) << why.str();
+    address_ = listener_->address();
     timer_.start(heartbeat_ms);
 }
 
+void platform_runner::crash()
+{
+    if (listener_ == nullptr) {
+        return;
+    }
+    ends.push_back(steady_now());
+    timer_.stop();
+    listener_.reset();
+    group_.clear();
+    state_.clear();
+    sequence_ = 0;
+    ++born_;
+    QTimer::singleShot(time_away, &timer_, [this] { begin_life(); });
+}
+
 std::string platform_runner::announcement_text()
 {
     json out{{"service", service_},
-             {"address", listener_.address().str()},
+             {"address", address_.str()},
              {"zone", "z"},
-             {"slots", 4},
+             {"slots", slots},
              {"version", "v1"},
              {"state", draining_ ? "draining" : "ready"},
              {"coldRemainingMs", 0},
@@ -173,7 +195,11 @@
     head.fields.add("X-Cedarpoint-Instance-Signature", "signed-by-" + id_);
     ++served_;
     arrivals.push_back({steady_now(), std::string{request.fields.get("X-Cedarpoint-Request-Id")},
-                        !rate_limit.empty()});
+                        request.body, !rate_limit.empty()});
+    if (!ended_by.empty() && request.body.find(ended_by) != std::string::npos) {
+        QTimer::singleShot(time_to_end, &timer_, [this] { crash(); });
+        return;
+    }
     if (service_ == "pool") {
         stream(request, reply);
         return;
--- a/tests/fleet/fleet_site.h
+++ b/tests/fleet/fleet_site.h
@@ -47,9 +47,17 @@
     std::vector<std::string> accounts; ///< that requests were passed on for
     std::string rate_limit;            ///< named in each answer unless it is empty
     milliseconds answer_time{0};       ///< of a plain request
+    int slots = 4;                     ///< as its heartbeats tell
+    std::string ended_by;              ///< a request whose body holds this ends the runner
+    milliseconds time_to_end{40};      ///< such a request runs before the runner ends
+    milliseconds time_away{2500};      ///< until it is back as a new life under its id
+    std::vector<instant> ends;         ///< of its lives
+    /// Ends at once, as a process that crashes, and comes back after `time_away`.
+    void crash();
     struct arrival {
         instant at;
         std::string request;
+        std::string body;
         bool told = false; ///< the answer names a rate limit
     };
     std::vector<arrival> arrivals; ///< requests that were run
@@ -59,13 +67,15 @@
     void take_order(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void stream(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void announce();
+    void begin_life();
     [[nodiscard]] std::string announcement_text();
 
     std::string id_;
     std::string service_;
     std::vector<endpoint> controls_;
     std::size_t control_ = 0;
-    http_listener listener_;
+    std::unique_ptr<http_listener> listener_; ///< null while the runner is away
+    endpoint address_{"127.0.0.1", 0};        ///< the same in each life
     runner_pool pool_;
     QTimer timer_;
     bool announcing_ = false;
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -7,12 +7,11 @@
 #include "fleet/fleet_site.h"
 #include "io/clock.h"
 #include "soak/loopback_proxy.h"
-#include "support/daemon_process.h"
+#include "support/fleet_processes.h"
 
 #include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
-#include <fstream>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -21,18 +20,14 @@
 namespace {
 
 using testing_support::call;
-using testing_support::daemon_process;
+using testing_support::fleet_processes;
 using testing_support::loopback_proxy;
 using testing_support::platform_runner;
 using testing_support::wait_until;
 
-constexpr int control_count = 3;
+constexpr int control_count = fleet_processes::control_count;
 constexpr int entry_count = 2;
 constexpr int rounds = 14;
-constexpr std::uint16_t mesh_port = 17'340;
-constexpr std::uint16_t control_port = 18'229;
-constexpr std::uint16_t callers_port = 18'230;
-constexpr std::uint16_t ready_port = 18'231;
 
 /// Seeds that failed once, each with its cause.
 const std::vector<std::uint64_t> kept_seeds{
@@ -74,59 +69,18 @@
     fleet_soak() : random{GetParam()}, net{static_cast<int>(GetParam() % 200) + 20}
     {
         for (int which = 0; which < control_count; ++which) {
-            controls.push_back({fmt::format("127.{}.1.{}", net, which + 1), control_port});
-        }
-        for (int which = 0; which < control_count; ++which) {
-            const auto& at = controls[static_cast<std::size_t>(which)];
-            const endpoint real{fmt::format("127.{}.2.{}", net, which + 1), mesh_port};
-            proxies.push_back(std::make_unique<loopback_proxy>(endpoint{at.ip, mesh_port}, real));
-        }
-        daemons.resize(control_count + entry_count);
-        for (int which = 0; which < control_count + entry_count; ++which) {
-            start(which, true);
+            proxies.push_back(std::make_unique<loopback_proxy>(fleet.mesh_address(which),
+                                                               fleet.bind_address(which)));
         }
+        fleet.start_all();
         for (int made = 0; made < 4; ++made) {
-            runners.push_back(
-                std::make_unique<platform_runner>(fmt::format("i-{}", made), "pool", controls));
+            runners.push_back(std::make_unique<platform_runner>(fmt::format("i-{}", made), "pool",
+                                                                fleet.controls()));
         }
         for (int made = 0; made < 2; ++made) {
-            runners.push_back(
-                std::make_unique<platform_runner>(fmt::format("s-{}", made), "shop", controls));
-        }
-    }
-
-    [[nodiscard]] std::string ip_of_entry(int which) const
-    {
-        return fmt::format("127.{}.3.{}", net, which - control_count + 1);
-    }
-
-    void start(int which, bool first)
-    {
-        nlohmann::json own{{"name", fmt::format("d-{}", which)}, {"failure_domain", "z"}};
-        for (const auto& at : controls) {
-            own["seeds"].push_back(at.str());
-        }
-        const bool control = which < control_count;
-        if (control) {
-            const auto& at = controls[static_cast<std::size_t>(which)];
-            own["role"] = "control";
-            own["address"] = endpoint{at.ip, mesh_port}.str();
-            own["bind"] = fmt::format("127.{}.2.{}:{}", net, which + 1, mesh_port);
-            own["control"] = at.str();
-            own["data_folder"] = fmt::format("{}/data-{}", folder.path().toStdString(), which);
-            own["first_start"] = first;
-            own["heartbeat_ms"] = 150;
-        }
-        else {
-            own["role"] = "entry";
-            own["address"] = endpoint{ip_of_entry(which), mesh_port}.str();
-            own["callers"] = endpoint{ip_of_entry(which), callers_port}.str();
-            own["ready"] = endpoint{ip_of_entry(which), ready_port}.str();
+            runners.push_back(std::make_unique<platform_runner>(fmt::format("s-{}", made), "shop",
+                                                                fleet.controls()));
         }
-        const auto file = fmt::format("{}/d-{}.json", folder.path().toStdString(), which);
-        std::ofstream{file} << own.dump();
-        const auto log = fmt::format("{}/soak-{}-{}.log", BINARY_DIR, GetParam(), which);
-        daemons[static_cast<std::size_t>(which)] = std::make_unique<daemon_process>(file, log);
     }
 
     void pass_time(milliseconds time)
@@ -136,14 +90,14 @@
 
     std::string harm()
     {
-        const auto which = static_cast<int>(random() % daemons.size());
-        auto& daemon = *daemons[static_cast<std::size_t>(which)];
+        const auto which = static_cast<int>(random() % static_cast<unsigned>(fleet.count()));
+        auto& daemon = fleet.at(which);
         auto& proxy = *proxies[random() % proxies.size()];
         switch (random() % 9) {
         case 0:
             daemon.signal(SIGKILL);
             pass_time(milliseconds{random() % 600});
-            start(which, false);
+            fleet.start(which, false);
             return fmt::format("killed {}", which);
         case 1:
             daemon.signal(SIGSTOP);
@@ -153,7 +107,7 @@
         case 2:
             daemon.signal(SIGTERM);
             wait_until([&] { return !daemon.is_running(); });
-            start(which, false);
+            fleet.start(which, false);
             return fmt::format("restarted {}", which);
         case 3:
             daemon.signal(SIGHUP);
@@ -178,10 +132,10 @@
             return "delayed a proxy";
         default:
             for (int each = 0; each < control_count; ++each) {
-                daemons[static_cast<std::size_t>(each)]->signal(SIGKILL);
+                fleet.at(each).signal(SIGKILL);
             }
             for (int each = 0; each < control_count; ++each) {
-                start(each, false);
+                fleet.start(each, false);
             }
             return "killed all control daemons";
         }
@@ -190,7 +144,7 @@
     void change_configuration()
     {
         const int version = ++sent_version;
-        const auto& at = controls[random() % controls.size()];
+        const auto& at = fleet.controls()[random() % fleet.controls().size()];
         const auto answer = call(at, "POST", "/cedarpoint/config/put", "", document(version));
         if (answer.end == exchange_end::complete && answer.head.status == 200) {
             acknowledged = std::max(acknowledged, version);
@@ -200,7 +154,7 @@
     void read_configuration()
     {
         const int least = acknowledged;
-        for (const auto& at : controls) {
+        for (const auto& at : fleet.controls()) {
             const auto answer = call(at, "GET", "/cedarpoint/config/get", "", "");
             if (answer.end != exchange_end::complete || answer.head.status != 200) {
                 continue;
@@ -215,14 +169,13 @@
 
     bool send_request()
     {
-        const auto entry = ip_of_entry(control_count + static_cast<int>(random() % entry_count));
+        const auto entry = fleet.entries()[random() % entry_count];
         const bool once = random() % 2 == 0;
         const auto id = fmt::format("r{}", ++requests);
         const auto headers = "X-Cedarpoint-Request-Id: " + id +
                              "\r\nX-Cedarpoint-Deadline-Ms: 3000\r\nX-Cedarpoint-Model: small\r\n";
         const auto served = served_total();
-        const auto answer =
-            call({entry, callers_port}, "POST", once ? "/once/x" : "/ask/x", headers, id);
+        const auto answer = call(entry, "POST", once ? "/once/x" : "/ask/x", headers, id);
         const bool whole = answer.end == exchange_end::complete && answer.head.status == 200;
         if (whole) {
             EXPECT_EQ(answer.head.fields.get("X-Cedarpoint-Request-Id"), id);
@@ -253,10 +206,8 @@
 
     std::mt19937_64 random;
     int net;
-    QTemporaryDir folder;
-    std::vector<endpoint> controls;
+    fleet_processes fleet{{net, entry_count, fmt::format("soak-{}", GetParam()), true}};
     std::vector<std::unique_ptr<loopback_proxy>> proxies;
-    std::vector<std::unique_ptr<daemon_process>> daemons;
     std::vector<std::unique_ptr<platform_runner>> runners;
     int sent_version = 0;
     int acknowledged = 0;
