--- a/include/cedarpoint/fleet/health_report.h
+++ b/include/cedarpoint/fleet/health_report.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/quarantine/crash_observation.h"
 #include "cedarpoint/rate_limits/permit_messages.h"
 
 #include <cstdint>
@@ -38,6 +39,7 @@
     std::map<runner_id, reachability_check> checks;
     std::map<model_id, model_demand> demand;
     rate_limit_sightings rate_limits;
+    crash_histories crashes; ///< of requests under which runners have ended
 };
 
 } // namespace cedarpoint
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -6,7 +6,9 @@
 #include "io/log_line.h"
 #include "io/simple_listeners.h"
 
+#include <fmt/format.h>
 #include <random>
+#include <string>
 #include <utility>
 
 namespace cedarpoint {
@@ -68,6 +70,22 @@
     log_line("configuration_unreadable").with("version", version).with("reason", why.str()).write();
 }
 
+/// One line for each request under which a second runner ended, and each one after that: those with
+/// one are many, and entry daemons log them.
+void log_crashes(instant now, const request_fingerprint& request, const crash_history& known)
+{
+    if (known.crashes.size() < std::size_t{crashes_to_stop_retries}) {
+        return;
+    }
+    std::string runners;
+    for (const auto& each : known.crashes) {
+        runners += fmt::format("{}{} {} ms ago seen by {} as {}", runners.empty() ? "" : ", ",
+                               each.runner.str(), to_ms(now - each.ended_at), each.daemon.str(),
+                               each.request.str());
+    }
+    log_line("request_crashes").with("fingerprint", request.str()).with("runners", runners).write();
+}
+
 } // namespace
 
 control_daemon::control_daemon(fleet_settings own)
@@ -77,6 +95,7 @@
 {
     leader_.set_event_handler(log_group);
     leader_.on_unreadable_configuration = log_unreadable;
+    leader_.on_crashes = log_crashes;
 }
 
 control_daemon::~control_daemon() = default;
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -5,6 +5,7 @@
 #include "cedarpoint/fleet/route_table.h"
 #include "cedarpoint/fleet/target_set.h"
 #include "cedarpoint/fleet/windowed_retry_budget.h"
+#include "cedarpoint/quarantine/crash_witness.h"
 #include "entry/entry_metrics.h"
 #include "io/runner_pool.h"
 
@@ -28,6 +29,9 @@
     std::mt19937_64 random;
     std::map<model_id, model_demand> demand; ///< since the latest report
     std::function<void()> hurry_report;      ///< the leader is to learn something soon
+    crash_witness crashes;
+    /// A runner has closed a connection without an answer: whether it has ended is to be found out.
+    std::function<void(const runner_id&, const endpoint&)> check_runner_end;
     bool stopping = false;
 };
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -50,10 +50,14 @@
                                      .random = std::mt19937_64{random_seed()},
                                      .demand = {},
                                      .hurry_report = {},
+                                     .crashes = {},
+                                     .check_runner_end = {},
                                      .stopping = false},
-      follower_{own_, make_follower_hooks()}, mesh_{[this](const wire::envelope& in) {
-          follower_.receive(steady_now(), in);
-      }}
+      follower_{own_, make_follower_hooks()}, runner_ends_{[this](const runner_id& runner,
+                                                                  bool refused) {
+          on_runner_end_checked(runner, refused);
+      }},
+      mesh_{[this](const wire::envelope& in) { follower_.receive(steady_now(), in); }}
 {
 }
 
@@ -101,6 +105,9 @@
     }
     reachability_.on_result = [this] { follower_.hurry(); };
     context_.hurry_report = [this] { follower_.hurry(); };
+    context_.check_runner_end = [this](const runner_id& runner, const endpoint& address) {
+        runner_ends_.check(runner, address);
+    };
     QObject::connect(&timer_, &QTimer::timeout, [this] { tick(); });
     timer_.start(tick_ms);
     log_line("started")
@@ -174,6 +181,7 @@
 {
     const auto now = steady_now();
     ended_.clear();
+    runner_ends_.clean_up();
     mesh_.drain();
     follower_.tick(now);
     mesh_.drain();
@@ -182,6 +190,8 @@
     context_.metrics.set_in_flight(static_cast<double>(requests_.size()));
     context_.metrics.set_rate_limited_runners(
         static_cast<double>(context_.targets.permits().count_limited()));
+    context_.metrics.set_suspected_requests(
+        static_cast<double>(context_.crashes.count_suspected()));
     check_stop(now);
 }
 
@@ -237,6 +247,7 @@
     if (update.stamp_us() != 0) {
         const instant asked_at{duration{update.stamp_us()}};
         context_.targets.permits().on_grants(asked_at, decode_grants(update));
+        context_.crashes.on_confirmed(steady_now(), update.term(), asked_at);
     }
 }
 
@@ -246,6 +257,7 @@
     health_report out;
     out.runners = context_.targets.take_observations(now);
     out.rate_limits = context_.targets.permits().take_observations(now);
+    out.crashes = context_.crashes.unconfirmed();
     out.demand = context_.demand;
     for (auto& [model, count] : context_.demand) {
         count = {};
@@ -254,6 +266,26 @@
     return out;
 }
 
+void entry_daemon::on_runner_end_checked(const runner_id& runner, bool refused)
+{
+    const auto seen = context_.crashes.on_checked(steady_now(), runner, refused);
+    if (seen.empty()) {
+        return;
+    }
+    context_.metrics.count_runner_end();
+    for (const auto& [request, history] : seen) {
+        for (const auto& crash : history.crashes) {
+            log_line("runner_ended")
+                .with("runner", runner.str())
+                .with("fingerprint", request.str())
+                .with("id", crash.request.str())
+                .with("in_flight_ms", to_ms(crash.ended_at - crash.sent_at))
+                .write();
+        }
+    }
+    follower_.hurry();
+}
+
 // --- requests -----------------------------------------------------------------------------------
 
 void entry_daemon::on_request(http_request request, const std::shared_ptr<http_reply>& reply)
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -5,6 +5,7 @@
 #include "entry/fleet_follower.h"
 #include "entry/reachability_checker.h"
 #include "entry/relay.h"
+#include "entry/runner_end_checker.h"
 #include "io/http_listener.h"
 #include "io/mesh.h"
 
@@ -42,6 +43,7 @@
     [[nodiscard]] fleet_follower::hooks make_follower_hooks();
     [[nodiscard]] health_report make_report();
     void on_update(const wire::fleet_update& update);
+    void on_runner_end_checked(const runner_id& runner, bool refused);
     bool open_listeners(reason& why);
     [[nodiscard]] bool is_stop_due(instant now);
     void on_request(http_request request, const std::shared_ptr<http_reply>& reply);
@@ -50,6 +52,7 @@
     entry_context context_;
     fleet_follower follower_;
     reachability_checker reachability_;
+    runner_end_checker runner_ends_;
     mesh mesh_;
     std::set<std::shared_ptr<relay>> requests_;
     std::vector<std::shared_ptr<relay>> ended_; ///< kept until none of their calls is under way
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -30,7 +30,13 @@
       rate_limited_sends_{registry_
                               .add_counters("cedarpoint_rate_limited_sends_total",
                                             "Requests sent to runners that have named a rate limit")
-                              .Add({})}
+                              .Add({})},
+      suspected_requests_{registry_.add_gauge("cedarpoint_suspected_requests",
+                                              "Requests under which runners have ended")},
+      runner_ends_{registry_
+                       .add_counters("cedarpoint_runner_ends_total",
+                                     "Runners that ended with requests of this daemon in flight")
+                       .Add({})}
 {
 }
 
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -22,6 +22,10 @@
     /// `age`: since the leader was heard.
     void set_view(double version, duration age);
     void set_in_flight(double count) { in_flight_.Set(count); }
+    /// Requests under which runners have ended, as the leader tells.
+    void set_suspected_requests(double count) { suspected_requests_.Set(count); }
+    /// A runner has ended while this daemon had requests in flight there.
+    void count_runner_end() { runner_ends_.Increment(); }
     void set_rate_limited_runners(double count) { rate_limited_runners_.Set(count); }
     /// A request is sent to a runner that has named a rate limit.
     void count_rate_limited_send() { rate_limited_sends_.Increment(); }
@@ -40,6 +44,8 @@
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& rate_limited_runners_;
     prometheus::Counter& rate_limited_sends_;
+    prometheus::Gauge& suspected_requests_;
+    prometheus::Counter& runner_ends_;
     // Looked up once: a family searches its labels at each call, which costs on the path of a
     // request.
     std::map<std::string, prometheus::Counter*> known_ends_;
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -1,5 +1,6 @@
 #include "entry/fleet_follower.h"
 
+#include "cedarpoint/fleet/crash_messages.h"
 #include "cedarpoint/fleet/fleet_messages.h"
 
 #include <utility>
@@ -58,7 +59,9 @@
     follow.set_failure_domain(failure_domain_);
     follow.set_behind(behind_);
     follow.set_stamp_us(now.time_since_epoch().count());
-    encode(hooks_.make_report(), follow);
+    const auto report = hooks_.make_report();
+    encode(report, follow);
+    encode_crashes(now, report.crashes, follow);
     hooks_.send(to, std::move(out));
 }
 
--- a/src/entry/reachability_checker.h
+++ b/src/entry/reachability_checker.h
@@ -4,9 +4,7 @@
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/fleet/fleet_messages.h"
 #include "cedarpoint/fleet/health_report.h"
-#include "io/stream_socket.h"
-
-#include <QTimer>
+#include "entry/connect_probe.h"
 
 #include <functional>
 #include <map>
@@ -34,17 +32,14 @@
 
 private:
     struct attempt {
-        std::unique_ptr<stream_socket> socket;
-        QTimer timer;
+        std::unique_ptr<connect_probe> probe;
         instant begun;
-        bool done = false;
         bool reachable = false;
     };
     [[nodiscard]] bool was_tried_lately(instant now, const runner_id& runner) const;
     void begin(instant now, const suspect& to);
-    void end(attempt& each, bool reachable);
 
-    std::map<runner_id, std::unique_ptr<attempt>> attempts_;
+    std::map<runner_id, attempt> attempts_;
 };
 
 } // namespace cedarpoint
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/fleet/request_admission.h"
 #include "cedarpoint/fleet/retry_policy.h"
+#include "cedarpoint/quarantine/request_fingerprint.h"
 #include "entry/entry_context.h"
 #include "entry/event_cursor.h"
 #include "entry/own_answer.h"
@@ -49,6 +50,9 @@
     void hold_back_if_slow();
     void on_drained();
     void on_attempt_end(const attempt_verdict& verdict);
+    /// Tells the crash witness what the attempt's end shows of the request.
+    void note_end(const attempt_verdict& verdict);
+    [[nodiscard]] const request_fingerprint& fingerprint();
     void on_stalled();
     /// Cancels the attempt under way; the request goes on elsewhere, as far as it may.
     void move_on(const char* why);
@@ -75,6 +79,7 @@
     instant arrived_;
     admission admission_;
     retry_facts facts_;
+    std::optional<request_fingerprint> fingerprint_; ///< computed once it is asked for
     std::set<runner_id> tried_;
     std::shared_ptr<runner_attempt> attempt_; ///< the latest; null before the first
     event_cursor cursor_;
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -183,8 +183,10 @@
         context_.targets.on_unreachable(steady_now(), runner_, how == exchange_end::refused);
         return {attempt_outcome::not_run, target_effect::none, why.str()};
     case exchange_end::cut:
+        was_cut_ = true;
         return {attempt_outcome::may_have_run, target_effect::failure, why.str()};
     case exchange_end::complete:
+        is_complete_ = true;
         break;
     }
     return judge_complete();
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -57,6 +57,12 @@
 
     [[nodiscard]] bool is_running() const { return connection_ != nullptr; }
     [[nodiscard]] bool was_sent() const { return sent_at_.has_value(); }
+    /// When the request was handed to the connection; only once it was.
+    [[nodiscard]] instant sent_at() const { return *sent_at_; }
+    /// True once the whole answer has come.
+    [[nodiscard]] bool is_complete() const { return is_complete_; }
+    /// True if the connection ended without a whole answer.
+    [[nodiscard]] bool was_cut() const { return was_cut_; }
     [[nodiscard]] const runner_id& runner() const { return runner_; }
     [[nodiscard]] const group_id& group() const { return group_; }
     /// True once the head has come, and is that of a stream of events that can be passed on.
@@ -95,6 +101,8 @@
     std::string body_;
     sse_splitter events_;
     bool streaming_ = false;
+    bool is_complete_ = false;
+    bool was_cut_ = false;
     QTimer stall_timer_;
 };
 
--- /dev/null
+++ b/src/fleet/crash_messages.cpp
@@ -0,0 +1,84 @@
+#include "cedarpoint/fleet/crash_messages.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace cedarpoint {
+namespace {
+
+/// Longest age that is taken as told; more could overflow the clock.
+constexpr std::uint64_t longest_age_ms = std::uint64_t{1} << 40;
+
+std::uint64_t to_age(instant now, instant at)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, to_ms(now - at)));
+}
+
+instant from_age(instant now, std::uint64_t ms)
+{
+    return now - milliseconds{static_cast<std::int64_t>(std::min(ms, longest_age_ms))};
+}
+
+crash_observation decode_crash(instant now, const wire::crash_sighting& in)
+{
+    crash_observation out;
+    out.runner = runner_id{in.runner()};
+    out.ended_at = from_age(now, in.ended_ms());
+    out.sent_at = std::min(from_age(now, in.sent_ms()), out.ended_at);
+    out.daemon = daemon_id{in.daemon()};
+    out.request = request_id{in.request()};
+    return out;
+}
+
+crash_history decode_history(instant now, const wire::suspected_request& in)
+{
+    crash_history out;
+    for (const auto& crash : in.crashes()) {
+        out.crashes.push_back(decode_crash(now, crash));
+    }
+    if (in.answered()) {
+        out.answered_at = from_age(now, in.answered_ms());
+    }
+    return out;
+}
+
+} // namespace
+
+wire::crash_sighting encode_crash(instant now, const crash_observation& in)
+{
+    wire::crash_sighting out;
+    out.set_runner(in.runner.str());
+    out.set_sent_ms(to_age(now, in.sent_at));
+    out.set_ended_ms(to_age(now, in.ended_at));
+    out.set_daemon(in.daemon.str());
+    out.set_request(in.request.str());
+    return out;
+}
+
+void encode_crashes(instant now, const crash_histories& in, wire::fleet_follow& out)
+{
+    for (const auto& [request, history] : in) {
+        auto* each = out.add_suspected();
+        each->set_fingerprint(request.str());
+        for (const auto& crash : history.crashes) {
+            *each->add_crashes() = encode_crash(now, crash);
+        }
+        if (history.answered_at) {
+            each->set_answered(true);
+            each->set_answered_ms(to_age(now, *history.answered_at));
+        }
+    }
+}
+
+crash_histories decode_crashes(instant now, const wire::fleet_follow& in)
+{
+    crash_histories out;
+    for (const auto& each : in.suspected()) {
+        if (const auto request = request_fingerprint::parse(each.fingerprint())) {
+            out[*request] = decode_history(now, each);
+        }
+    }
+    return out;
+}
+
+} // namespace cedarpoint
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -1,5 +1,6 @@
 #include "cedarpoint/fleet/fleet_leader.h"
 
+#include "cedarpoint/fleet/crash_messages.h"
 #include "cedarpoint/fleet/leader_recovery.h"
 
 #include <iterator>
@@ -34,6 +35,7 @@
     reports_.clear();
     followers_.clear();
     rate_limits_.clear(term);
+    crashes_.clear();
     view_ = {};
     viewed_version_ = 0;
     records_.clear();
@@ -161,6 +163,7 @@
     auto report = decode_report(in);
     reports_.put(now, follower, report);
     take_rate_limits(now, follower, std::move(report.rate_limits));
+    take_crashes(now, follower, decode_crashes(now, in));
     const auto confirmed = in.term() == term_ ? in.version() : 0;
     const auto from = followers_.on_report(now, follower, confirmed, in.behind(), view_.version());
     auto out = make_update(now, from);
@@ -177,6 +180,19 @@
     rate_limits_.on_report(now, follower, in);
 }
 
+void fleet_leader::take_crashes(instant now, const daemon_id& follower, crash_histories in)
+{
+    for (auto& [request, history] : in) {
+        for (auto& crash : history.crashes) {
+            crash.daemon = follower;
+        }
+        crashes_.merge(request, history);
+        if (const auto* known = crashes_.find(request); on_crashes && known != nullptr) {
+            on_crashes(now, request, *known);
+        }
+    }
+}
+
 std::vector<fleet_leader::addressed_update> fleet_leader::pending_updates(instant now)
 {
     std::vector<addressed_update> out;
--- /dev/null
+++ b/src/quarantine/crash_cause.cpp
@@ -0,0 +1,76 @@
+#include "cedarpoint/quarantine/crash_cause.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace cedarpoint {
+namespace {
+
+/// With so many ends it is decided between requests that were together at each of them.
+constexpr int crashes_to_end_a_tie = 5;
+
+duration time_in_flight(const crash_history& in)
+{
+    duration out{};
+    for (const auto& each : in.crashes) {
+        out += each.ended_at - each.sent_at;
+    }
+    return out;
+}
+
+bool share_a_crash(const crash_history& one, const crash_history& other)
+{
+    return std::any_of(one.crashes.begin(), one.crashes.end(), [&](const auto& each) {
+        return std::any_of(other.crashes.begin(), other.crashes.end(),
+                           [&](const auto& its) { return is_same_end(each, its); });
+    });
+}
+
+/// Another request that explains some of the same ends and has been at as many.
+bool has_rival(const crash_ledger& ledger, const request_fingerprint& request, int crashes,
+               const std::set<request_fingerprint>& known)
+{
+    const auto& own = *ledger.find(request);
+    const auto& all = ledger.histories();
+    return std::any_of(all.begin(), all.end(), [&](const auto& other) {
+        return other.first != request && !known.contains(other.first) &&
+               ledger.count(other.first, known) >= crashes && share_a_crash(own, other.second);
+    });
+}
+
+std::optional<request_fingerprint> find_cause(const crash_ledger& ledger,
+                                              const std::set<request_fingerprint>& known)
+{
+    std::optional<request_fingerprint> out;
+    duration shortest{};
+    for (const auto& [request, history] : ledger.histories()) {
+        if (known.contains(request)) {
+            continue;
+        }
+        const int crashes = ledger.count(request, known);
+        const bool is_due =
+            crashes >= crashes_to_quarantine &&
+            (crashes >= crashes_to_end_a_tie || !has_rival(ledger, request, crashes, known));
+        if (const auto time = time_in_flight(history); is_due && (!out || time < shortest)) {
+            out = request;
+            shortest = time;
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+std::set<request_fingerprint> find_crash_causes(const crash_ledger& ledger,
+                                                const std::set<request_fingerprint>& known)
+{
+    std::set<request_fingerprint> out;
+    auto explained = known;
+    while (const auto cause = find_cause(ledger, explained)) {
+        explained.insert(*cause);
+        out.insert(*cause);
+    }
+    return out;
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/quarantine/crash_ledger.cpp
@@ -0,0 +1,130 @@
+#include "cedarpoint/quarantine/crash_ledger.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace cedarpoint {
+namespace {
+
+/// Two ends of one runner that lie closer together than this are the same one, seen by two daemons:
+/// no runner is back sooner.
+constexpr duration shortest_life = seconds{1};
+
+/// Kept for each request; the earliest ones are enough for any decision.
+constexpr std::size_t most_crashes = 8;
+
+instant latest_change(const crash_history& in)
+{
+    instant out = in.answered_at.value_or(instant{});
+    for (const auto& each : in.crashes) {
+        out = std::max(out, each.ended_at);
+    }
+    return out;
+}
+
+} // namespace
+
+bool is_same_end(const crash_observation& one, const crash_observation& other)
+{
+    return one.runner == other.runner &&
+           std::chrono::abs(one.ended_at - other.ended_at) < shortest_life;
+}
+
+void crash_ledger::clear()
+{
+    histories_.clear();
+}
+
+void crash_ledger::merge(const request_fingerprint& request, const crash_history& in)
+{
+    if (in.answered_at) {
+        on_answer(*in.answered_at, request);
+    }
+    for (const auto& each : in.crashes) {
+        add(request, each);
+    }
+}
+
+void crash_ledger::add(const request_fingerprint& request, crash_observation in)
+{
+    auto& own = histories_[request];
+    if (own.answered_at && in.ended_at <= *own.answered_at) {
+        return;
+    }
+    const auto known = std::find_if(own.crashes.begin(), own.crashes.end(),
+                                    [&](const auto& each) { return is_same_end(each, in); });
+    if (known == own.crashes.end()) {
+        if (own.crashes.size() < most_crashes) {
+            own.crashes.push_back(std::move(in));
+        }
+    }
+    else if (known->daemon == in.daemon) {
+        *known = std::move(in); // the crashes of one report are in order among themselves
+    }
+    drop_oldest();
+}
+
+void crash_ledger::on_answer(instant now, const request_fingerprint& request)
+{
+    auto& own = histories_[request];
+    own.answered_at = std::max(own.answered_at.value_or(now), now);
+    std::erase_if(own.crashes, [&](const auto& each) { return each.ended_at <= *own.answered_at; });
+    drop_oldest();
+}
+
+void crash_ledger::drop_oldest()
+{
+    if (histories_.size() <= most_requests_) {
+        return;
+    }
+    histories_.erase(std::min_element(
+        histories_.begin(), histories_.end(), [](const auto& one, const auto& other) {
+            return latest_change(one.second) < latest_change(other.second);
+        }));
+}
+
+const crash_history* crash_ledger::find(const request_fingerprint& request) const
+{
+    const auto found = histories_.find(request);
+    return found == histories_.end() ? nullptr : &found->second;
+}
+
+bool crash_ledger::is_explained(const crash_observation& crash,
+                                const std::set<request_fingerprint>& causes) const
+{
+    return std::any_of(causes.begin(), causes.end(), [&](const auto& cause) {
+        const auto* known = find(cause);
+        return known != nullptr &&
+               std::any_of(known->crashes.begin(), known->crashes.end(),
+                           [&](const auto& each) { return is_same_end(each, crash); });
+    });
+}
+
+int crash_ledger::count(const request_fingerprint& request,
+                        const std::set<request_fingerprint>& causes) const
+{
+    const auto* own = find(request);
+    if (own == nullptr) {
+        return 0;
+    }
+    std::vector<const crash_observation*> crashes;
+    for (const auto& each : own->crashes) {
+        if (causes.contains(request) || !is_explained(each, causes)) {
+            crashes.push_back(&each);
+        }
+    }
+    std::sort(crashes.begin(), crashes.end(),
+              [](const auto* one, const auto* other) { return one->ended_at < other->ended_at; });
+    int out = 0;
+    std::optional<instant> latest_end;
+    for (const auto* each : crashes) {
+        if (!latest_end || each->sent_at >= *latest_end) {
+            ++out;
+            latest_end = each->ended_at;
+        }
+    }
+    return out;
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/src/quarantine/crash_witness.cpp
@@ -0,0 +1,123 @@
+#include "cedarpoint/quarantine/crash_witness.h"
+
+#include "cedarpoint/quarantine/crash_cause.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cedarpoint {
+namespace {
+
+/// Requests that a daemon remembers as suspected: some times what is in flight at a few runners.
+constexpr std::size_t most_requests = 256;
+
+/// Cuts at one runner whose check is under way; more than a runner takes at once.
+constexpr std::size_t most_unchecked = 128;
+
+/// Without an answer of the leader for this long, a daemon decides by what it saw itself.
+constexpr duration leader_patience = seconds{1};
+
+} // namespace
+
+crash_witness::crash_witness() : own_{most_requests} {}
+
+bool crash_witness::on_cut(const request_fingerprint& request, crash_observation in)
+{
+    auto& waiting = unchecked_[in.runner];
+    const bool is_first = waiting.empty();
+    if (waiting.size() < most_unchecked) {
+        waiting.push_back({request, std::move(in)});
+    }
+    return is_first;
+}
+
+crash_histories crash_witness::on_checked(instant now, const runner_id& runner, bool refused)
+{
+    crash_histories out;
+    const auto found = unchecked_.extract(runner);
+    if (found.empty() || !refused) {
+        return out;
+    }
+    for (auto& each : found.mapped()) {
+        own_.add(each.request, each.crash);
+        note_change(now, each.request);
+        out[each.request].crashes.push_back(std::move(each.crash));
+    }
+    return out;
+}
+
+void crash_witness::on_answer(instant now, const request_fingerprint& request)
+{
+    if (own_.find(request) == nullptr && !shared_.contains(request)) {
+        return;
+    }
+    own_.on_answer(now, request);
+    note_change(now, request);
+}
+
+void crash_witness::note_change(instant now, const request_fingerprint& request)
+{
+    changed_at_[request] = now;
+    std::erase_if(changed_at_, [&](const auto& each) { return own_.find(each.first) == nullptr; });
+    own_causes_ = find_crash_causes(own_, quarantined_);
+}
+
+void crash_witness::set_shared(crash_counts counts)
+{
+    shared_ = std::move(counts);
+    quarantined_.clear();
+    for (const auto& [request, crashes] : shared_) {
+        if (crashes >= crashes_to_quarantine) {
+            quarantined_.insert(request);
+        }
+    }
+    own_causes_ = find_crash_causes(own_, quarantined_);
+}
+
+int crash_witness::count(const request_fingerprint& request) const
+{
+    const auto told = shared_.find(request);
+    return std::max(told == shared_.end() ? 0 : told->second, own_.count(request, quarantined_));
+}
+
+bool crash_witness::is_quarantined(instant now, const request_fingerprint& request) const
+{
+    const bool is_alone = !leader_heard_at_ || now - *leader_heard_at_ > leader_patience;
+    return quarantined_.contains(request) || (is_alone && own_causes_.contains(request));
+}
+
+bool crash_witness::may_retry(const request_fingerprint& request) const
+{
+    int crashes = count(request);
+    for (const auto& [runner, cuts] : unchecked_) {
+        const bool is_waiting = std::any_of(
+            cuts.begin(), cuts.end(), [&](const auto& each) { return each.request == request; });
+        crashes += is_waiting ? 1 : 0;
+    }
+    return crashes < crashes_to_stop_retries;
+}
+
+crash_histories crash_witness::unconfirmed() const
+{
+    crash_histories out;
+    for (const auto& [request, at] : changed_at_) {
+        if (const auto* known = own_.find(request); known != nullptr) {
+            out[request] = *known;
+        }
+    }
+    return out;
+}
+
+void crash_witness::on_confirmed(instant now, std::uint64_t term, instant asked_at)
+{
+    leader_heard_at_ = now;
+    if (std::exchange(term_, term) != term) {
+        for (const auto& [request, history] : own_.histories()) {
+            changed_at_[request] = now; // a new leader knows nothing of it
+        }
+        return;
+    }
+    std::erase_if(changed_at_, [&](const auto& each) { return each.second < asked_at; });
+}
+
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/quarantine/crash_ledger_test.cpp
@@ -0,0 +1,120 @@
+#include "cedarpoint/quarantine/crash_ledger.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+const request_fingerprint cause{1, 1};
+const request_fingerprint other{2, 2};
+
+instant at(int ms)
+{
+    return instant{} + seconds{1000} + milliseconds{ms};
+}
+
+crash_observation crash(const char* runner, int sent_ms, int ended_ms, const char* daemon = "d-1")
+{
+    return {runner_id{runner}, at(sent_ms), at(ended_ms), daemon_id{daemon}, request_id{"r"}};
+}
+
+class crash_ledger_test : public testing::Test {
+protected:
+    [[nodiscard]] int count(const request_fingerprint& request) const
+    {
+        return ledger.count(request, {});
+    }
+
+    crash_ledger ledger{4};
+};
+
+TEST_F(crash_ledger_test, counts_runners_that_end_one_after_the_other)
+{
+    EXPECT_EQ(count(cause), 0);
+    ledger.add(cause, crash("a", 0, 50));
+    EXPECT_EQ(count(cause), 1);
+    ledger.add(cause, crash("b", 50, 100));
+    ledger.add(cause, crash("c", 400, 450));
+    EXPECT_EQ(count(cause), 3);
+    EXPECT_EQ(count(other), 0);
+
+    // The same runner ends again in its next life.
+    ledger.add(cause, crash("a", 5000, 5050));
+    EXPECT_EQ(count(cause), 4);
+}
+
+TEST_F(crash_ledger_test, counts_runners_that_end_together_once)
+{
+    // A rack is lost: the request was in flight at three of its runners.
+    ledger.add(cause, crash("a", 0, 90));
+    ledger.add(cause, crash("b", 20, 91));
+    ledger.add(cause, crash("c", 40, 89));
+    EXPECT_EQ(count(cause), 1);
+}
+
+TEST_F(crash_ledger_test, merges_in_any_order_and_counts_what_several_daemons_saw_once)
+{
+    ledger.add(cause, crash("b", 200, 250, "d-2"));
+    ledger.add(cause, crash("a", 0, 50, "d-1"));
+    ledger.add(cause, crash("a", 10, 51, "d-3"));
+    ledger.add(cause, crash("b", 200, 250, "d-2"));
+    EXPECT_EQ(count(cause), 2);
+    ASSERT_NE(ledger.find(cause), nullptr);
+    EXPECT_EQ(ledger.find(cause)->crashes.size(), 2U);
+}
+
+TEST_F(crash_ledger_test, takes_the_latest_times_of_a_daemon_for_a_crash_that_it_reports_again)
+{
+    // Times travel as ages, and a report that was held up makes them seem later.
+    ledger.add(cause, crash("a", 30, 80));
+    crash_history whole;
+    whole.crashes = {crash("a", 0, 50), crash("b", 50, 100)};
+    ledger.merge(cause, whole);
+    EXPECT_EQ(count(cause), 2) << "in order within one report, whatever came before it";
+}
+
+TEST_F(crash_ledger_test, an_answer_clears_a_request_of_what_was_before)
+{
+    ledger.add(cause, crash("a", 0, 50));
+    ledger.add(cause, crash("b", 50, 100));
+    ledger.on_answer(at(200), cause);
+    EXPECT_EQ(count(cause), 0);
+
+    ledger.add(cause, crash("c", 60, 150));
+    EXPECT_EQ(count(cause), 0) << "heard late, and from before the answer";
+    ledger.add(cause, crash("d", 300, 350));
+    EXPECT_EQ(count(cause), 1);
+}
+
+TEST_F(crash_ledger_test, an_answer_counts_that_is_heard_before_the_crash)
+{
+    ledger.on_answer(at(200), cause);
+    ledger.add(cause, crash("a", 0, 50));
+    EXPECT_EQ(count(cause), 0);
+}
+
+TEST_F(crash_ledger_test, a_crash_that_is_explained_does_not_count_for_others)
+{
+    for (const auto& request : {cause, other}) {
+        ledger.add(request, crash("a", 0, 50));
+        ledger.add(request, crash("b", 50, 100));
+    }
+    ledger.add(other, crash("x", 500, 550));
+    EXPECT_EQ(ledger.count(other, {}), 3);
+    EXPECT_EQ(ledger.count(other, {cause}), 1);
+    EXPECT_EQ(ledger.count(cause, {cause}), 2);
+}
+
+TEST_F(crash_ledger_test, forgets_the_request_whose_latest_crash_is_the_oldest)
+{
+    for (std::uint64_t n = 10; n < 14; ++n) {
+        ledger.add({n, n}, crash("a", static_cast<int>(n) * 10, static_cast<int>(n) * 10 + 5));
+    }
+    ledger.add(cause, crash("b", 400, 450));
+    EXPECT_EQ(ledger.histories().size(), 4U);
+    EXPECT_EQ(ledger.find({10, 10}), nullptr);
+    EXPECT_NE(ledger.find(cause), nullptr);
+}
+
+} // namespace
+} // namespace cedarpoint
--- /dev/null
+++ b/tests/quarantine/crash_witness_test.cpp
@@ -0,0 +1,159 @@
+#include "cedarpoint/quarantine/crash_witness.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+const request_fingerprint crashing{1, 1};
+const request_fingerprint sound{2, 2};
+
+instant at(int ms)
+{
+    return instant{} + seconds{1000} + milliseconds{ms};
+}
+
+class crash_witness_test : public testing::Test {
+protected:
+    /// The request was cut at the runner; the check of its address comes 20 ms later.
+    void cut(const request_fingerprint& request, const char* runner, int sent_ms, int ended_ms)
+    {
+        witness.on_cut(request,
+                       {runner_id{runner}, at(sent_ms), at(ended_ms), {}, request_id{"r"}});
+    }
+    void check(const char* runner, int ms, bool refused)
+    {
+        witness.on_checked(at(ms), runner_id{runner}, refused);
+    }
+    void crash(const request_fingerprint& request, const char* runner, int sent_ms, int ended_ms)
+    {
+        cut(request, runner, sent_ms, ended_ms);
+        check(runner, ended_ms + 20, true);
+    }
+
+    crash_witness witness;
+};
+
+TEST_F(crash_witness_test, takes_a_cut_for_a_crash_only_if_the_runner_refuses_connections)
+{
+    EXPECT_FALSE(witness.is_watching());
+    cut(crashing, "a", 0, 50);
+    check("a", 70, false);
+    EXPECT_FALSE(witness.is_watching());
+    EXPECT_TRUE(witness.unconfirmed().empty());
+
+    cut(crashing, "b", 100, 150);
+    check("b", 170, true);
+    ASSERT_EQ(witness.unconfirmed().size(), 1U);
+    EXPECT_EQ(witness.unconfirmed().at(crashing).crashes.size(), 1U);
+}
+
+TEST_F(crash_witness_test, asks_for_one_check_of_a_runner_whatever_was_in_flight_there)
+{
+    const crash_observation seen{runner_id{"a"}, at(0), at(50), {}, request_id{"r"}};
+    EXPECT_TRUE(witness.on_cut(crashing, seen));
+    EXPECT_FALSE(witness.on_cut(sound, seen));
+    EXPECT_EQ(witness.on_checked(at(70), runner_id{"a"}, true).size(), 2U);
+    EXPECT_TRUE(witness.on_cut(crashing, seen)) << "the next end of it is checked anew";
+}
+
+TEST_F(crash_witness_test, stops_the_retries_of_a_try_under_which_two_runners_ended)
+{
+    crash(crashing, "a", 0, 50);
+    EXPECT_TRUE(witness.may_retry(crashing));
+    // The second one was cut just now, and is not checked yet.
+    cut(crashing, "b", 50, 100);
+    EXPECT_FALSE(witness.may_retry(crashing));
+
+    // It was a reset.
+    check("b", 120, false);
+    EXPECT_TRUE(witness.may_retry(crashing));
+}
+
+TEST_F(crash_witness_test, quarantines_by_itself_while_no_leader_speaks)
+{
+    crash(crashing, "a", 0, 50);
+    crash(crashing, "b", 50, 100);
+    EXPECT_FALSE(witness.is_quarantined(at(130), crashing));
+    crash(crashing, "c", 400, 450);
+    EXPECT_TRUE(witness.is_quarantined(at(480), crashing));
+
+    // A leader has the observations of all, and decides.
+    witness.on_confirmed(at(500), 1, at(490));
+    EXPECT_FALSE(witness.is_quarantined(at(510), crashing));
+    EXPECT_TRUE(witness.is_quarantined(at(1600), crashing)) << "it is lost";
+}
+
+TEST_F(crash_witness_test, adds_what_others_saw_by_the_leader)
+{
+    witness.set_shared({{crashing, 2}});
+    EXPECT_TRUE(witness.is_watching());
+    EXPECT_FALSE(witness.may_retry(crashing));
+    EXPECT_TRUE(witness.may_retry(sound));
+    witness.set_shared({{crashing, 3}});
+    EXPECT_TRUE(witness.is_quarantined(at(0), crashing));
+    EXPECT_EQ(witness.count_quarantined(), 1U);
+    witness.set_shared({});
+    EXPECT_FALSE(witness.is_quarantined(at(0), crashing));
+}
+
+TEST_F(crash_witness_test, a_quarantined_request_explains_the_crashes_to_those_beside_it)
+{
+    for (int n = 0; n < 3; ++n) {
+        const std::string runner{static_cast<char>('a' + n)};
+        cut(crashing, runner.c_str(), n * 100, n * 100 + 50);
+        cut(sound, runner.c_str(), n * 100, n * 100 + 50);
+        check(runner.c_str(), n * 100 + 70, true);
+    }
+    EXPECT_FALSE(witness.is_quarantined(at(300), sound)) << "nothing tells it from the other one";
+    EXPECT_FALSE(witness.may_retry(sound));
+    witness.set_shared({{crashing, 3}});
+    EXPECT_TRUE(witness.may_retry(sound));
+}
+
+TEST_F(crash_witness_test, an_answer_clears_a_request_here_and_for_the_leader)
+{
+    crash(sound, "a", 0, 50);
+    crash(sound, "b", 50, 100);
+    witness.on_answer(at(200), sound);
+    EXPECT_TRUE(witness.may_retry(sound));
+    EXPECT_EQ(witness.unconfirmed().at(sound).answered_at, at(200));
+
+    // One that only others suspect.
+    witness.set_shared({{crashing, 1}});
+    witness.on_answer(at(300), crashing);
+    EXPECT_EQ(witness.unconfirmed().at(crashing).answered_at, at(300));
+}
+
+TEST_F(crash_witness_test, remembers_no_answer_to_a_request_that_nobody_suspects)
+{
+    witness.on_answer(at(0), sound);
+    EXPECT_FALSE(witness.is_watching());
+}
+
+TEST_F(crash_witness_test, reports_until_the_leader_has_answered_and_anew_to_the_next_one)
+{
+    witness.on_confirmed(at(0), 1, at(0));
+    crash(crashing, "a", 0, 50);
+    witness.on_confirmed(at(80), 1, at(60)); // to a report from before the check
+    EXPECT_EQ(witness.unconfirmed().size(), 1U);
+    witness.on_confirmed(at(150), 1, at(100));
+    EXPECT_TRUE(witness.unconfirmed().empty());
+
+    // The next leader begins with nothing. Its first answer is to a report that held nothing.
+    witness.on_confirmed(at(300), 2, at(250));
+    EXPECT_EQ(witness.unconfirmed().size(), 1U);
+    witness.on_confirmed(at(400), 2, at(350));
+    EXPECT_TRUE(witness.unconfirmed().empty());
+}
+
+TEST_F(crash_witness_test, bounds_what_it_remembers)
+{
+    for (std::uint64_t n = 0; n < 2000; ++n) {
+        crash({n, n}, "a", static_cast<int>(n) * 10, static_cast<int>(n) * 10 + 5);
+    }
+    EXPECT_LE(witness.unconfirmed().size(), 256U);
+}
+
+} // namespace
+} // namespace cedarpoint
