--- /dev/null
+++ b/tests/quarantine/crashing_request_test.cpp
@@ -0,0 +1,250 @@
+// Guards against a request that ends each runner which runs it being sent to one after the other,
+// by many entry daemons, each of which has seen one or two of the ends.
+
+#include "daemon/site.h"
+#include "fleet/fleet_site.h"
+#include "io/clock.h"
+#include "support/fleet_processes.h"
+#include "support/open_loop_callers.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <random>
+#include <vector>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::call;
+using testing_support::fleet_processes;
+using testing_support::open_loop_callers;
+using testing_support::platform_runner;
+using testing_support::wait_until;
+
+// The promise, from the users' rules: once a request has ended three runners, at most three more
+// arrivals at runners from daemons that have been in touch for this long, ever after.
+constexpr std::size_t ends_that_suffice = 3;
+constexpr duration contact_time = seconds{3};
+constexpr std::size_t most_arrivals_after = 3;
+
+constexpr int runner_count = 12;
+
+/// A refusal without an attempt must not wait.
+constexpr duration at_once = milliseconds{500};
+
+/// Statuses that no sound request may get for what others did.
+constexpr int quarantined_status = 429;
+
+const std::string document = R"({"version":1,
+    "routes":[{"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
+               "timeoutMs":2000,"service":"shop","maxAttempts":3},
+              {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"unsafe",
+               "timeoutMs":2000,"service":"shop","maxAttempts":3}],
+    "services":[{"name":"shop"}]})";
+
+struct site_shape {
+    int entry_daemons = 0;
+    int net = 0; ///< of the loopback range; the next ones are this site's as well
+};
+
+// The name is that which the test library looks for.
+void PrintTo( // NOLINT(readability-identifier-naming)
+    const site_shape& in, std::ostream* out)
+{
+    *out << in.entry_daemons << " entry daemons";
+}
+
+/// What the request with `body` did to all runners.
+struct damage {
+    std::size_t ends = 0;           ///< runners that ended while they ran it
+    std::size_t arrivals_after = 0; ///< that the promise bounds
+};
+
+class a_fleet_with_a_crashing_request : public testing::TestWithParam<site_shape> {
+protected:
+    void SetUp() override
+    {
+        fleet.start_all();
+        for (int made = 0; made < runner_count; ++made) {
+            runners.push_back(std::make_unique<platform_runner>(
+                fmt::format("s-{}", made), "shop", fleet.controls(), std::uint64_t{1000}));
+            runners.back()->answer_time = milliseconds{20};
+            runners.back()->ended_by = "ends-runners";
+        }
+        ASSERT_TRUE(fleet.put(document));
+        for (const auto& entry : fleet.entries()) {
+            ASSERT_TRUE(wait_until([&] {
+                return call(entry, "GET", "/safe/x", "X-Cedarpoint-Request-Id: 0-w\r\n", "")
+                           .head.status == 200;
+            }));
+        }
+        pass_time(seconds{1});
+    }
+
+    static void pass_time(duration time)
+    {
+        wait_until([until = steady_now() + time] { return steady_now() > until; });
+    }
+
+    /// Callers of one body, on a safe or on an unsafe route.
+    std::unique_ptr<open_loop_callers> ask(double per_second, const std::string& name,
+                                           const std::string& target, const std::string& body)
+    {
+        return std::make_unique<open_loop_callers>(
+            fleet.entries(), per_second, name, [target, body](std::size_t) {
+                return open_loop_callers::request{"POST", target, body};
+            });
+    }
+
+    /// Callers whose requests all differ.
+    std::unique_ptr<open_loop_callers> ask_sound(double per_second)
+    {
+        return std::make_unique<open_loop_callers>(
+            fleet.entries(), per_second, "sound", [](std::size_t n) {
+                return open_loop_callers::request{"POST", "/safe/x", fmt::format("sound {}", n)};
+            });
+    }
+
+    [[nodiscard]] damage damage_of(const std::string& body) const
+    {
+        std::vector<instant> arrivals;
+        for (const auto& runner : runners) {
+            for (const auto& each : runner->arrivals) {
+                if (each.body == body) {
+                    arrivals.push_back(each.at);
+                }
+            }
+        }
+        std::sort(arrivals.begin(), arrivals.end());
+        damage out;
+        out.ends = arrivals.size(); // each ends its runner, or comes while it is ending
+        if (arrivals.size() >= ends_that_suffice) {
+            const auto counted_from =
+                arrivals[ends_that_suffice - 1] + runners[0]->time_to_end + contact_time;
+            out.arrivals_after = static_cast<std::size_t>(std::count_if(
+                arrivals.begin(), arrivals.end(), [&](instant at) { return at > counted_from; }));
+        }
+        return out;
+    }
+
+    static void expect_no_quarantine(const open_loop_callers& callers)
+    {
+        for (const auto& each : callers.results) {
+            EXPECT_NE(each.status, quarantined_status) << each.text;
+        }
+    }
+
+    void expect_promise(const std::string& body) const
+    {
+        const auto done = damage_of(body);
+        EXPECT_GE(done.ends, ends_that_suffice) << body << " is what it is meant to be";
+        EXPECT_LE(done.arrivals_after, most_arrivals_after)
+            << body << ", " << done.ends << " in all";
+    }
+
+    /// Tests run side by side, so that each needs addresses of its own.
+    [[nodiscard]] static int net_of_this_test()
+    {
+        const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+        if (name.starts_with("sends_it")) {
+            return GetParam().net;
+        }
+        return GetParam().net + (name.starts_with("keeps") ? 1 : 2);
+    }
+
+    int net = net_of_this_test();
+    fleet_processes fleet{
+        {net, GetParam().entry_daemons, fmt::format("quarantine-{}", net), false}};
+    std::vector<std::unique_ptr<platform_runner>> runners;
+};
+
+const std::string repeatable = "ends-runners, may be repeated";
+const std::string unrepeatable = "ends-runners, may not";
+
+TEST_P(a_fleet_with_a_crashing_request, sends_it_to_few_more_runners_once_three_have_ended)
+{
+    const auto sound = ask_sound(30);
+    auto first = ask(5, "first", "/safe/x", repeatable);
+    auto second = ask(4, "second", "/once/x", unrepeatable);
+    pass_time(seconds{9});
+    expect_promise(repeatable);
+    expect_promise(unrepeatable);
+    for (const auto* callers : {first.get(), second.get()}) {
+        ASSERT_FALSE(callers->results.empty());
+        EXPECT_EQ(callers->results.back().status, quarantined_status);
+        EXPECT_LT(callers->results.back().took, at_once);
+    }
+
+    // The leader is lost.
+    const auto lost = fleet.leader();
+    ASSERT_TRUE(lost.has_value());
+    fleet.at(*lost).signal(SIGKILL);
+    pass_time(seconds{3});
+    fleet.start(*lost, false);
+    expect_promise(repeatable);
+    expect_promise(unrepeatable);
+
+    // Every entry daemon is lost, one after the other.
+    for (int which = fleet_processes::control_count; which < fleet.count(); ++which) {
+        fleet.at(which).signal(SIGKILL);
+        pass_time(milliseconds{100});
+        fleet.start(which, false);
+        pass_time(milliseconds{150});
+    }
+    expect_promise(repeatable);
+    expect_promise(unrepeatable);
+
+    // It pauses, and comes again.
+    first.reset();
+    second.reset();
+    pass_time(seconds{10});
+    first = ask(5, "again", "/safe/x", repeatable);
+    pass_time(seconds{3});
+    expect_promise(repeatable);
+    expect_no_quarantine(*sound);
+}
+
+TEST_P(a_fleet_with_a_crashing_request, keeps_serving_a_popular_request_while_runners_end)
+{
+    // Something else ends the runners; the popular request is in flight at each of them.
+    const auto popular = ask(60, "popular", "/safe/x", "popular");
+    for (int round = 0; round < 3; ++round) {
+        for (std::size_t which = 0; which < runners.size(); which += 2) {
+            runners[which]->crash();
+            pass_time(milliseconds{300});
+        }
+        // Several at once, with their rack.
+        for (std::size_t which = 1; which < 8; which += 2) {
+            runners[which]->crash();
+        }
+        pass_time(seconds{3});
+    }
+    expect_no_quarantine(*popular);
+    EXPECT_GT(popular->served_share(steady_now() - seconds{2}, steady_now()), 0.95);
+}
+
+TEST_P(a_fleet_with_a_crashing_request, tells_it_from_the_requests_beside_it)
+{
+    // Ten sound requests are in flight at each runner when the crashing one comes.
+    for (const auto& runner : runners) {
+        runner->answer_time = milliseconds{400};
+        runner->slots = 16;
+    }
+    const auto beside = ask_sound(runner_count * 10 / 0.4);
+    pass_time(seconds{1});
+    const auto crashing = ask(4, "crashing", "/safe/x", repeatable);
+    pass_time(seconds{9});
+    expect_promise(repeatable);
+    expect_no_quarantine(*beside);
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, a_fleet_with_a_crashing_request,
+                         testing::Values(site_shape{8, 236}, site_shape{30, 240}),
+                         [](const auto& each) {
+                             return fmt::format("{}_entry_daemons", each.param.entry_daemons);
+                         });
+
+} // namespace
+} // namespace cedarpoint
