A request under which three runners have ended is quarantined by the whole fleet

What callers saw: up to 47 runners ended under one request; a tenth and more of the requests for the same model were refused or cut for seconds at a time, by a request that was not theirs. Cause: the end of a runner was taken as a fault of that runner alone. The evidence that it is the request belongs to all daemons (each had seen one or two of its ends), and nobody added it up; each daemon's own retries sent it on to the next runner at once. Change: entry daemons report which contents were in flight at a runner that closed the connection and refuses new ones; the leader adds up (quarantine/crash_ledger, crash_cause), puts the decision into the log and tells all daemons with the view. Three ends one after the other decide; ends at the same time count once (a rack), any whole answer clears a request, an end that a quarantined request explains counts for no other, and while two requests explain the same ends equally well the next one tells. After two ends a try is not repeated. The refusal comes at once, 429 with a text of its own and Retry-After 3600: it has not run. The popular request, and ten sound ones beside it at each runner, are never refused for it. Why this works: the sum is made in one place from facts that merge in any order; a new leader gets them anew, and the decision itself outlives every process.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -9,7 +9,7 @@
 #include "cedarpoint/fleet/platform_adapter.h"
 #include "cedarpoint/fleet/runner_registry.h"
 #include "cedarpoint/fleet/view_builder.h"
-#include "cedarpoint/quarantine/crash_ledger.h"
+#include "cedarpoint/quarantine/quarantine_controller.h"
 #include "cedarpoint/rate_limits/permit_allocator.h"
 
 #include <cstdint>
@@ -67,13 +67,15 @@
     std::function<void(std::uint64_t version, const reason&)> on_unreadable_configuration;
     /// Told when an entry daemon has reported on a request under which runners ended.
     std::function<void(instant now, const request_fingerprint&, const crash_history&)> on_crashes;
+    /// Told when a request is to be quarantined.
+    std::function<void(instant now, const quarantine_order&)> on_quarantine;
+    /// An operator has lifted the quarantine of a request, and the log holds that.
+    void on_quarantine_lifted(instant now, const request_fingerprint& request);
 
 private:
-    /// Requests of the whole fleet that are remembered as suspected.
-    static constexpr std::size_t most_suspected = 256;
-
     void take_configuration();
     void take_rate_limits(instant now, const daemon_id& follower, rate_limit_sightings in);
+    void add_quarantines(instant now, std::vector<planner_step>& steps);
     void take_crashes(instant now, const daemon_id& follower, crash_histories in);
     [[nodiscard]] wire::fleet_update make_update(instant now, std::uint64_t from) const;
 
@@ -89,7 +91,7 @@
     std::uint64_t viewed_version_ = 0; ///< of the configuration in the view
     follower_tracker followers_;
     permit_allocator rate_limits_;
-    crash_ledger crashes_{most_suspected};
+    quarantine_controller quarantine_;
     std::vector<planner_step> records_; ///< commands for the log, until the next tick
     std::uint64_t term_ = 0;
 };
--- a/include/cedarpoint/fleet/fleet_state.h
+++ b/include/cedarpoint/fleet/fleet_state.h
@@ -4,12 +4,14 @@
 #include "cedarpoint/core/endpoint.h"
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/units.h"
+#include "cedarpoint/quarantine/request_fingerprint.h"
 #include "control.pb.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,6 +64,13 @@
         return registrations_;
     }
     [[nodiscard]] const std::map<group_id, formed_group>& groups() const { return groups_; }
+    /// Requests that are sent to no runner any more, until an operator lifts that.
+    [[nodiscard]] const std::set<request_fingerprint>& quarantined() const { return quarantined_; }
+    /// The latest of those whose quarantine was lifted.
+    [[nodiscard]] const std::set<request_fingerprint>& lifted() const { return lifted_; }
+    /// What the log says of a quarantined request; null if it is none.
+    [[nodiscard]] const wire::quarantined_request*
+    find_quarantined(const request_fingerprint& request) const;
 
     // Commands for the log.
     [[nodiscard]] static std::string put_configuration(std::uint64_t version,
@@ -74,6 +83,8 @@
     [[nodiscard]] static std::string form_group(const formed_group& group);
     /// The group's head is not open any more and will not be again.
     [[nodiscard]] static std::string end_group(const group_id& group);
+    [[nodiscard]] static std::string quarantine(const wire::quarantined_request& request);
+    [[nodiscard]] static std::string lift_quarantine(const request_fingerprint& request);
 
 private:
     struct departure {
@@ -85,15 +96,23 @@
     void note_registration(registered_runner in);
     void note_formed(formed_group in);
     void note_departure(const wire::departure& in);
+    void note_quarantine(const wire::quarantined_request& in);
 
     /// Departures that are remembered; old ones only take up room.
     static constexpr std::size_t most_departures = 20'000;
 
+    /// The same for quarantines and for lifted ones. A request that is forgotten has to end runners
+    /// again before it is known.
+    static constexpr std::size_t most_quarantined = 1'000;
+
     wire::accepted_configuration configuration_;
     std::map<runner_id, departure> departures_;
     std::deque<runner_id> departure_order_;
     std::map<runner_id, registered_runner> registrations_;
     std::map<group_id, formed_group> groups_;
+    std::deque<wire::quarantined_request> quarantine_log_; ///< the latest of each, oldest first
+    std::set<request_fingerprint> quarantined_;
+    std::set<request_fingerprint> lifted_;
 };
 
 /// The text of a configuration that came with a view or out of the log; empty if it is damaged.
--- a/include/cedarpoint/fleet/fleet_view.h
+++ b/include/cedarpoint/fleet/fleet_view.h
@@ -58,5 +58,6 @@
 std::string configuration_key();
 std::string runner_key(const std::string& runner);
 std::string group_key(const std::string& group);
+std::string request_key(const std::string& fingerprint);
 
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/view_content.h
+++ b/include/cedarpoint/fleet/view_content.h
@@ -3,6 +3,7 @@
 #include "cedarpoint/core/endpoint.h"
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/units.h"
+#include "cedarpoint/quarantine/crash_observation.h"
 
 #include <map>
 #include <vector>
@@ -31,10 +32,12 @@
     bool accepting = true;          ///< false while it retires
 };
 
-/// The runners and groups of a view.
+/// The runners and groups of a view, and the requests that are dangerous to runners.
 struct view_content {
     std::map<runner_id, view_runner> runners; ///< plain ones, and heads of groups
     std::map<group_id, view_group> groups;
+    /// Requests under which runners have ended. 0: an operator has lifted its quarantine.
+    crash_counts crashes;
 };
 
 } // namespace cedarpoint
--- a/include/cedarpoint/quarantine/crash_witness.h
+++ b/include/cedarpoint/quarantine/crash_witness.h
@@ -33,8 +33,9 @@
     crash_histories on_checked(instant now, const runner_id& runner, bool refused);
     /// A runner's whole answer to the request has come.
     void on_answer(instant now, const request_fingerprint& request);
-    /// Replaces what the leader knows.
-    void set_shared(crash_counts counts);
+    /// Replaces what the leader knows. What was seen of a request whose count has become 0 is
+    /// forgotten.
+    void set_shared(instant now, crash_counts counts);
 
     /// False while no request is suspected: then a fingerprint need not be computed.
     [[nodiscard]] bool is_watching() const
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace cedarpoint {
 namespace {
@@ -70,20 +71,35 @@
     log_line("configuration_unreadable").with("version", version).with("reason", why.str()).write();
 }
 
+std::string describe(instant now, const std::vector<crash_observation>& crashes)
+{
+    std::string out;
+    for (const auto& each : crashes) {
+        out += fmt::format("{}{} {} ms ago seen by {} as {}", out.empty() ? "" : ", ",
+                           each.runner.str(), to_ms(now - each.ended_at), each.daemon.str(),
+                           each.request.str());
+    }
+    return out;
+}
+
 /// One line for each request under which a second runner ended, and each one after that: those with
 /// one are many, and entry daemons log them.
 void log_crashes(instant now, const request_fingerprint& request, const crash_history& known)
 {
-    if (known.crashes.size() < std::size_t{crashes_to_stop_retries}) {
-        return;
+    if (known.crashes.size() >= std::size_t{crashes_to_stop_retries}) {
+        log_line("request_crashes")
+            .with("fingerprint", request.str())
+            .with("runners", describe(now, known.crashes))
+            .write();
     }
-    std::string runners;
-    for (const auto& each : known.crashes) {
-        runners += fmt::format("{}{} {} ms ago seen by {} as {}", runners.empty() ? "" : ", ",
-                               each.runner.str(), to_ms(now - each.ended_at), each.daemon.str(),
-                               each.request.str());
-    }
-    log_line("request_crashes").with("fingerprint", request.str()).with("runners", runners).write();
+}
+
+void log_quarantine(instant now, const quarantine_order& order)
+{
+    log_line("quarantine")
+        .with("fingerprint", order.request.str())
+        .with("runners", describe(now, order.crashes))
+        .write();
 }
 
 } // namespace
@@ -96,6 +112,7 @@
     leader_.set_event_handler(log_group);
     leader_.on_unreadable_configuration = log_unreadable;
     leader_.on_crashes = log_crashes;
+    leader_.on_quarantine = log_quarantine;
 }
 
 control_daemon::~control_daemon() = default;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -192,6 +192,8 @@
         static_cast<double>(context_.targets.permits().count_limited()));
     context_.metrics.set_suspected_requests(
         static_cast<double>(context_.crashes.count_suspected()));
+    context_.metrics.set_quarantined_requests(
+        static_cast<double>(context_.crashes.count_quarantined()));
     check_stop(now);
 }
 
@@ -209,7 +211,9 @@
         accepted->revision() != unreadable_version_) {
         take_configuration(*accepted);
     }
-    context_.targets.update(decode(view.items()));
+    auto content = decode(view.items());
+    context_.targets.update(content);
+    context_.crashes.set_shared(steady_now(), std::move(content.crashes));
     for (const auto& each : std::vector(requests_.begin(), requests_.end())) {
         each->on_targets_changed();
     }
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -33,6 +33,8 @@
                               .Add({})},
       suspected_requests_{registry_.add_gauge("cedarpoint_suspected_requests",
                                               "Requests under which runners have ended")},
+      quarantined_requests_{registry_.add_gauge("cedarpoint_quarantined_requests",
+                                                "Requests that are sent to no runner")},
       runner_ends_{registry_
                        .add_counters("cedarpoint_runner_ends_total",
                                      "Runners that ended with requests of this daemon in flight")
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -24,6 +24,7 @@
     void set_in_flight(double count) { in_flight_.Set(count); }
     /// Requests under which runners have ended, as the leader tells.
     void set_suspected_requests(double count) { suspected_requests_.Set(count); }
+    void set_quarantined_requests(double count) { quarantined_requests_.Set(count); }
     /// A runner has ended while this daemon had requests in flight there.
     void count_runner_end() { runner_ends_.Increment(); }
     void set_rate_limited_runners(double count) { rate_limited_runners_.Set(count); }
@@ -45,6 +46,7 @@
     prometheus::Gauge& rate_limited_runners_;
     prometheus::Counter& rate_limited_sends_;
     prometheus::Gauge& suspected_requests_;
+    prometheus::Gauge& quarantined_requests_;
     prometheus::Counter& runner_ends_;
     // Looked up once: a family searches its labels at each call, which costs on the path of a
     // request.
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -89,6 +89,10 @@
     if (!is_admitted()) {
         return;
     }
+    if (is_quarantined()) {
+        answer(own_answer::quarantined, "");
+        return;
+    }
     const auto left = std::chrono::duration_cast<milliseconds>(admission_.deadline - arrived_);
     deadline_timer_.start(static_cast<int>(left.count()));
     if (!admission_.model.empty()) {
@@ -232,7 +236,8 @@
 void relay::on_stalled()
 {
     if (ended_ || !attempt_->is_running() ||
-        !may_send_again(facts_, attempt_outcome::may_have_run)) {
+        !may_send_again(facts_, attempt_outcome::may_have_run) ||
+        may_end_more_runners(attempt_outcome::may_have_run)) {
         return;
     }
     const auto now = steady_now();
@@ -303,6 +308,20 @@
     return *fingerprint_;
 }
 
+bool relay::is_quarantined()
+{
+    return context_.crashes.is_watching() &&
+           context_.crashes.is_quarantined(steady_now(), fingerprint());
+}
+
+bool relay::may_end_more_runners(attempt_outcome outcome)
+{
+    if (outcome == attempt_outcome::not_run) {
+        return is_quarantined();
+    }
+    return context_.crashes.is_watching() && !context_.crashes.may_retry(fingerprint());
+}
+
 void relay::note_end(const attempt_verdict& verdict)
 {
     auto& crashes = context_.crashes;
@@ -332,11 +351,14 @@
         return;
     }
     log_attempt(verdict);
-    if (may_send_again(facts_, verdict.outcome)) {
-        try_next();
+    if (!may_send_again(facts_, verdict.outcome)) {
+        give_up(verdict.why);
+    }
+    else if (may_end_more_runners(verdict.outcome)) {
+        give_up("runners have ended under this request");
     }
     else {
-        give_up(verdict.why);
+        try_next();
     }
 }
 
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -53,6 +53,9 @@
     /// Tells the crash witness what the attempt's end shows of the request.
     void note_end(const attempt_verdict& verdict);
     [[nodiscard]] const request_fingerprint& fingerprint();
+    [[nodiscard]] bool is_quarantined();
+    /// True if another attempt is not worth the runner that it might end.
+    [[nodiscard]] bool may_end_more_runners(attempt_outcome outcome);
     void on_stalled();
     /// Cancels the attempt under way; the request goes on elsewhere, as far as it may.
     void move_on(const char* why);
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -70,11 +70,12 @@
     http_head head{shape.status, {}};
     head.fields.add(context_.platform.headers().request_id, id_);
     head.fields.add("Content-Type", "application/json");
-    if (shape.invites_retry) {
-        head.fields.add("Retry-After", std::string{retry_after_seconds});
+    if (!shape.retry_after.empty()) {
+        head.fields.add("Retry-After", std::string{shape.retry_after});
     }
     reply_->send(std::move(head), fmt::format("{{\"error\":\"{}\"}}", shape.wire_text));
-    const bool refused = shape.status == http_status::service_unavailable;
+    const bool refused = shape.status == http_status::service_unavailable ||
+                         shape.status == http_status::too_many_requests;
     finish(refused ? "refused" : "rejected", why.empty() ? shape.log_cause : why);
 }
 
@@ -124,6 +125,7 @@
         .with("sent", facts_.sent)
         .with("ms", to_ms(steady_now() - arrived_))
         .with("config", routes_ != nullptr ? routes_->version() : 0)
+        .with("fingerprint", fingerprint_ ? fingerprint_->str() : "")
         .write();
     on_end_(shared_from_this());
 }
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -35,7 +35,7 @@
     reports_.clear();
     followers_.clear();
     rate_limits_.clear(term);
-    crashes_.clear();
+    quarantine_.clear();
     view_ = {};
     viewed_version_ = 0;
     records_.clear();
@@ -71,12 +71,33 @@
         steps.push_back(make_record(fleet_state::remove_runner(runner)));
         rate_limits_.forget(runner);
     }
+    add_quarantines(now, steps);
     auto planned = planner_.tick(now);
     steps.insert(steps.end(), std::make_move_iterator(planned.begin()),
                  std::make_move_iterator(planned.end()));
     return steps;
 }
 
+void fleet_leader::add_quarantines(instant now, std::vector<planner_step>& steps)
+{
+    for (const auto& order : quarantine_.decide(now, state_.quarantined())) {
+        wire::quarantined_request record;
+        record.set_fingerprint(order.request.str());
+        for (const auto& crash : order.crashes) {
+            *record.add_crashes() = encode_crash(now, crash);
+        }
+        steps.push_back(make_record(fleet_state::quarantine(record)));
+        if (on_quarantine) {
+            on_quarantine(now, order);
+        }
+    }
+}
+
+void fleet_leader::on_quarantine_lifted(instant now, const request_fingerprint& request)
+{
+    quarantine_.on_lifted(now, request);
+}
+
 bool fleet_leader::announce(instant now, const announcement& in)
 {
     // An entry that names a service of nobody must not take the address of a runner in use.
@@ -136,7 +157,9 @@
         viewed_version_ = state_.version();
         view_.set_configuration(state_.configuration());
     }
-    view_.replace(encode(view_builder_.build(now, *configuration_, planner_.groups())));
+    auto content = view_builder_.build(now, *configuration_, planner_.groups());
+    content.crashes = quarantine_.counts(state_.quarantined(), state_.lifted());
+    view_.replace(encode(content));
 }
 
 wire::fleet_update fleet_leader::make_update(instant now, std::uint64_t from) const
@@ -186,8 +209,10 @@
         for (auto& crash : history.crashes) {
             crash.daemon = follower;
         }
-        crashes_.merge(request, history);
-        if (const auto* known = crashes_.find(request); on_crashes && known != nullptr) {
+    }
+    quarantine_.on_report(in);
+    for (const auto& [request, history] : in) {
+        if (const auto* known = quarantine_.find(request); on_crashes && known != nullptr) {
             on_crashes(now, request, *known);
         }
     }
--- a/src/fleet/fleet_messages.cpp
+++ b/src/fleet/fleet_messages.cpp
@@ -50,6 +50,15 @@
     return item;
 }
 
+wire::fleet_item encode_item(const request_fingerprint& request, int crashes)
+{
+    wire::fleet_item item;
+    item.set_key(request_key(request.str()));
+    item.mutable_crashes()->set_fingerprint(request.str());
+    item.mutable_crashes()->set_count(static_cast<std::uint32_t>(crashes));
+    return item;
+}
+
 view_runner decode_runner(const wire::fleet_runner& in, const endpoint& address)
 {
     view_runner out;
@@ -145,6 +154,9 @@
     for (const auto& [name, group] : in.groups) {
         out[group_key(name.str())] = encode_item(group);
     }
+    for (const auto& [request, crashes] : in.crashes) {
+        out[request_key(request.str())] = encode_item(request, crashes);
+    }
     return out;
 }
 
@@ -156,6 +168,11 @@
             auto group = decode_group(item.group());
             out.groups[group.name] = std::move(group);
         }
+        else if (item.has_crashes()) {
+            if (const auto request = request_fingerprint::parse(item.crashes().fingerprint())) {
+                out.crashes[*request] = static_cast<int>(item.crashes().count());
+            }
+        }
         else if (const auto address = endpoint::parse(item.runner().address())) {
             auto runner = decode_runner(item.runner(), *address);
             out.runners[runner.id] = std::move(runner);
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/packing.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cedarpoint {
@@ -125,6 +126,21 @@
     return out.SerializeAsString();
 }
 
+std::string fleet_state::quarantine(const wire::quarantined_request& request)
+{
+    wire::fleet_command out;
+    *out.mutable_quarantined() = request;
+    return out.SerializeAsString();
+}
+
+std::string fleet_state::lift_quarantine(const request_fingerprint& request)
+{
+    wire::quarantined_request out;
+    out.set_fingerprint(request.str());
+    out.set_lifted(true);
+    return quarantine(out);
+}
+
 std::string fleet_state::apply(const std::string& command)
 {
     // A command that can't be read was written by a later version: it changes nothing here.
@@ -148,6 +164,9 @@
         if (in.has_lost()) {
             registrations_.erase(runner_id{in.lost().runner()});
         }
+        if (in.has_quarantined()) {
+            note_quarantine(in.quarantined());
+        }
     }
     wire::fleet_command_answer out;
     out.set_version(configuration_.revision());
@@ -194,6 +213,37 @@
     }
 }
 
+void fleet_state::note_quarantine(const wire::quarantined_request& in)
+{
+    const auto request = request_fingerprint::parse(in.fingerprint());
+    if (!request) {
+        return; // no version writes such a record
+    }
+    std::erase_if(quarantine_log_,
+                  [&](const auto& each) { return each.fingerprint() == in.fingerprint(); });
+    quarantine_log_.push_back(in);
+    quarantined_.erase(*request);
+    lifted_.erase(*request);
+    (in.lifted() ? lifted_ : quarantined_).insert(*request);
+    while (quarantine_log_.size() > most_quarantined) {
+        const auto oldest = request_fingerprint::parse(quarantine_log_.front().fingerprint());
+        quarantined_.erase(*oldest);
+        lifted_.erase(*oldest);
+        quarantine_log_.pop_front();
+    }
+}
+
+const wire::quarantined_request*
+fleet_state::find_quarantined(const request_fingerprint& request) const
+{
+    const auto name = request.str();
+    const auto found =
+        std::find_if(quarantine_log_.begin(), quarantine_log_.end(), [&](const auto& each) {
+            return each.fingerprint() == name && !each.lifted();
+        });
+    return found == quarantine_log_.end() ? nullptr : &*found;
+}
+
 const fleet_state::departure* fleet_state::find_departure(const runner_id& runner) const
 {
     const auto found = departures_.find(runner);
@@ -236,6 +286,9 @@
     for (const auto& [name, group] : groups_) {
         *out.add_groups() = encode(group);
     }
+    for (const auto& request : quarantine_log_) {
+        *out.add_quarantined() = request;
+    }
     return out.SerializeAsString();
 }
 
@@ -250,6 +303,9 @@
     departure_order_.clear();
     registrations_.clear();
     groups_.clear();
+    quarantine_log_.clear();
+    quarantined_.clear();
+    lifted_.clear();
     for (const auto& each : in.registrations()) {
         if (auto runner = decode(each)) {
             registrations_[runner->runner] = std::move(*runner);
@@ -261,6 +317,9 @@
     for (const auto& mark : in.departures()) {
         note_departure(mark);
     }
+    for (const auto& request : in.quarantined()) {
+        note_quarantine(request);
+    }
     return true;
 }
 
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -22,6 +22,11 @@
     return "group/" + group;
 }
 
+std::string request_key(const std::string& fingerprint)
+{
+    return "request/" + fingerprint;
+}
+
 void view_source::put(const std::string& key, wire::fleet_item item)
 {
     item.set_key(key);
--- a/src/quarantine/crash_witness.cpp
+++ b/src/quarantine/crash_witness.cpp
@@ -62,8 +62,15 @@
     own_causes_ = find_crash_causes(own_, quarantined_);
 }
 
-void crash_witness::set_shared(crash_counts counts)
+void crash_witness::set_shared(instant now, crash_counts counts)
 {
+    for (const auto& [request, crashes] : counts) {
+        const auto before = shared_.find(request);
+        const bool is_news = before == shared_.end() || before->second != 0;
+        if (crashes == 0 && is_news && own_.find(request) != nullptr) {
+            own_.on_answer(now, request);
+        }
+    }
     shared_ = std::move(counts);
     quarantined_.clear();
     for (const auto& [request, crashes] : shared_) {
--- /dev/null
+++ b/src/quarantine/quarantine_controller.cpp
@@ -0,0 +1,81 @@
+#include "cedarpoint/quarantine/quarantine_controller.h"
+
+#include "cedarpoint/quarantine/crash_cause.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cedarpoint {
+namespace {
+
+/// Requests of the whole fleet that are remembered as suspected.
+constexpr std::size_t most_requests = 256;
+
+/// An order whose entry in the log may be lost is given again after this.
+constexpr duration order_interval = seconds{1};
+
+} // namespace
+
+quarantine_controller::quarantine_controller() : ledger_{most_requests} {}
+
+void quarantine_controller::clear()
+{
+    ledger_.clear();
+    ordered_at_.clear();
+    causes_.clear();
+    has_news_ = false;
+}
+
+void quarantine_controller::on_report(const crash_histories& in)
+{
+    for (const auto& [request, history] : in) {
+        ledger_.merge(request, history);
+        has_news_ = true;
+    }
+}
+
+std::vector<quarantine_order>
+quarantine_controller::decide(instant now, const std::set<request_fingerprint>& quarantined)
+{
+    if (std::exchange(has_news_, false) || decided_for_ != quarantined) {
+        causes_ = find_crash_causes(ledger_, quarantined);
+        decided_for_ = quarantined;
+    }
+    std::erase_if(ordered_at_, [&](const auto& each) { return !causes_.contains(each.first); });
+    std::vector<quarantine_order> out;
+    for (const auto& cause : causes_) {
+        const auto [ordered, is_new] = ordered_at_.try_emplace(cause, now);
+        if (is_new || now - ordered->second >= order_interval) {
+            ordered->second = now;
+            out.push_back({cause, ledger_.find(cause)->crashes});
+        }
+    }
+    return out;
+}
+
+void quarantine_controller::on_lifted(instant now, const request_fingerprint& request)
+{
+    ledger_.on_answer(now, request);
+    has_news_ = true;
+}
+
+crash_counts quarantine_controller::counts(const std::set<request_fingerprint>& quarantined,
+                                           const std::set<request_fingerprint>& lifted) const
+{
+    crash_counts out;
+    for (const auto& request : lifted) {
+        out[request] = 0;
+    }
+    for (const auto& [request, history] : ledger_.histories()) {
+        // Below what quarantines: that is decided with the log.
+        if (const int crashes = ledger_.count(request, quarantined); crashes > 0) {
+            out[request] = std::min(crashes, crashes_to_quarantine - 1);
+        }
+    }
+    for (const auto& request : quarantined) {
+        out[request] = crashes_to_quarantine;
+    }
+    return out;
+}
+
+} // namespace cedarpoint
--- a/tests/entry/runner_request_test.cpp
+++ b/tests/entry/runner_request_test.cpp
@@ -66,18 +66,26 @@
     for (const auto kind :
          {own_answer::no_configuration, own_answer::not_run, own_answer::expired_unrun}) {
         EXPECT_EQ(shape_of(kind).status, 503);
-        EXPECT_TRUE(shape_of(kind).invites_retry);
+        EXPECT_FALSE(shape_of(kind).retry_after.empty());
     }
     for (const auto kind : {own_answer::no_route, own_answer::unknown_key,
                             own_answer::outcome_unknown, own_answer::expired}) {
         EXPECT_NE(shape_of(kind).status, 503);
-        EXPECT_FALSE(shape_of(kind).invites_retry);
+        EXPECT_TRUE(shape_of(kind).retry_after.empty());
     }
 }
 
+TEST(an_answer_of_the_daemon, tells_a_quarantined_request_from_a_service_without_room)
+{
+    const auto& shape = shape_of(own_answer::quarantined);
+    EXPECT_EQ(shape.status, 429);
+    EXPECT_NE(shape.wire_text.find("this request"), std::string_view::npos);
+    EXPECT_GT(std::stoi(std::string{shape.retry_after}), 60);
+}
+
 TEST(an_answer_of_the_daemon, stands_in_its_table_under_its_own_kind)
 {
-    for (int kind = 0; kind <= static_cast<int>(own_answer::expired); ++kind) {
+    for (int kind = 0; kind <= static_cast<int>(own_answer::quarantined); ++kind) {
         EXPECT_EQ(shape_of(static_cast<own_answer>(kind)).kind, static_cast<own_answer>(kind));
     }
 }
--- a/tests/quarantine/crash_witness_test.cpp
+++ b/tests/quarantine/crash_witness_test.cpp
@@ -86,14 +86,14 @@
 
 TEST_F(crash_witness_test, adds_what_others_saw_by_the_leader)
 {
-    witness.set_shared({{crashing, 2}});
+    witness.set_shared(at(350), {{crashing, 2}});
     EXPECT_TRUE(witness.is_watching());
     EXPECT_FALSE(witness.may_retry(crashing));
     EXPECT_TRUE(witness.may_retry(sound));
-    witness.set_shared({{crashing, 3}});
+    witness.set_shared(at(350), {{crashing, 3}});
     EXPECT_TRUE(witness.is_quarantined(at(0), crashing));
     EXPECT_EQ(witness.count_quarantined(), 1U);
-    witness.set_shared({});
+    witness.set_shared(at(350), {});
     EXPECT_FALSE(witness.is_quarantined(at(0), crashing));
 }
 
@@ -107,7 +107,7 @@
     }
     EXPECT_FALSE(witness.is_quarantined(at(300), sound)) << "nothing tells it from the other one";
     EXPECT_FALSE(witness.may_retry(sound));
-    witness.set_shared({{crashing, 3}});
+    witness.set_shared(at(350), {{crashing, 3}});
     EXPECT_TRUE(witness.may_retry(sound));
 }
 
@@ -120,11 +120,28 @@
     EXPECT_EQ(witness.unconfirmed().at(sound).answered_at, at(200));
 
     // One that only others suspect.
-    witness.set_shared({{crashing, 1}});
+    witness.set_shared(at(350), {{crashing, 1}});
     witness.on_answer(at(300), crashing);
     EXPECT_EQ(witness.unconfirmed().at(crashing).answered_at, at(300));
 }
 
+TEST_F(crash_witness_test, forgets_what_it_saw_of_a_request_whose_quarantine_is_lifted)
+{
+    crash(crashing, "a", 0, 50);
+    crash(crashing, "b", 50, 100);
+    crash(crashing, "c", 100, 150);
+    EXPECT_TRUE(witness.is_quarantined(at(200), crashing));
+    witness.set_shared(at(350), {{crashing, 0}});
+    EXPECT_FALSE(witness.is_quarantined(at(360), crashing));
+    EXPECT_TRUE(witness.may_retry(crashing));
+
+    // What comes after that counts again, also while the leader still tells that it was lifted.
+    crash(crashing, "d", 400, 450);
+    crash(crashing, "e", 450, 500);
+    witness.set_shared(at(510), {{crashing, 0}, {sound, 1}});
+    EXPECT_FALSE(witness.may_retry(crashing));
+}
+
 TEST_F(crash_witness_test, remembers_no_answer_to_a_request_that_nobody_suspects)
 {
     witness.on_answer(at(0), sound);
--- /dev/null
+++ b/tests/quarantine/quarantine_controller_test.cpp
@@ -0,0 +1,127 @@
+#include "cedarpoint/quarantine/quarantine_controller.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+const request_fingerprint crashing{1, 1};
+const request_fingerprint second_crashing{2, 2};
+const request_fingerprint sound{3, 3};
+
+instant at(int ms)
+{
+    return instant{} + seconds{1000} + milliseconds{ms};
+}
+
+class quarantine_controller_test : public testing::Test {
+protected:
+    /// A daemon reports that a runner ended with these requests in flight, sent `flight_ms` before.
+    void crash(const char* runner, int ended_ms,
+               const std::vector<std::pair<request_fingerprint, int>>& in_flight,
+               const char* daemon = "d-1")
+    {
+        crash_histories report;
+        for (const auto& [request, flight_ms] : in_flight) {
+            report[request].crashes = {{runner_id{runner}, at(ended_ms - flight_ms), at(ended_ms),
+                                        daemon_id{daemon}, request_id{"r"}}};
+        }
+        controller.on_report(report);
+    }
+
+    std::vector<request_fingerprint> decide(int ms)
+    {
+        std::vector<request_fingerprint> out;
+        for (const auto& order : controller.decide(at(ms), quarantined)) {
+            out.push_back(order.request);
+        }
+        return out;
+    }
+
+    quarantine_controller controller;
+    std::set<request_fingerprint> quarantined;
+};
+
+using requests = std::vector<request_fingerprint>;
+
+TEST_F(quarantine_controller_test, adds_up_what_several_daemons_have_seen)
+{
+    crash("a", 50, {{crashing, 50}}, "d-1");
+    crash("b", 200, {{crashing, 50}}, "d-2");
+    EXPECT_EQ(decide(210), requests{});
+    EXPECT_EQ(controller.counts(quarantined).at(crashing), 2);
+    crash("c", 400, {{crashing, 50}}, "d-3");
+    EXPECT_EQ(decide(410), requests{crashing});
+
+    // It is ordered again until the log holds it.
+    EXPECT_EQ(decide(430), requests{});
+    EXPECT_EQ(decide(1500), requests{crashing});
+    quarantined.insert(crashing);
+    EXPECT_EQ(decide(3000), requests{});
+    EXPECT_EQ(controller.counts(quarantined).at(crashing), crashes_to_quarantine);
+}
+
+TEST_F(quarantine_controller_test, names_the_crashes_that_show_why)
+{
+    crash("a", 50, {{crashing, 50}});
+    crash("b", 200, {{crashing, 50}});
+    crash("c", 400, {{crashing, 50}});
+    const auto orders = controller.decide(at(410), quarantined);
+    ASSERT_EQ(orders.size(), 1U);
+    ASSERT_EQ(orders[0].crashes.size(), 3U);
+    EXPECT_EQ(orders[0].crashes[2].runner, runner_id{"c"});
+}
+
+TEST_F(quarantine_controller_test, finds_two_at_once_and_spares_those_beside_them)
+{
+    // The sound one is sent again into the runners that the others end.
+    crash("a", 50, {{crashing, 50}, {sound, 20}});
+    crash("b", 100, {{crashing, 50}});
+    crash("c", 130, {{second_crashing, 60}, {sound, 40}});
+    crash("d", 200, {{second_crashing, 60}});
+    crash("e", 400, {{crashing, 50}, {sound, 10}});
+    // Both have three, and share two of them: the next crash will tell.
+    EXPECT_EQ(decide(410), requests{});
+    EXPECT_EQ(controller.counts(quarantined).at(crashing), crashes_to_quarantine - 1);
+    crash("f", 600, {{crashing, 50}});
+    EXPECT_EQ(decide(610), requests{crashing});
+    quarantined.insert(crashing);
+    EXPECT_EQ(controller.counts(quarantined).at(sound), 1);
+
+    crash("g", 800, {{second_crashing, 60}, {sound, 40}});
+    EXPECT_EQ(decide(810), requests{second_crashing});
+}
+
+TEST_F(quarantine_controller_test, does_not_wait_for_ever_where_two_are_always_together)
+{
+    for (int n = 0; n < 5; ++n) {
+        EXPECT_EQ(decide(n * 200), requests{});
+        const std::string runner{static_cast<char>('a' + n)};
+        crash(runner.c_str(), n * 200 + 50, {{crashing, 30}, {sound, 90}});
+    }
+    // Of the two, the one that was in flight for the shorter time; it explains the other's.
+    EXPECT_EQ(decide(1000), requests{crashing});
+}
+
+TEST_F(quarantine_controller_test, never_names_a_popular_request)
+{
+    for (int n = 0; n < 20; ++n) {
+        const std::string runner{static_cast<char>('a' + n)};
+        crash(runner.c_str(), n * 200, {{sound, 50}});
+        crash_histories answered;
+        answered[sound].answered_at = at(n * 200 + 100);
+        controller.on_report(answered);
+        EXPECT_EQ(decide(n * 200 + 110), requests{});
+    }
+    EXPECT_FALSE(controller.counts(quarantined).contains(sound));
+}
+
+TEST_F(quarantine_controller_test, forgets_all_with_a_new_term)
+{
+    crash("a", 50, {{crashing, 50}});
+    controller.clear();
+    EXPECT_TRUE(controller.counts(quarantined).empty());
+}
+
+} // namespace
+} // namespace cedarpoint
