Operators see quarantined requests and can lift one

Cause: a decision that lasts until someone takes it back needs a way to take it back; restarting every daemon would not have done it. Change: GET /cedarpoint/quarantine at a control daemon lists fingerprints with the crashes that show why (runner, daemon, request id); POST /cedarpoint/quarantine/FINGERPRINT/lift is committed to the log, told to entry daemons with the view, and makes all forget what was seen before. A new leader does not count again what daemons report from before the lift. What comes after it counts anew.

--- a/include/cedarpoint/fleet/control_call.h
+++ b/include/cedarpoint/fleet/control_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cedarpoint/core/ids.h"
+#include "cedarpoint/quarantine/request_fingerprint.h"
 
 #include <string_view>
 
@@ -13,16 +14,19 @@
     heartbeat,
     deregister,
     check_readiness,
+    list_quarantine, ///< requests that are sent to no runner
+    lift_quarantine,
     unknown
 };
 
 /// A name for metrics.
 std::string_view name_of(control_call call);
 
-/// A call, and the runner that makes it, if one does.
+/// A call, and what it is about.
 struct parsed_call {
     control_call call = control_call::unknown;
-    runner_id runner;
+    runner_id runner;            ///< that makes it, if one does
+    request_fingerprint request; ///< whose quarantine is lifted
 };
 
 } // namespace cedarpoint
--- a/src/control_daemon/control_api.cpp
+++ b/src/control_daemon/control_api.cpp
@@ -4,6 +4,7 @@
 #include "io/clock.h"
 #include "io/log_line.h"
 
+#include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
 
@@ -98,6 +99,12 @@
     case control_call::heartbeat:
         take_heartbeat(parsed.runner, request, reply);
         break;
+    case control_call::list_quarantine:
+        list_quarantine(reply);
+        break;
+    case control_call::lift_quarantine:
+        lift_quarantine(parsed.request, reply);
+        break;
     default:
         take_departure(parsed.runner, true, platform_.read_departing_life(request.body), reply);
         break;
@@ -207,4 +214,45 @@
     }
 }
 
+void control_api::list_quarantine(const reply_ptr& reply)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto& request : state_.quarantined()) {
+        nlohmann::json crashes = nlohmann::json::array();
+        if (const auto* record = state_.find_quarantined(request); record != nullptr) {
+            for (const auto& crash : record->crashes()) {
+                crashes.push_back({{"runner", crash.runner()},
+                                   {"daemon", crash.daemon()},
+                                   {"request", crash.request()}});
+            }
+        }
+        out.push_back({{"fingerprint", request.str()}, {"crashes", std::move(crashes)}});
+    }
+    answer(reply, http_status::ok, out.dump());
+}
+
+void control_api::lift_quarantine(const request_fingerprint& request, const reply_ptr& reply)
+{
+    if (!state_.quarantined().contains(request)) {
+        answer(reply, http_status::not_found, R"({"error":"this request is not quarantined"})");
+        return;
+    }
+    const bool proposed = hooks_.propose(
+        fleet_state::lift_quarantine(request),
+        [this, reply, request](const std::optional<std::string>& applied) {
+            log_line("quarantine_lifted")
+                .with("fingerprint", request.str())
+                .with("outcome", applied ? "accepted" : "unknown")
+                .write();
+            if (applied) {
+                leader_.on_quarantine_lifted(steady_now(), request);
+                hooks_.on_committed();
+            }
+            answer(reply, applied ? http_status::ok : http_status::service_unavailable, "{}");
+        });
+    if (!proposed) {
+        answer(reply, http_status::service_unavailable);
+    }
+}
+
 } // namespace cedarpoint
--- a/src/control_daemon/control_api.h
+++ b/src/control_daemon/control_api.h
@@ -49,6 +49,8 @@
     void get_configuration(const reply_ptr& reply);
     void take_heartbeat(const runner_id& runner, const http_request& request,
                         const reply_ptr& reply);
+    void list_quarantine(const reply_ptr& reply);
+    void lift_quarantine(const request_fingerprint& request, const reply_ptr& reply);
     /// `gone`: the runner ends; otherwise it drains.
     void take_departure(const runner_id& runner, bool gone, birth told, const reply_ptr& reply);
 
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -36,6 +36,9 @@
     followers_.clear();
     rate_limits_.clear(term);
     quarantine_.clear();
+    for (const auto& request : state_.lifted()) {
+        quarantine_.on_lifted(now, request); // daemons may report again what was before
+    }
     view_ = {};
     viewed_version_ = 0;
     records_.clear();
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -48,6 +48,59 @@
     EXPECT_FALSE(copy.is_leaving(runner_id{"i-3"}));
 }
 
+TEST(a_quarantine, lasts_until_it_is_lifted_and_outlives_a_snapshot)
+{
+    const request_fingerprint first{1, 1};
+    const request_fingerprint second{2, 2};
+    const auto put = [](fleet_state& state, const request_fingerprint& request) {
+        wire::quarantined_request record;
+        record.set_fingerprint(request.str());
+        record.add_crashes()->set_runner("i-1");
+        state.apply(fleet_state::quarantine(record));
+    };
+    fleet_state state;
+    put(state, first);
+    put(state, second);
+    put(state, second);
+    state.apply(fleet_state::lift_quarantine(first));
+    fleet_state copy;
+    ASSERT_TRUE(copy.restore(state.save()));
+    EXPECT_EQ(copy.quarantined(), std::set<request_fingerprint>{second});
+    EXPECT_EQ(copy.lifted(), std::set<request_fingerprint>{first});
+    ASSERT_NE(copy.find_quarantined(second), nullptr);
+    EXPECT_EQ(copy.find_quarantined(second)->crashes(0).runner(), "i-1");
+    EXPECT_EQ(copy.find_quarantined(first), nullptr);
+    EXPECT_EQ(copy.save(), state.save());
+
+    put(copy, first);
+    EXPECT_EQ(copy.quarantined().size(), 2U);
+    EXPECT_TRUE(copy.lifted().empty());
+}
+
+TEST(a_quarantine, is_bounded_and_the_oldest_goes_first)
+{
+    fleet_state state;
+    for (std::uint64_t n = 0; n < 1'500; ++n) {
+        wire::quarantined_request record;
+        record.set_fingerprint(request_fingerprint{n, n}.str());
+        state.apply(fleet_state::quarantine(record));
+    }
+    EXPECT_EQ(state.quarantined().size(), 1'000U);
+    EXPECT_FALSE(state.quarantined().contains({0, 0}));
+    EXPECT_TRUE(state.quarantined().contains({1'499, 1'499}));
+}
+
+TEST(a_quarantine, that_can_not_be_read_changes_nothing)
+{
+    fleet_state state;
+    wire::quarantined_request record;
+    record.set_fingerprint("not a fingerprint");
+    state.apply(fleet_state::quarantine(record));
+    EXPECT_TRUE(state.quarantined().empty());
+    fleet_state copy;
+    EXPECT_TRUE(copy.restore(state.save()));
+}
+
 TEST(a_registration, takes_the_address_from_the_runner_before)
 {
     fleet_state state;
--- a/tests/platform/platform_adapter_test.cpp
+++ b/tests/platform/platform_adapter_test.cpp
@@ -191,6 +191,17 @@
     EXPECT_EQ(beat.runner.str(), "i-7");
     EXPECT_EQ(platform.read_call("POST", "/cedarpoint/instances/i-7/deregister").call,
               control_call::deregister);
+    EXPECT_EQ(platform.read_call("GET", "/cedarpoint/quarantine").call,
+              control_call::list_quarantine);
+    const request_fingerprint request{1, 2};
+    const auto lift =
+        platform.read_call("POST", "/cedarpoint/quarantine/" + request.str() + "/lift");
+    EXPECT_EQ(lift.call, control_call::lift_quarantine);
+    EXPECT_EQ(lift.request, request);
+    for (const auto* wrong : {"/cedarpoint/quarantine", "/cedarpoint/quarantine/lift",
+                              "/cedarpoint/quarantine/12/lift", "/cedarpoint/quarantines"}) {
+        EXPECT_EQ(platform.read_call("POST", wrong).call, control_call::unknown) << wrong;
+    }
     EXPECT_EQ(platform.read_call("GET", "/cedarpoint/config/put").call, control_call::unknown);
     EXPECT_EQ(platform.read_call("POST", "/cedarpoint/instances/i-7").call, control_call::unknown);
 }
