After a suspension nothing is decided by timers that stood still, or on a right that has ended

Cause: steady_now counts a suspension, timers of libraries don't. And what waited for a connection in that time went out as it had been prepared: an order though the lease had ended (also after a slow connection or a frozen machine), a request with the time that was left before. Change: the entry daemon compares both clocks each tick; its requests look at their time limits when they differ (event=resumed). An order asks for the lease when its connection is there; a request is written then, with the time that is left, or not sent. A leader reads the clock again after its log has waited for the disk. A leader's answer counts as heard from when it was asked for. Evidence: a preloaded library of the tests holds the steady clock back between SIGSTOP and SIGCONT. Passed before and after: no old configuration is read at a suspended leader, all control daemons or all entry daemons suspended for 4 s, a planned stop suspended in its midst. Without a test of its own: the clock that is read again after the disk, and the request that is not sent any more.

--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -46,9 +46,9 @@
 
 void control_daemon::tick()
 {
-    const auto now = steady_now();
     mesh_.drain();
-    log_->tick(now);
+    log_->tick(steady_now());
+    const auto now = steady_now(); // the log may have waited for its disk, longer than a lease
     disk_.note(log_->refused_write());
     metrics_.set_disk_refuses(disk_.refuses());
     if (!can_go_on()) {
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -189,6 +189,7 @@
 void control_daemon::open_orders()
 {
     runner_orders::hooks hooks;
+    hooks.may_send = [this] { return leads(steady_now()); };
     hooks.on_order_end = [this](const group_order& order, order_result result) {
         on_order_end(order, result);
     };
--- a/src/control_daemon/runner_orders.cpp
+++ b/src/control_daemon/runner_orders.cpp
@@ -109,6 +109,11 @@
     request.connect_timeout = probe_timeout;
     const std::weak_ptr<call> weak = each;
     exchange_handlers handlers;
+    handlers.on_sent = [this, weak] {
+        if (const auto open = weak.lock()) {
+            on_connected(open);
+        }
+    };
     handlers.on_head = [weak](const http_head& head) {
         if (const auto open = weak.lock()) {
             open->status = head.status;
@@ -130,6 +135,15 @@
     pool_.give_back(std::exchange(each->connection, nullptr));
 }
 
+void runner_orders::on_connected(const call_ptr& each)
+{
+    if (hooks_.may_send()) {
+        return;
+    }
+    each->connection->cancel();
+    close(each);
+}
+
 void runner_orders::on_end(const call_ptr& each, exchange_end how)
 {
     close(each);
--- a/src/control_daemon/runner_orders.h
+++ b/src/control_daemon/runner_orders.h
@@ -27,6 +27,8 @@
 class runner_orders {
 public:
     struct hooks {
+        /// Asked when the connection is there: the right to give orders may have ended meanwhile.
+        std::function<bool()> may_send;
         std::function<void(const group_order&, order_result)> on_order_end;
         std::function<void(const runner_id&)> on_probe_answered;
         std::function<void(const runner_id&, probe_failure)> on_probe_failed;
@@ -48,6 +50,8 @@
     [[nodiscard]] std::string make_request(const planner_step& step) const;
     void start(const call_ptr& each);
     void start_timer(const call_ptr& each);
+    /// Drops the call unless orders may still be given.
+    void on_connected(const call_ptr& each);
     void on_end(const call_ptr& each, exchange_end how);
     void report_order(const call& each, exchange_end how);
     void report_probe(const call& each, exchange_end how);
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -57,7 +57,8 @@
                                                                   bool refused) {
           on_runner_end_checked(runner, refused);
       }},
-      mesh_{[this](const wire::envelope& in) { follower_.receive(steady_now(), in); }}
+      mesh_{[this](const wire::envelope& in) { follower_.receive(steady_now(), in); }},
+      suspensions_{steady_now(), timer_now()}
 {
 }
 
@@ -182,6 +183,7 @@
     const auto now = steady_now();
     ended_.clear();
     runner_ends_.clean_up();
+    check_suspension(now);
     mesh_.drain();
     follower_.tick(now);
     mesh_.drain();
@@ -197,6 +199,18 @@
     check_stop(now);
 }
 
+void entry_daemon::check_suspension(instant now)
+{
+    const auto time = suspensions_.take(now, timer_now());
+    if (time == duration{}) {
+        return;
+    }
+    log_line("resumed").with("suspended_ms", to_ms(time)).write();
+    for (const auto& each : std::vector(requests_.begin(), requests_.end())) {
+        each->on_resumed(now);
+    }
+}
+
 void entry_daemon::on_view(view_copy::outcome outcome)
 {
     context_.entry_daemons = follower_.followers();
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -8,6 +8,7 @@
 #include "entry/runner_end_checker.h"
 #include "io/http_listener.h"
 #include "io/mesh.h"
+#include "io/suspension_watch.h"
 
 #include <QTimer>
 
@@ -38,6 +39,8 @@
     bool open(reason& why);
     void tick();
     void check_stop(instant now);
+    /// Lets requests look at their time limits if the machine was suspended.
+    void check_suspension(instant now);
     void on_view(view_copy::outcome outcome);
     void take_configuration(const wire::accepted_configuration& accepted);
     [[nodiscard]] fleet_follower::hooks make_follower_hooks();
@@ -60,6 +63,7 @@
     std::unique_ptr<http_listener> ready_listener_;
     std::unique_ptr<http_listener> metrics_listener_;
     QTimer timer_;
+    suspension_watch suspensions_;
     std::uint64_t unreadable_version_ = 0; ///< of the latest configuration that can't be read
     instant stop_began_;
     bool closing_ = false; ///< a planned stop that accepts no connections any more
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -3,6 +3,7 @@
 #include "cedarpoint/fleet/crash_messages.h"
 #include "cedarpoint/fleet/fleet_messages.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cedarpoint {
@@ -101,7 +102,9 @@
         leader_ = from;
         hooks_.on_leader(leader_, true);
     }
-    heard_ = now;
+    // A message may have waited while this machine was suspended; an answer shows how long.
+    const instant asked_at{duration{update.stamp_us()}};
+    heard_ = std::max(heard_, update.stamp_us() == 0 || asked_at > now ? now : asked_at);
     if (update.followers() > 0) {
         followers_ = update.followers();
     }
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -93,8 +93,7 @@
         answer(own_answer::quarantined, "");
         return;
     }
-    const auto left = std::chrono::duration_cast<milliseconds>(admission_.deadline - arrived_);
-    deadline_timer_.start(static_cast<int>(left.count()));
+    start_deadline_timer(arrived_);
     if (!admission_.model.empty()) {
         ++context_.demand[admission_.model].started;
     }
@@ -102,6 +101,30 @@
     try_next();
 }
 
+void relay::start_deadline_timer(instant now)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(admission_.deadline - now);
+    deadline_timer_.start(static_cast<int>(std::max(left, milliseconds{0}).count()));
+}
+
+void relay::on_resumed(instant now)
+{
+    if (ended_ || admission_.route == nullptr) {
+        return;
+    }
+    if (now >= admission_.deadline) {
+        on_deadline();
+    }
+    else {
+        start_deadline_timer(now);
+    }
+}
+
+bool relay::has_time_to_send(instant now) const
+{
+    return admission_.deadline - now >= shortest_attempt;
+}
+
 bool relay::is_admitted()
 {
     const auto& names = context_.platform.headers();
@@ -134,7 +157,7 @@
         give_up(why_none(choice.outcome));
         return;
     }
-    if (admission_.deadline - now < shortest_attempt) {
+    if (!has_time_to_send(now)) {
         give_up("too little time is left");
         return;
     }
@@ -147,29 +170,34 @@
 
 void relay::send_to(const fleet_target& target)
 {
-    const auto left = std::chrono::duration_cast<milliseconds>(admission_.deadline - steady_now());
     tried_.insert(target.runner);
-    const auto next = std::make_shared<runner_attempt>(context_, target, make_options(target, left),
-                                                       make_handlers());
+    const auto next =
+        std::make_shared<runner_attempt>(context_, target, make_options(target), make_handlers());
     attempt_ = next;
     next->start();
 }
 
-runner_attempt::options relay::make_options(const fleet_target& target, milliseconds left) const
+std::string relay::make_request(const runner_id& runner) const
 {
-    const auto& route = *admission_.route;
+    const auto now = steady_now();
     runner_request own;
-    own.time_left = left;
-    own.expected_runner = target.runner;
+    own.time_left = std::chrono::duration_cast<milliseconds>(admission_.deadline - now);
+    own.expected_runner = runner;
     own.resume_after = cursor_.last_id();
     if (admission_.account != nullptr) {
         own.account = admission_.account->name;
     }
     if (!admission_.model.empty()) {
-        own.priority = engine_priority(route, admission_.account);
+        own.priority = engine_priority(*admission_.route, admission_.account);
     }
+    return serialize(request_, own, context_.platform.headers());
+}
+
+runner_attempt::options relay::make_options(const fleet_target& target) const
+{
+    const auto& route = *admission_.route;
     runner_attempt::options out;
-    out.request = serialize(request_, own, context_.platform.headers());
+    out.make_request = [this, runner = target.runner] { return make_request(runner); };
     out.id = id_;
     out.head_only = request_.method == "HEAD";
     out.expects_stream = is_stream();
@@ -185,6 +213,7 @@
     // The relay outlives its attempts: it ends them before it ends itself, and its owner keeps it
     // until none of its calls is under way.
     runner_attempt::handlers out;
+    out.may_send = [this] { return has_time_to_send(steady_now()); };
     out.on_sent = [this] { ++facts_.sent; };
     out.on_event = [this](std::string_view event) { return pass_on(event); };
     out.on_events_passed = [this] { hold_back_if_slow(); };
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -38,13 +38,17 @@
     void start();
     /// The view has changed. A stream whose group is no longer in it goes on elsewhere at once.
     void on_targets_changed();
+    /// The machine was suspended: the timer of the time limit is late.
+    void on_resumed(instant now);
 
 private:
+    void start_deadline_timer(instant now);
+    [[nodiscard]] bool has_time_to_send(instant now) const;
+    [[nodiscard]] std::string make_request(const runner_id& runner) const;
     [[nodiscard]] bool is_admitted();
     void try_next();
     void send_to(const fleet_target& target);
-    [[nodiscard]] runner_attempt::options make_options(const fleet_target& target,
-                                                       milliseconds left) const;
+    [[nodiscard]] runner_attempt::options make_options(const fleet_target& target) const;
     [[nodiscard]] runner_attempt::handlers make_handlers();
     [[nodiscard]] bool pass_on(std::string_view event);
     void hold_back_if_slow();
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -28,7 +28,7 @@
 {
     const auto self = shared_from_this();
     exchange_request request;
-    request.bytes = std::move(options_.request);
+    request.make_bytes = std::move(options_.make_request);
     request.head_only = options_.head_only;
     request.id_header = context_.platform.headers().request_id;
     request.id = options_.id;
@@ -45,7 +45,7 @@
     const auto weak = weak_from_this();
     exchange_handlers out;
     out.on_sent = [weak] {
-        if (const auto self = weak.lock()) {
+        if (const auto self = weak.lock(); self != nullptr && self->on_connected()) {
             self->on_sent();
         }
     };
@@ -86,6 +86,16 @@
     }
 }
 
+bool runner_attempt::on_connected()
+{
+    if (handlers_.may_send()) {
+        return true;
+    }
+    cancel();
+    handlers_.on_end({attempt_outcome::not_run, target_effect::none, "too little time is left"});
+    return false;
+}
+
 void runner_attempt::on_sent()
 {
     sent_at_ = steady_now();
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -24,7 +24,8 @@
 class runner_attempt final : public std::enable_shared_from_this<runner_attempt> {
 public:
     struct options {
-        std::string request;               ///< head and body as sent
+        /// Head and body, made when the connection is there: they tell the time that is left.
+        std::function<std::string()> make_request;
         std::string id;                    ///< that an authentic answer echoes
         bool head_only = false;            ///< the answer has no body
         bool expects_stream = false;       ///< of events
@@ -35,6 +36,7 @@
     };
     /// After `on_end` or `cancel` none is called.
     struct handlers {
+        std::function<bool()> may_send; ///< asked once the connection is there
         std::function<void()> on_sent;
         /// A whole event of a stream. False if it was not passed on.
         std::function<bool(std::string_view)> on_event;
@@ -73,6 +75,8 @@
     [[nodiscard]] const std::string& body() const { return body_; }
 
 private:
+    /// False if it is too late for the request; the attempt has ended then.
+    [[nodiscard]] bool on_connected();
     void on_sent();
     void on_head(const http_head& head);
     void on_body(const std::string& bytes);
--- a/src/io/runner_connection.cpp
+++ b/src/io/runner_connection.cpp
@@ -76,8 +76,12 @@
     if (!busy_) {
         return;
     }
+    if (request_.make_bytes) {
+        request_.bytes = request_.make_bytes();
+    }
     socket_.write(request_.bytes);
     request_.bytes.clear();
+    request_.make_bytes = nullptr;
 }
 
 void runner_connection::cancel()
--- a/src/io/runner_connection.h
+++ b/src/io/runner_connection.h
@@ -34,7 +34,9 @@
 
 /// One request for a kept connection.
 struct exchange_request {
-    std::string bytes;      ///< head and body as sent
+    std::string bytes; ///< head and body as sent
+    /// Makes the bytes when the connection is there, for what depends on the time. Empty: as given.
+    std::function<std::string()> make_bytes;
     bool head_only = false; ///< the answer has no body
     /// An answer that bears another value under this header belongs to an earlier request and is
     /// passed over. Empty: not checked.
--- a/src/quarantine/crash_witness.cpp
+++ b/src/quarantine/crash_witness.cpp
@@ -117,7 +117,7 @@
 
 void crash_witness::on_confirmed(instant now, std::uint64_t term, instant asked_at)
 {
-    leader_heard_at_ = now;
+    leader_heard_at_ = asked_at; // an answer may have waited while the machine was suspended
     if (std::exchange(term_, term) != term) {
         for (const auto& [request, history] : own_.histories()) {
             changed_at_[request] = now; // a new leader knows nothing of it
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <QProcess>
+#include <QProcessEnvironment>
 
 #include <csignal>
 #include <string>
@@ -10,8 +11,15 @@
 /// One process of the real program, a daemon of a fleet. Killed with its owner.
 class daemon_process {
 public:
-    daemon_process(const std::string& settings_file, const std::string& log)
+    /// `preload`: a library to load into it; empty: none.
+    daemon_process(const std::string& settings_file, const std::string& log,
+                   const std::string& preload = {})
     {
+        if (!preload.empty()) {
+            auto environment = QProcessEnvironment::systemEnvironment();
+            environment.insert("LD_PRELOAD", QString::fromStdString(preload));
+            process_.setProcessEnvironment(environment);
+        }
         process_.setProcessChannelMode(QProcess::MergedChannels);
         process_.setStandardOutputFile(QString::fromStdString(log), QIODevice::Append);
         process_.start(BINARY_DIR "/cedarpoint",
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -3,7 +3,6 @@
 #include "daemon/site.h"
 #include "fleet/fleet_site.h"
 
-#include <algorithm>
 #include <fmt/format.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -78,7 +77,8 @@
     const auto file = fmt::format("{}/d-{}.json", folder_.path().toStdString(), which);
     std::ofstream{file} << own.dump();
     const auto log = fmt::format("{}/{}-{}.log", BINARY_DIR, options_.log_name, which);
-    daemons_[static_cast<std::size_t>(which)] = std::make_unique<daemon_process>(file, log);
+    daemons_[static_cast<std::size_t>(which)] =
+        std::make_unique<daemon_process>(file, log, options_.preload);
 }
 
 void fleet_processes::start_all()
@@ -99,12 +99,17 @@
     return {};
 }
 
-bool fleet_processes::put(const std::string& document) const
+bool fleet_processes::put(const std::string& document, std::optional<int> stopped) const
 {
     return wait_until([&] {
-        return std::any_of(controls_.begin(), controls_.end(), [&](const endpoint& at) {
-            return call(at, "POST", "/cedarpoint/config/put", "", document).head.status == 200;
-        });
+        for (int which = 0; which < control_count; ++which) {
+            const auto& at = controls_[static_cast<std::size_t>(which)];
+            if (which != stopped &&
+                call(at, "POST", "/cedarpoint/config/put", "", document).head.status == 200) {
+                return true;
+            }
+        }
+        return false;
     });
 }
 
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -25,6 +25,7 @@
         /// Control daemons listen to each other and to entry daemons at `bind_address`: the test
         /// puts proxies at the addresses that they are told.
         bool behind_proxies = false;
+        std::string preload; ///< a library of the tests, loaded into each daemon; empty: none
     };
 
     explicit fleet_processes(options options);
@@ -47,7 +48,8 @@
     /// The control daemon that leads; empty if none does now.
     [[nodiscard]] std::optional<int> leader() const;
     /// Offers a configuration to each control daemon until one takes it. True if one did.
-    [[nodiscard]] bool put(const std::string& document) const;
+    /// `stopped`: one that answers nothing and is not asked.
+    [[nodiscard]] bool put(const std::string& document, std::optional<int> stopped = {}) const;
 
 private:
     [[nodiscard]] std::string ip_of_entry(int which) const;
--- /dev/null
+++ b/tests/suspension/suspended_clock.cpp
@@ -0,0 +1,58 @@
+// A library that tests preload into the daemons: the clocks that do not count a suspension stand
+// still between SIGSTOP and SIGCONT, as on a machine that was suspended.
+
+#include <atomic>
+#include <csignal>
+#include <cstdint>
+#include <ctime>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+namespace {
+
+constexpr std::int64_t ns_per_second = 1'000'000'000;
+
+std::atomic<std::int64_t> suspended_ns{0};
+std::atomic<std::int64_t> latest_ns{0}; ///< of the readings before a suspension
+
+std::int64_t read_real(clockid_t which)
+{
+    timespec it{};
+    ::syscall(SYS_clock_gettime, which, &it);
+    return it.tv_sec * ns_per_second + it.tv_nsec;
+}
+
+void on_continue(int /*signal*/)
+{
+    const auto now = read_real(CLOCK_MONOTONIC);
+    suspended_ns += now - latest_ns.exchange(now);
+}
+
+[[gnu::constructor]] void begin()
+{
+    latest_ns = read_real(CLOCK_MONOTONIC);
+    struct sigaction action {};
+    action.sa_handler = on_continue;
+    action.sa_flags = SA_RESTART;
+    ::sigaction(SIGCONT, &action, nullptr);
+}
+
+bool counts_no_suspension(clockid_t which)
+{
+    return which == CLOCK_MONOTONIC || which == CLOCK_MONOTONIC_RAW ||
+           which == CLOCK_MONOTONIC_COARSE;
+}
+
+} // namespace
+
+extern "C" int clock_gettime(clockid_t which, timespec* out)
+{
+    auto now = read_real(which);
+    if (counts_no_suspension(which)) {
+        latest_ns = read_real(CLOCK_MONOTONIC);
+        now -= suspended_ns;
+    }
+    out->tv_sec = now / ns_per_second;
+    out->tv_nsec = now % ns_per_second;
+    return 0;
+}
--- /dev/null
+++ b/tests/suspension/suspended_fleet_test.cpp
@@ -0,0 +1,163 @@
+// Guards against decisions that rest on timers which stood still while the machine was suspended,
+// or on what was queued before and during that time.
+
+#include "daemon/site.h"
+#include "fleet/fleet_site.h"
+#include "io/clock.h"
+#include "support/fleet_processes.h"
+#include "support/open_loop_callers.h"
+
+#include <csignal>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::call;
+using testing_support::fleet_processes;
+using testing_support::open_loop_callers;
+using testing_support::platform_runner;
+using testing_support::raw_caller;
+using testing_support::wait_until;
+
+constexpr int first_entry = fleet_processes::control_count;
+
+std::string document(int version)
+{
+    return fmt::format(R"({{"version":{},
+        "routes":[{{"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
+                   "timeoutMs":4000,"service":"shop","maxAttempts":2}}],
+        "services":[{{"name":"shop"}}]}})",
+                       version);
+}
+
+class a_suspended_fleet : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        fleet.start_all();
+        for (int made = 0; made < 2; ++made) {
+            runners.push_back(std::make_unique<platform_runner>(fmt::format("s-{}", made), "shop",
+                                                                fleet.controls()));
+        }
+        ASSERT_TRUE(fleet.put(document(1)));
+        for (const auto& entry : fleet.entries()) {
+            ASSERT_TRUE(wait_until([&] { return ask(entry) == 200; }));
+        }
+    }
+
+    static int ask(const endpoint& entry)
+    {
+        return call(entry, "GET", "/safe/x", "X-Cedarpoint-Request-Id: w\r\n", "").head.status;
+    }
+
+    static void pass_time(duration time)
+    {
+        wait_until([until = steady_now() + time] { return steady_now() > until; });
+    }
+
+    void suspend(const std::vector<int>& daemons, duration time)
+    {
+        for (const int which : daemons) {
+            fleet.at(which).signal(SIGSTOP);
+        }
+        pass_time(time);
+        for (const int which : daemons) {
+            fleet.at(which).signal(SIGCONT);
+        }
+    }
+
+    /// The version that a control daemon says is the newest; 0 if it says none.
+    static int version_at(const endpoint& control)
+    {
+        const auto answer = call(control, "GET", "/cedarpoint/config/get", "", "");
+        if (answer.head.status != 200) {
+            return 0;
+        }
+        return nlohmann::json::parse(answer.body).at("version").get<int>();
+    }
+
+    /// Tests run side by side, so that each needs addresses of its own.
+    [[nodiscard]] static int net_of_this_test()
+    {
+        const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+        constexpr int first_net = 244;
+        if (name.starts_with("answers")) {
+            return first_net;
+        }
+        if (name.starts_with("reads")) {
+            return first_net + 1;
+        }
+        return first_net + (name.starts_with("serves") ? 2 : 3);
+    }
+
+    int net = net_of_this_test();
+    fleet_processes fleet{
+        {net, 2, fmt::format("suspension-{}", net), false, BINARY_DIR "/libsuspended_clock.so"}};
+    std::vector<std::unique_ptr<platform_runner>> runners;
+};
+
+TEST_F(a_suspended_fleet, answers_what_has_expired_in_that_time_when_it_wakes)
+{
+    for (const auto& runner : runners) {
+        runner->answer_time = seconds{30};
+    }
+    raw_caller caller{fleet.entries()[0]};
+    caller.send("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Cedarpoint-Request-Id: r\r\n"
+                "X-Cedarpoint-Deadline-Ms: 2000\r\n\r\n");
+    pass_time(milliseconds{300});
+    suspend({first_entry}, seconds{3});
+    const auto woken = steady_now();
+    ASSERT_TRUE(caller.wait_for("HTTP/1.1 504"));
+    EXPECT_LT(steady_now() - woken, milliseconds{300});
+}
+
+TEST_F(a_suspended_fleet, reads_no_old_configuration_after_its_leader_was_suspended)
+{
+    for (int round = 0; round < 3; ++round) {
+        const auto leader = fleet.leader();
+        ASSERT_TRUE(leader.has_value());
+        fleet.at(*leader).signal(SIGSTOP);
+        pass_time(milliseconds{100});
+        ASSERT_TRUE(fleet.put(document(round + 2), leader)) << "by the others";
+        fleet.at(*leader).signal(SIGCONT);
+        const auto& at = fleet.controls()[static_cast<std::size_t>(*leader)];
+        for (int reads = 0; reads < 50; ++reads) {
+            const int version = version_at(at);
+            EXPECT_TRUE(version == 0 || version >= round + 2) << version;
+        }
+    }
+}
+
+TEST_F(a_suspended_fleet, serves_and_takes_changes_soon_after_all_were_suspended)
+{
+    open_loop_callers callers{fleet.entries(), 40, "c", [](std::size_t) {
+                                  return open_loop_callers::request{"GET", "/safe/x", ""};
+                              }};
+    suspend({0, 1, 2}, seconds{4});
+    ASSERT_TRUE(fleet.put(document(2)));
+    suspend({0, 1}, seconds{4});
+    ASSERT_TRUE(fleet.put(document(3)));
+    suspend({first_entry, first_entry + 1}, seconds{4});
+    const auto woken = steady_now();
+    pass_time(seconds{4});
+    EXPECT_GT(callers.served_share(woken + seconds{2}, woken + seconds{4}), 0.99);
+    EXPECT_EQ(version_at(fleet.controls()[static_cast<std::size_t>(*fleet.leader())]), 3);
+}
+
+TEST_F(a_suspended_fleet, ends_a_planned_stop_in_time_if_it_was_suspended_in_its_midst)
+{
+    auto& entry = fleet.at(first_entry);
+    const auto began = steady_now();
+    entry.signal(SIGTERM);
+    pass_time(milliseconds{500});
+    suspend({first_entry}, seconds{5});
+    ASSERT_TRUE(wait_until([&] { return !entry.is_running(); }));
+    EXPECT_LT(steady_now() - began, seconds{8}) << "the stop bound";
+    EXPECT_EQ(ask(fleet.entries()[1]), 200);
+}
+
+} // namespace
+} // namespace cedarpoint
