Random plans: all control daemons suspended for 0.5 to 30 s, heard afterwards what was said meanwhile

Cause: no run of the plan had the present time jump while runners went on and their heartbeats queued. Change: planner_world::suspend_control; a second set of the 80 cases draws it as one more kind of harm, the first set keeps its draws.

--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -105,7 +105,36 @@
     }
 }
 
+void planner_world::suspend_control(duration time)
+{
+    constexpr duration lease = milliseconds{500};
+    suspended_ = true;
+    for (const auto end = now_ + time; now_ < end;) {
+        now_ += tick;
+        step_runners();
+        heartbeats();
+    }
+    suspended_ = false;
+    if (time >= lease) {
+        change_leader();
+    }
+    for (const auto& told : std::exchange(queued_, {})) {
+        leader_->announce(now_, told);
+    }
+}
+
 void planner_world::step()
+{
+    step_runners();
+    heartbeats();
+    send_report();
+    for (const auto& next : leader_->tick(now_)) {
+        perform(next);
+    }
+    leader_->refresh_view(now_);
+}
+
+void planner_world::step_runners()
 {
     for (auto& [id, runner] : runners_) {
         auto& membership = runner.told.membership;
@@ -133,12 +162,6 @@
             ++at;
         }
     }
-    heartbeats();
-    send_report();
-    for (const auto& next : leader_->tick(now_)) {
-        perform(next);
-    }
-    leader_->refresh_view(now_);
 }
 
 void planner_world::set_unreachable(const runner_id& runner, bool unreachable)
@@ -186,7 +209,12 @@
         if (runner.alive && !runner.cut && now_ >= runner.next_heartbeat) {
             ++runner.told.sequence;
             runner.next_heartbeat = now_ + heartbeat;
-            leader_->announce(now_, runner.told);
+            if (suspended_) {
+                queued_.push_back(runner.told);
+            }
+            else {
+                leader_->announce(now_, runner.told);
+            }
         }
     }
 }
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -46,6 +46,9 @@
     void run(duration time);
     /// A new leader, which knows what the log holds.
     void change_leader();
+    /// All control daemons are suspended for `time`; runners go on, and what they say meanwhile is
+    /// heard afterwards, by the same leader if its lease still holds, or by the next one.
+    void suspend_control(duration time);
     void kill(const runner_id& runner);
     void set_cut(const runner_id& runner, bool cut);
     /// Cut off from the entry daemons on the leader's side as well; on its own side it goes on.
@@ -92,6 +95,7 @@
     };
 
     void step();
+    void step_runners();
     void heartbeats();
     void send_report();
     void perform(const planner_step& step);
@@ -116,6 +120,8 @@
     std::map<std::string, std::vector<runner_id>> lists_; ///< members by group and epoch
     std::vector<late_order> late_;
     std::map<runner_id, announcement> held_back_;
+    std::vector<announcement> queued_; ///< sent while the control daemons are suspended
+    bool suspended_ = false;
     std::map<runner_id, group_order> latest_joins_;
     std::vector<std::string> broken_;
     int made_ = 0;
--- a/tests/fleet/random_plans_test.cpp
+++ b/tests/fleet/random_plans_test.cpp
@@ -12,12 +12,17 @@
 using testing_support::planner_world;
 using testing_support::told;
 
+constexpr std::uint64_t kinds_of_harm = 11;
+
 /// The plan's seed, and whether runners check fences: not all engines do.
-class random_plans : public testing::TestWithParam<std::tuple<std::uint64_t, bool>> {};
+class random_plans : public testing::TestWithParam<std::tuple<std::uint64_t, bool>> {
+protected:
+    /// `kinds`: of harm that are drawn; one above the last one suspends the control daemons.
+    static void play(std::uint64_t seed, bool fences, std::uint64_t kinds);
+};
 
-TEST_P(random_plans, keep_the_rules_while_runners_and_leaders_come_and_go)
+void random_plans::play(std::uint64_t seed, bool fences, std::uint64_t kinds)
 {
-    const auto [seed, fences] = GetParam();
     planner_world world{{.seed = seed, .late_orders = 0.35, .fences = fences}};
     world.add_runners("a-0", 9);
     world.add_runners("a-1", 9);
@@ -28,7 +33,7 @@
     for (int round = 0; round < 60; ++round) {
         const auto alive = world.alive();
         const auto& one = alive[random() % alive.size()];
-        switch (random() % 11) {
+        switch (random() % kinds) {
         case 0:
             world.kill(one);
             world.add_runners(round % 2 == 0 ? "a-0" : "b-0", 1);
@@ -66,6 +71,9 @@
             world.change_leader();
             world.deliver_all_held_back();
             break;
+        case kinds_of_harm:
+            world.suspend_control(milliseconds{500 + random() % 29'500});
+            break;
         default:
             break;
         }
@@ -82,6 +90,18 @@
     EXPECT_EQ(world.spread_groups(), 0U) << "a group lies in one fabric domain";
 }
 
+TEST_P(random_plans, keep_the_rules_while_runners_and_leaders_come_and_go)
+{
+    const auto [seed, fences] = GetParam();
+    play(seed, fences, kinds_of_harm);
+}
+
+TEST_P(random_plans, keep_the_rules_while_control_daemons_are_suspended_as_well)
+{
+    const auto [seed, fences] = GetParam();
+    play(seed, fences, kinds_of_harm + 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, random_plans,
                          testing::Combine(testing::Range<std::uint64_t>(1, 41), testing::Bool()));
 
