Daemons with a list of peers quarantine a request under which three runners have ended as well

What callers saw: the same as in a fleet; serve has up to four attempts a try, and each of its daemons counted for itself. Change: the dispatcher asks the same crash_witness: what was cut at a runner that refuses connections counts, two ends stop a try's retries, three refuse the request (429 quarantined, not run). Without a leader the daemons tell each other all that they know, at once when a runner ends and each 5 s, so a daemon that was away or has restarted learns it from the others. connect_probe, runner_end_checker and crash_messages move to where both forms reach them. Evidence: tests/request/dispatcher_crash_test.cpp, 8 dispatchers: three runners end under the marked request, also after the daemon that saw them has lost its memory. No process test of this form yet; a quarantine can't be listed or lifted here, and ends when all daemons restart within 5 s.

--- a/include/cedarpoint/control/control_plane.h
+++ b/include/cedarpoint/control/control_plane.h
@@ -67,6 +67,8 @@
     control_plane& operator=(const control_plane&) = delete;
 
     void tick(instant now);
+    /// Sends to all peers, of each failure domain.
+    void send_to_all(const wire::envelope& message);
     void receive(instant now, const wire::envelope& in);
     /// The answer of a runner that this daemon watches (see `watched`).
     void on_report(instant now, const runner_id& runner, const runner_report& report);
--- a/include/cedarpoint/quarantine/crash_witness.h
+++ b/include/cedarpoint/quarantine/crash_witness.h
@@ -31,6 +31,8 @@
     bool on_cut(const request_fingerprint& request, crash_observation in);
     /// The address of a runner was tried. Returns what has become an observation by that.
     crash_histories on_checked(instant now, const runner_id& runner, bool refused);
+    /// What another daemon knows, where there is no leader to add it up.
+    void merge(instant now, const crash_histories& in);
     /// A runner's whole answer to the request has come.
     void on_answer(instant now, const request_fingerprint& request);
     /// Replaces what the leader knows. What was seen of a request whose count has become 0 is
--- a/include/cedarpoint/request/actions.h
+++ b/include/cedarpoint/request/actions.h
@@ -51,6 +51,13 @@
     claim_outcome outcome = claim_outcome::may_have_run;
 };
 
+/// Find out whether the runner has ended, by its address; answer with
+/// `dispatcher::runner_checked`.
+struct check_runner {
+    runner_id runner;
+    endpoint address;
+};
+
 /// One routing decision, for the log and for `explain`.
 struct decision {
     request_id request;
@@ -62,7 +69,8 @@
 };
 
 /// What the dispatcher wants done, in order.
-using action = std::variant<start_attempt, cancel_attempt, refuse, ask_claim, end_claim, decision>;
+using action = std::variant<start_attempt, cancel_attempt, refuse, ask_claim, end_claim,
+                            check_runner, decision>;
 using actions = std::vector<action>;
 
 } // namespace cedarpoint
--- a/include/cedarpoint/request/dispatcher.h
+++ b/include/cedarpoint/request/dispatcher.h
@@ -3,6 +3,7 @@
 #include "cedarpoint/admission/account_limits.h"
 #include "cedarpoint/admission/wait_queue.h"
 #include "cedarpoint/config/configuration.h"
+#include "cedarpoint/quarantine/crash_witness.h"
 #include "cedarpoint/request/actions.h"
 #include "cedarpoint/request/caller_admission.h"
 #include "cedarpoint/request/failure_rule.h"
@@ -27,7 +28,8 @@
 };
 
 /// Decides about every request of one daemon, from its arrival to its final answer, by asking
-/// in turn: `caller_admission`, `account_limits`, `wait_queue`, `router`, `failure_rule`. Owns
+/// in turn: `caller_admission`, `crash_witness`, `account_limits`, `wait_queue`, `router`,
+/// `failure_rule`. Owns
 /// the open requests, the queues, the sessions and the accounts' usage. It does no I/O: each
 /// call takes the present time and returns what is to be done, in order.
 /// Relies on its user to do that and to report each attempt's end once.
@@ -59,6 +61,13 @@
     /// Ends the request, or retries, resumes or refuses it. No actions for an attempt that has
     /// ended.
     [[nodiscard]] actions attempt_ended(instant now, attempt_id attempt, attempt_end how);
+    /// The address of a runner was tried, as `check_runner` asks. Returns what is known by it of
+    /// the requests that were in flight there.
+    crash_histories runner_checked(instant now, const runner_id& runner, bool refused);
+    /// What another daemon knows of requests under which runners ended.
+    void merge_crashes(instant now, const crash_histories& in) { crashes_.merge(now, in); }
+    /// What the other daemons are to know.
+    [[nodiscard]] crash_histories known_crashes() const { return crashes_.unconfirmed(); }
     /// The caller closed its connection: cancels the request.
     [[nodiscard]] actions caller_gone(instant now, const request_id& request);
     /// Gives up what waited too long and starts retries that are due. The shorter the time between
@@ -87,6 +96,9 @@
     void pump(instant now, actions& out);
     bool try_start(instant now, open_request& it, actions& out);
     void after_failure(instant now, open_request& it, attempt_end how, actions& out);
+    /// Tells the crash witness what the attempt's end shows of its request.
+    void note_end(instant now, const open_request& it, attempt_end how, actions& out);
+    [[nodiscard]] bool may_end_more_runners(const open_request& it, attempt_end how) const;
     void give_up(const request_id& request, refusal error, actions& out);
     /// The same for one that is in the queue, or finds no place in it.
     void give_up_queued(const request_id& request, refusal why, actions& out);
@@ -99,6 +111,7 @@
     account_limits limits_;
     token_retry_budget budget_;
     open_requests open_;
+    crash_witness crashes_;
     std::unordered_map<std::string, wait_queue> lanes_; ///< by `admitted_call::lane`
     bool stopping_ = false;
 };
--- a/include/cedarpoint/request/open_requests.h
+++ b/include/cedarpoint/request/open_requests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cedarpoint/core/endpoint.h"
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/core/units.h"
@@ -32,9 +33,11 @@
     bool answered = false;    ///< the answer's head went to the caller
     std::uint64_t events = 0; ///< whole events that the caller has
     int attempts = 0;
-    attempt_id attempt; ///< the latest
-    runner_id upstream; ///< of the latest attempt
-    instant began_at;   ///< the latest attempt
+    attempt_id attempt;   ///< the latest
+    runner_id upstream;   ///< of the latest attempt
+    endpoint address;     ///< of that upstream
+    bool leaving = false; ///< that upstream, when the attempt began
+    instant began_at;     ///< the latest attempt
 
     /// Notes that its attempt ended so, and says what the failure rule must know.
     [[nodiscard]] failed_attempt fail(attempt_end how);
--- a/include/cedarpoint/request/refusal.h
+++ b/include/cedarpoint/request/refusal.h
@@ -38,7 +38,8 @@
     already_ran,
     upstream_failed,
     answer_cut,
-    too_many_connections
+    too_many_connections,
+    quarantined
 };
 
 /// How an error looks on the wire.
--- a/include/cedarpoint/request/refusals.h
+++ b/include/cedarpoint/request/refusals.h
@@ -13,6 +13,7 @@
 /// @{
 refusal stopping();
 refusal unknown_key();
+refusal quarantined();
 refusal priority_not_allowed();
 refusal deadline_passed_on_arrival();
 refusal no_route_for(const model_id& model);
--- a/include/cedarpoint/request/request_facts.h
+++ b/include/cedarpoint/request/request_facts.h
@@ -3,6 +3,7 @@
 #include "cedarpoint/config/configuration.h"
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/quarantine/request_fingerprint.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,7 +24,8 @@
     bool not_repeatable = false; ///< the caller marked it
     std::optional<priority_class> priority;
     std::optional<instant> deadline;
-    std::uint64_t prefix = 0; ///< hash of the prompt's beginning; 0: none
+    std::uint64_t prefix = 0;                       ///< hash of the prompt's beginning; 0: none
+    std::optional<request_fingerprint> fingerprint; ///< empty: it is not watched for crashes
 };
 
 } // namespace cedarpoint
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -158,6 +158,13 @@
     hooks_.send(to, envelope);
 }
 
+void control_plane::send_to_all(const wire::envelope& message)
+{
+    for (const auto& it : options_.own.peers) {
+        send(it.id, message);
+    }
+}
+
 // --- time ---------------------------------------------------------------------------------------
 
 void control_plane::tick(instant now)
--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -106,10 +106,22 @@
         perform(core_.caller_gone(steady_now(), id));
         exchanges_.erase(id);
     };
+    facts->fingerprint = make_fingerprint(request, *facts);
     exchanges_[id] = {std::move(request), std::move(reply), facts->streamed, {}};
     perform(core_.submit(steady_now(), std::move(*facts)));
 }
 
+std::optional<request_fingerprint>
+caller_gateway::make_fingerprint(const http_request& request, const request_facts& facts) const
+{
+    const auto* account = core_.authenticate(facts.key_digest);
+    if (account == nullptr) {
+        return {}; // it is refused
+    }
+    return fingerprint_of({account->id.str(), request.method, request.fields.get("Host"),
+                           request.target, request.body});
+}
+
 void caller_gateway::answer_models(const http_request& request, http_reply& reply)
 {
     const auto digest = bearer_digest(request);
@@ -154,6 +166,9 @@
                 else if constexpr (std::is_same_v<type, end_claim>) {
                     hooks_.end_claim_of(what);
                 }
+                else if constexpr (std::is_same_v<type, check_runner>) {
+                    hooks_.check_runner_end(what);
+                }
                 else {
                     do_log(what);
                 }
--- a/src/daemon/caller_gateway.h
+++ b/src/daemon/caller_gateway.h
@@ -23,6 +23,7 @@
         std::function<bool()> is_ready;
         std::function<void(const ask_claim&)> ask_claim_of;
         std::function<void(const end_claim&)> end_claim_of;
+        std::function<void(const check_runner&)> check_runner_end;
     };
 
     caller_gateway(const settings& own, dispatcher& core, decision_log& decisions, metrics& figures,
@@ -61,6 +62,8 @@
     };
 
     void on_request(http_request request, std::shared_ptr<http_reply> reply);
+    [[nodiscard]] std::optional<request_fingerprint>
+    make_fingerprint(const http_request& request, const request_facts& facts) const;
     void note_rate_limit(attempt_id id, const attempt& it);
     void answer_models(const http_request& request, http_reply& reply);
     void refuse_now(http_reply& reply, const refusal& error, const std::string& request);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,7 +1,9 @@
 #include "daemon/daemon.h"
 
 #include "cedarpoint/core/hash.h"
+#include "cedarpoint/quarantine/crash_messages.h"
 #include "io/clock.h"
+#include "io/crash_log.h"
 #include "io/log_line.h"
 
 #include <QCoreApplication>
@@ -18,6 +20,9 @@
 /// Time between two updates of the targets. Not measured.
 constexpr duration view_interval = milliseconds{50};
 constexpr duration metrics_interval = seconds{1};
+/// Time between two messages on requests under which runners ended, where there is no news: by them
+/// a daemon that was away learns of it.
+constexpr duration share_interval = seconds{5};
 /// The process's exit code once its state can't be made durable: docs/OPERATIONS.md.
 constexpr int disk_failed_exit = 5;
 /// Of a CURVE key in Z85, as `curve_keygen` prints it.
@@ -56,7 +61,9 @@
 } // namespace
 
 daemon::daemon(settings own)
-    : own_{std::move(own)}, dispatcher_{own_.failure_domain, dispatch_options_of(own_)}
+    : own_{std::move(own)}, dispatcher_{own_.failure_domain, dispatch_options_of(own_)},
+      runner_ends_{
+          [this](const runner_id& runner, bool refused) { on_runner_end_checked(runner, refused); }}
 {
 }
 
@@ -85,8 +92,13 @@
         }
         secret = text->substr(0, key_digits);
     }
-    mesh_ = std::make_unique<mesh>(
-        [this](const wire::envelope& in) { control_->receive(steady_now(), in); });
+    mesh_ = std::make_unique<mesh>([this](const wire::envelope& in) {
+        if (in.has_crashes()) {
+            const auto now = steady_now();
+            dispatcher_.merge_crashes(now, decode_crashes(now, in.crashes().suspected()));
+        }
+        control_->receive(steady_now(), in);
+    });
     return mesh_->start(own_, secret, why);
 }
 
@@ -114,6 +126,9 @@
                 gateway_->perform(dispatcher_.claim_answered(steady_now(), request, verdict));
             });
     };
+    out.check_runner_end = [this](const check_runner& it) {
+        runner_ends_.check(it.runner, it.address);
+    };
     out.end_claim_of = [this](const end_claim& end) { control_->finish_claim(steady_now(), end); };
     return out;
 }
@@ -194,6 +209,10 @@
         refresh_view();
     }
     gateway_->perform(dispatcher_.tick(now));
+    runner_ends_.clean_up();
+    if (now >= next_share_) {
+        share_crashes(now);
+    }
     if (now >= next_metrics_) {
         next_metrics_ = now + metrics_interval;
         refresh_metrics();
@@ -201,6 +220,27 @@
     check_stop();
 }
 
+void daemon::on_runner_end_checked(const runner_id& runner, bool refused)
+{
+    const auto now = steady_now();
+    const auto seen = dispatcher_.runner_checked(now, runner, refused);
+    if (seen.empty()) {
+        return;
+    }
+    log_runner_end(runner, seen);
+    share_crashes(now);
+}
+
+void daemon::share_crashes(instant now)
+{
+    next_share_ = now + share_interval;
+    wire::envelope out;
+    encode_crashes(now, dispatcher_.known_crashes(), *out.mutable_crashes()->mutable_suspected());
+    if (out.crashes().suspected_size() > 0) {
+        control_->send_to_all(out);
+    }
+}
+
 void daemon::refresh_view()
 {
     const auto now = steady_now();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include "daemon/runner_client.h"
 #include "io/disk_watch.h"
 #include "io/mesh.h"
+#include "io/runner_end_checker.h"
 #include "storage/posix_file_system.h"
 
 #include <QTimer>
@@ -53,6 +54,9 @@
     void tick();
     void refresh_view();
     void refresh_metrics();
+    void on_runner_end_checked(const runner_id& runner, bool refused);
+    /// Tells the other daemons which requests were in flight at runners that ended.
+    void share_crashes(instant now);
     void check_stop();
 
     settings own_;
@@ -61,6 +65,7 @@
     decision_log decisions_;
     dispatcher dispatcher_;
     std::unique_ptr<mesh> mesh_;
+    runner_end_checker runner_ends_;
     std::unique_ptr<control_plane> control_;
     std::unique_ptr<runner_client> runners_;
     std::unique_ptr<caller_gateway> gateway_;
@@ -69,6 +74,7 @@
     instant next_view_;
     instant next_watch_;
     instant next_metrics_;
+    instant next_share_;
     instant stop_by_;
     revision view_revision_;
     bool stopping_ = false;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -3,6 +3,7 @@
 #include "cedarpoint/fleet/fleet_messages.h"
 #include "cedarpoint/fleet/fleet_state.h"
 #include "io/clock.h"
+#include "io/crash_log.h"
 #include "io/log_line.h"
 #include "io/simple_listeners.h"
 
@@ -291,16 +292,7 @@
         return;
     }
     context_.metrics.count_runner_end();
-    for (const auto& [request, history] : seen) {
-        for (const auto& crash : history.crashes) {
-            log_line("runner_ended")
-                .with("runner", runner.str())
-                .with("fingerprint", request.str())
-                .with("id", crash.request.str())
-                .with("in_flight_ms", to_ms(crash.ended_at - crash.sent_at))
-                .write();
-        }
-    }
+    log_runner_end(runner, seen);
     follower_.hurry();
 }
 
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -5,9 +5,9 @@
 #include "entry/fleet_follower.h"
 #include "entry/reachability_checker.h"
 #include "entry/relay.h"
-#include "entry/runner_end_checker.h"
 #include "io/http_listener.h"
 #include "io/mesh.h"
+#include "io/runner_end_checker.h"
 #include "io/suspension_watch.h"
 
 #include <QTimer>
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -1,7 +1,7 @@
 #include "entry/fleet_follower.h"
 
-#include "cedarpoint/fleet/crash_messages.h"
 #include "cedarpoint/fleet/fleet_messages.h"
+#include "cedarpoint/quarantine/crash_messages.h"
 
 #include <algorithm>
 #include <utility>
@@ -62,7 +62,7 @@
     follow.set_stamp_us(now.time_since_epoch().count());
     const auto report = hooks_.make_report();
     encode(report, follow);
-    encode_crashes(now, report.crashes, follow);
+    encode_crashes(now, report.crashes, *follow.mutable_suspected());
     hooks_.send(to, std::move(out));
 }
 
--- a/src/entry/reachability_checker.h
+++ b/src/entry/reachability_checker.h
@@ -4,7 +4,7 @@
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/fleet/fleet_messages.h"
 #include "cedarpoint/fleet/health_report.h"
-#include "entry/connect_probe.h"
+#include "io/connect_probe.h"
 
 #include <functional>
 #include <map>
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -1,7 +1,7 @@
 #include "cedarpoint/fleet/fleet_leader.h"
 
-#include "cedarpoint/fleet/crash_messages.h"
 #include "cedarpoint/fleet/leader_recovery.h"
+#include "cedarpoint/quarantine/crash_messages.h"
 
 #include <iterator>
 
@@ -189,7 +189,7 @@
     auto report = decode_report(in);
     reports_.put(now, follower, report);
     take_rate_limits(now, follower, std::move(report.rate_limits));
-    take_crashes(now, follower, decode_crashes(now, in));
+    take_crashes(now, follower, decode_crashes(now, in.suspected()));
     const auto confirmed = in.term() == term_ ? in.version() : 0;
     const auto from = followers_.on_report(now, follower, confirmed, in.behind(), view_.version());
     auto out = make_update(now, from);
--- a/src/entry/connect_probe.cpp
+++ b/src/io/connect_probe.cpp
@@ -1,4 +1,4 @@
-#include "entry/connect_probe.h"
+#include "io/connect_probe.h"
 
 #include <string_view>
 #include <utility>
--- a/src/entry/runner_end_checker.cpp
+++ b/src/io/runner_end_checker.cpp
@@ -1,4 +1,4 @@
-#include "entry/runner_end_checker.h"
+#include "io/runner_end_checker.h"
 
 #include <utility>
 
--- a/src/entry/runner_end_checker.h
+++ b/src/io/runner_end_checker.h
@@ -2,7 +2,7 @@
 
 #include "cedarpoint/core/endpoint.h"
 #include "cedarpoint/core/ids.h"
-#include "entry/connect_probe.h"
+#include "io/connect_probe.h"
 
 #include <functional>
 #include <map>
--- a/src/fleet/crash_messages.cpp
+++ b/src/quarantine/crash_messages.cpp
@@ -1,4 +1,4 @@
-#include "cedarpoint/fleet/crash_messages.h"
+#include "cedarpoint/quarantine/crash_messages.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -55,10 +55,10 @@
     return out;
 }
 
-void encode_crashes(instant now, const crash_histories& in, wire::fleet_follow& out)
+void encode_crashes(instant now, const crash_histories& in, suspected_requests& out)
 {
     for (const auto& [request, history] : in) {
-        auto* each = out.add_suspected();
+        auto* each = out.Add();
         each->set_fingerprint(request.str());
         for (const auto& crash : history.crashes) {
             *each->add_crashes() = encode_crash(now, crash);
@@ -70,10 +70,10 @@
     }
 }
 
-crash_histories decode_crashes(instant now, const wire::fleet_follow& in)
+crash_histories decode_crashes(instant now, const suspected_requests& in)
 {
     crash_histories out;
-    for (const auto& each : in.suspected()) {
+    for (const auto& each : in) {
         if (const auto request = request_fingerprint::parse(each.fingerprint())) {
             out[*request] = decode_history(now, each);
         }
--- a/src/quarantine/crash_witness.cpp
+++ b/src/quarantine/crash_witness.cpp
@@ -46,6 +46,14 @@
     return out;
 }
 
+void crash_witness::merge(instant now, const crash_histories& in)
+{
+    for (const auto& [request, history] : in) {
+        own_.merge(request, history);
+        note_change(now, request);
+    }
+}
+
 void crash_witness::on_answer(instant now, const request_fingerprint& request)
 {
     if (own_.find(request) == nullptr && !shared_.contains(request)) {
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -58,7 +58,12 @@
     const auto id = facts.id;
     auto verdict = stopping_ ? caller_verdict{refused_call{{}, refusals::stopping()}}
                              : admit_caller(now, facts, config_.get(), options_.longest_wait);
-    if (auto* call = std::get_if<admitted_call>(&verdict)) {
+    const bool is_quarantined =
+        facts.fingerprint && crashes_.is_quarantined(now, *facts.fingerprint);
+    if (auto* call = std::get_if<admitted_call>(&verdict); call != nullptr && is_quarantined) {
+        verdict = refused_call{call->account, refusals::quarantined()};
+    }
+    else if (call != nullptr) {
         const auto& account = *config_->find_account(call->account);
         if (auto error = limits_.admit(now, account, options_.limit_share)) {
             verdict = refused_call{account.id, std::move(*error)};
@@ -153,6 +158,8 @@
     }
     const auto& place = *choice.chosen;
     open_.begin_attempt(now, it, place.upstream);
+    it.address = place.address;
+    it.leaving = place.draining;
     std::string why = choice.reason;
     if (place.group && it.facts.session &&
         sessions_.place(now, it.call.account, *it.facts.session, *place.group)) {
@@ -207,6 +214,7 @@
         return out;
     }
     open_.end_attempt(attempt);
+    note_end(now, *it, how, out);
     const bool failed = how != attempt_end::complete && how != attempt_end::refused;
     router_.on_end(now, it->upstream, failed);
     if (how == attempt_end::complete) {
@@ -225,7 +233,7 @@
 {
     const auto failed = it.fail(how);
     const auto step = step_after(now, failed, options_.max_attempts);
-    if (step == failure_step::refuse || !budget_.take()) {
+    if (step == failure_step::refuse || may_end_more_runners(it, how) || !budget_.take()) {
         give_up(it.facts.id, refusal_after(failed), out);
         return;
     }
@@ -243,6 +251,35 @@
     }
 }
 
+void dispatcher::note_end(instant now, const open_request& it, attempt_end how, actions& out)
+{
+    if (!it.facts.fingerprint) {
+        return;
+    }
+    if (how == attempt_end::complete || how == attempt_end::server_error) {
+        crashes_.on_answer(now, *it.facts.fingerprint);
+    }
+    if (how != attempt_end::cut || it.leaving) {
+        return; // a runner that is leaving ends as planned
+    }
+    const bool is_first =
+        crashes_.on_cut(*it.facts.fingerprint, {it.upstream, it.began_at, now, {}, it.facts.id});
+    if (is_first) {
+        out.emplace_back(check_runner{it.upstream, it.address});
+    }
+}
+
+bool dispatcher::may_end_more_runners(const open_request& it, attempt_end how) const
+{
+    return !proves_not_run(how) && it.facts.fingerprint &&
+           !crashes_.may_retry(*it.facts.fingerprint);
+}
+
+crash_histories dispatcher::runner_checked(instant now, const runner_id& runner, bool refused)
+{
+    return crashes_.on_checked(now, runner, refused);
+}
+
 actions dispatcher::caller_gone(instant now, const request_id& request)
 {
     actions out;
--- a/src/request/refusal.cpp
+++ b/src/request/refusal.cpp
@@ -32,6 +32,7 @@
     error_row{error_code::upstream_failed, {502, "upstream_failed"}},
     error_row{error_code::answer_cut, {502, "answer_cut"}},
     error_row{error_code::too_many_connections, {503, "too_many_connections"}},
+    error_row{error_code::quarantined, {429, "quarantined"}},
 };
 
 } // namespace
--- a/src/request/refusals.cpp
+++ b/src/request/refusals.cpp
@@ -7,6 +7,9 @@
 constexpr milliseconds short_retry{1000}; ///< what is full or away now may be free or back
 constexpr milliseconds claim_retry{2000}; ///< the claim's holder or home must answer first
 
+/// A quarantine lasts as long as the daemons remember it.
+constexpr milliseconds quarantine_retry{3'600'000};
+
 } // namespace
 
 refusal stopping()
@@ -14,6 +17,12 @@
     return {error_code::shutting_down, run_state::not_run, "this daemon is stopping", short_retry};
 }
 
+refusal quarantined()
+{
+    return {error_code::quarantined, run_state::not_run,
+            "this request has ended the runners that ran it and is sent to none", quarantine_retry};
+}
+
 refusal unknown_key()
 {
     return {error_code::unauthorized, run_state::not_run, "no account has this key", {}};
--- /dev/null
+++ b/tests/request/dispatcher_crash_test.cpp
@@ -0,0 +1,148 @@
+// Guards the daemons with a list of peers against a request that ends each runner which runs it:
+// what one has seen counts at all of them.
+
+#include "cedarpoint/request/dispatcher.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <memory>
+#include <random>
+
+namespace cedarpoint {
+namespace {
+
+constexpr int daemon_count = 8;
+constexpr int runner_count = 12;
+const request_fingerprint crashing{1, 1};
+/// Between two tries; a runner that ended is back by then.
+constexpr duration pause = milliseconds{2500};
+
+std::shared_ptr<const configuration> make_site()
+{
+    configuration out;
+    account_spec account;
+    account.id = client_account_id{"acme"};
+    account.key_sha256 = "key-of-acme";
+    account.home_failure_domain = failure_domain_id{"home"};
+    account.priorities = {priority_class::normal};
+    account.max_in_flight = 1000;
+    out.accounts.push_back(account);
+    out.services.push_back({service_id{"shop"}, "/shop", {}});
+    return std::make_shared<const configuration>(out);
+}
+
+target_table make_targets()
+{
+    target_table out;
+    for (int n = 0; n < runner_count; ++n) {
+        target place;
+        place.upstream = runner_id{fmt::format("s-{}", n)};
+        place.service = service_id{"shop"};
+        place.slots = 100;
+        place.present = true;
+        place.valid_until = instant::max();
+        out.push_back(place);
+    }
+    return out;
+}
+
+/// Daemons that send each request to runners of a service; a marked one ends its runner.
+class daemons_with_a_crashing_request : public testing::Test {
+protected:
+    daemons_with_a_crashing_request()
+    {
+        for (int n = 0; n < daemon_count; ++n) {
+            daemons.push_back(
+                std::make_unique<dispatcher>(failure_domain_id{"home"}, dispatch_options{}));
+            daemons.back()->set_configuration(make_site());
+            (void)daemons.back()->set_targets(now, make_targets());
+        }
+    }
+
+    /// One try at a daemon, to its end. True if it was refused as quarantined.
+    bool ask(std::size_t at, const request_fingerprint& fingerprint)
+    {
+        request_facts facts;
+        facts.id = request_id{fmt::format("r{}", ++asked)};
+        facts.key_digest = "key-of-acme";
+        facts.path = "/shop/x";
+        facts.safe_method = true;
+        facts.fingerprint = fingerprint;
+        return follow(*daemons[at], daemons[at]->submit(now, facts), fingerprint == crashing);
+    }
+
+    bool follow(dispatcher& it, const actions& all, bool crashes)
+    {
+        bool quarantined = false;
+        for (const auto& each : all) {
+            if (const auto* started = std::get_if<start_attempt>(&each)) {
+                now += milliseconds{40};
+                ends += crashes ? 1 : 0;
+                it.attempt_sending(started->attempt);
+                const auto how = crashes ? attempt_end::cut : attempt_end::complete;
+                follow(it, it.attempt_ended(now, started->attempt, how), crashes);
+            }
+            if (const auto* check = std::get_if<check_runner>(&each)) {
+                it.runner_checked(now, check->runner, true);
+            }
+            if (const auto* refused = std::get_if<refuse>(&each)) {
+                quarantined = refused->error.code == error_code::quarantined;
+            }
+        }
+        return quarantined;
+    }
+
+    /// What each daemon knows reaches the others.
+    void share()
+    {
+        for (const auto& from : daemons) {
+            for (const auto& to : daemons) {
+                if (from != to) {
+                    to->merge_crashes(now, from->known_crashes());
+                }
+            }
+        }
+    }
+
+    instant now{seconds{100}};
+    std::vector<std::unique_ptr<dispatcher>> daemons;
+    int asked = 0;
+    int ends = 0; ///< of runners, under the marked request
+};
+
+TEST_F(daemons_with_a_crashing_request, add_up_what_each_of_them_has_seen)
+{
+    bool refused = false;
+    for (std::size_t n = 0; n < 40; ++n) {
+        refused = ask(n % daemon_count, crashing);
+        now += pause;
+        share();
+    }
+    EXPECT_TRUE(refused);
+    EXPECT_EQ(ends, crashes_to_quarantine);
+    EXPECT_FALSE(ask(0, {2, 2})) << "another request";
+}
+
+TEST_F(daemons_with_a_crashing_request, tell_one_that_has_lost_what_it_saw)
+{
+    for (std::size_t n = 0; n < 5; ++n) {
+        ask(0, crashing);
+        now += pause;
+    }
+    share();
+    daemons[0] = std::make_unique<dispatcher>(failure_domain_id{"home"}, dispatch_options{});
+    daemons[0]->set_configuration(make_site());
+    (void)daemons[0]->set_targets(now, make_targets());
+    share();
+    EXPECT_TRUE(ask(0, crashing));
+    EXPECT_EQ(ends, crashes_to_quarantine);
+}
+
+TEST_F(daemons_with_a_crashing_request, stop_a_try_after_its_second_runner)
+{
+    ask(3, crashing);
+    EXPECT_EQ(ends, crashes_to_stop_retries);
+}
+
+} // namespace
+} // namespace cedarpoint
--- a/tests/request/dispatcher_scenario_test.cpp
+++ b/tests/request/dispatcher_scenario_test.cpp
@@ -246,6 +246,10 @@
         return fmt::format("end claim {} {}: {}", it.request.str(), it.key.key,
                            names[static_cast<int>(it.outcome)]);
     }
+    static std::string show_one(const check_runner& it)
+    {
+        return fmt::format("check {} at {}", it.runner.str(), it.address.str());
+    }
     static std::string show_one(const decision& it)
     {
         return fmt::format("decide {} {} {} ({})", it.step, it.request.str(), it.chosen, it.reason);
