Soak: a request that ends its runners, and machines that are suspended

Cause: no random run had either. Change: every third seed (1, 4, ...) sends a marked request beside the others, which must never be answered 429; in calm times it is refused after at most three more ends and stays so. Every second seed suspends daemons (preloaded clock) where the others pause processes. Draws of a seed are the same with and without it; the kept seed 150 has neither.

--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -1,5 +1,6 @@
 // A seeded soak: real processes, a proxy between control daemons and all others, signals from
-// outside, requests and changes all the while. By hand:
+// outside, requests and changes all the while. Every third seed has a request that ends each runner
+// which runs it; every second one suspends machines where the others pause processes. By hand:
 //     SOAK_FIRST=100 SOAK_COUNT=50 build/cedarpoint_tests --gtest_filter='*fleet_soak*'
 // A seed that ever failed is added to `kept_seeds` with a line on the cause.
 
@@ -9,6 +10,7 @@
 #include "soak/loopback_proxy.h"
 #include "support/fleet_processes.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -29,6 +31,13 @@
 constexpr int entry_count = 2;
 constexpr int rounds = 14;
 
+/// A request that ends each runner which runs it; once three have ended and the daemons have been
+/// in touch for so long, it arrives at three more at most.
+const std::string crashing_body = "ends-runners";
+constexpr std::size_t most_ends = 3;
+constexpr duration contact_time = seconds{3};
+constexpr int quarantined_status = 429;
+
 /// Seeds that failed once, each with its cause.
 const std::vector<std::uint64_t> kept_seeds{
     150, // once: no leader for 60 s after all control daemons were killed; see docs/RULES-KEPT.md
@@ -78,8 +87,10 @@
                                                                 fleet.controls()));
         }
         for (int made = 0; made < 2; ++made) {
-            runners.push_back(std::make_unique<platform_runner>(fmt::format("s-{}", made), "shop",
-                                                                fleet.controls()));
+            runners.push_back(std::make_unique<platform_runner>(
+                fmt::format("s-{}", made), "shop", fleet.controls(), std::uint64_t{1000}));
+            runners.back()->ended_by = crashing_body;
+            runners.back()->time_away = milliseconds{500};
         }
     }
 
@@ -187,6 +198,7 @@
         if (once) {
             EXPECT_LE(served_total() - served, 1) << id << " ran more than once";
         }
+        EXPECT_NE(answer.head.status, quarantined_status) << "a sound request";
         const bool refused = answer.end == exchange_end::complete &&
                              (answer.head.status == 503 || answer.head.status == 429);
         if (once && refused) {
@@ -195,6 +207,41 @@
         return whole;
     }
 
+    /// Its status. Draws nothing: the other draws of a seed stay as they are without it.
+    int send_crashing_request()
+    {
+        const auto entry = fleet.entries()[static_cast<std::size_t>(++crashing_sent % entry_count)];
+        const auto headers = fmt::format("X-Cedarpoint-Request-Id: c{}\r\n"
+                                         "X-Cedarpoint-Deadline-Ms: 2000\r\n",
+                                         crashing_sent);
+        return call(entry, "POST", "/once/x", headers, crashing_body).head.status;
+    }
+
+    [[nodiscard]] std::size_t crashing_arrivals() const
+    {
+        std::size_t out = 0;
+        for (const auto& runner : runners) {
+            out += static_cast<std::size_t>(
+                std::count_if(runner->arrivals.begin(), runner->arrivals.end(),
+                              [](const auto& each) { return each.body == crashing_body; }));
+        }
+        return out;
+    }
+
+    /// In calm times: it is refused soon, and stays so.
+    void expect_quarantine(const std::string& story)
+    {
+        pass_time(milliseconds{std::chrono::duration_cast<milliseconds>(contact_time)});
+        const auto before = crashing_arrivals();
+        const auto allowed = most_ends + (before >= most_ends ? 0 : most_ends - before);
+        ASSERT_TRUE(wait_until([&] { return send_crashing_request() == quarantined_status; }))
+            << story;
+        for (int again = 0; again < 10; ++again) {
+            EXPECT_EQ(send_crashing_request(), quarantined_status) << story;
+        }
+        EXPECT_LE(crashing_arrivals() - before, allowed) << story << before << " before";
+    }
+
     [[nodiscard]] int served_total() const
     {
         int out = 0;
@@ -206,12 +253,15 @@
 
     std::mt19937_64 random;
     int net;
-    fleet_processes fleet{{net, entry_count, fmt::format("soak-{}", GetParam()), true}};
+    bool has_crashing_request = GetParam() % 3 == 1;
+    fleet_processes fleet{{net, entry_count, fmt::format("soak-{}", GetParam()), true,
+                           GetParam() % 2 == 1 ? BINARY_DIR "/libsuspended_clock.so" : ""}};
     std::vector<std::unique_ptr<loopback_proxy>> proxies;
     std::vector<std::unique_ptr<platform_runner>> runners;
     int sent_version = 0;
     int acknowledged = 0;
     int requests = 0;
+    int crashing_sent = 0;
 };
 
 TEST_P(fleet_soak, keeps_its_promises_under_signals_and_cuts)
@@ -228,6 +278,9 @@
         read_configuration();
         send_request();
         send_request();
+        if (has_crashing_request) {
+            send_crashing_request();
+        }
         ASSERT_FALSE(HasFailure()) << "seed " << GetParam();
     }
     for (const auto& proxy : proxies) {
@@ -243,6 +296,9 @@
         return acknowledged > before;
     }));
     read_configuration();
+    if (has_crashing_request) {
+        expect_quarantine(story);
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, fleet_soak, testing::ValuesIn(seeds()));
