--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -4,6 +4,7 @@
 #include "cedarpoint/quarantine/crash_messages.h"
 
 #include <iterator>
+#include <utility>
 
 namespace cedarpoint {
 namespace {
@@ -19,6 +20,16 @@
     return out;
 }
 
+crash_histories seen_by(const daemon_id& follower, crash_histories in)
+{
+    for (auto& [request, history] : in) {
+        for (auto& crash : history.crashes) {
+            crash.daemon = follower;
+        }
+    }
+    return in;
+}
+
 } // namespace
 
 fleet_leader::fleet_leader(planner_options options, const platform_adapter& platform,
@@ -208,13 +219,9 @@
 
 void fleet_leader::take_crashes(instant now, const daemon_id& follower, crash_histories in)
 {
-    for (auto& [request, history] : in) {
-        for (auto& crash : history.crashes) {
-            crash.daemon = follower;
-        }
-    }
-    quarantine_.on_report(in);
-    for (const auto& [request, history] : in) {
+    const auto reported = seen_by(follower, std::move(in));
+    quarantine_.on_report(reported);
+    for (const auto& [request, history] : reported) {
         if (const auto* known = quarantine_.find(request); on_crashes && known != nullptr) {
             on_crashes(now, request, *known);
         }
