--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -24,7 +24,7 @@
     for (int which = 0; which < control_count; ++which) {
         controls_.push_back({fmt::format("127.{}.1.{}", options_.net, which + 1), control_port});
     }
-    daemons_.resize(static_cast<std::size_t>(control_count + options_.entry_daemons));
+    daemons_.resize(std::size_t{control_count} + static_cast<std::size_t>(options_.entry_daemons));
 }
 
 endpoint fleet_processes::mesh_address(int control) const
