Runner signals: daemons know and tell what runners say of themselves in answers

Change: one place reads the head of an answer (runner_signals/answer_signals): rate limit, pause (Retry-After of a 503), leave; one place keeps what follows (send_holds). Nobody asks it yet, so no decision changes. Lines runner_paused, runner_leaving and those for unreadable values, four metrics. The view tells the life of a runner. The number reader of rate limits moved to core/parse_decimal.

--- a/include/cedarpoint/fleet/fleet_target.h
+++ b/include/cedarpoint/fleet/fleet_target.h
@@ -3,6 +3,7 @@
 #include "cedarpoint/core/endpoint.h"
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/core/units.h"
 
 #include <cstdint>
 
@@ -12,6 +13,7 @@
 /// describes it, so up to some hundred milliseconds old, more while no leader is heard.
 struct fleet_target {
     runner_id runner;
+    birth life;
     endpoint address;
     service_id service;
     model_id model; ///< of a group; empty for a plain runner
--- a/include/cedarpoint/fleet/platform_adapter.h
+++ b/include/cedarpoint/fleet/platform_adapter.h
@@ -24,6 +24,7 @@
     std::string not_executed;    ///< in a runner's refusal: it has not run the request and won't
     std::string resume_after;    ///< the id of the last event that the caller has
     std::string rate_limit;      ///< in a runner's answers: requests a second that it takes
+    std::string leaving;         ///< in a runner's answers: it leaves and wants nothing new
 };
 
 /// Paths that runners serve.
--- a/include/cedarpoint/fleet/target_set.h
+++ b/include/cedarpoint/fleet/target_set.h
@@ -6,6 +6,7 @@
 #include "cedarpoint/fleet/health_report.h"
 #include "cedarpoint/fleet/view_content.h"
 #include "cedarpoint/rate_limits/send_permits.h"
+#include "cedarpoint/runner_signals/send_holds.h"
 
 #include <cstdint>
 #include <map>
@@ -36,7 +37,7 @@
     target_set(failure_domain_id own_domain, std::uint64_t seed);
 
     /// Replaces the targets; what was observed stays for those that are still there.
-    void update(const view_content& view);
+    void update(instant now, const view_content& view);
     /// Replaces the requests in flight from other entry daemons.
     void update_loads(const std::map<runner_id, int>& in_flight_elsewhere);
 
@@ -60,6 +61,8 @@
 
     /// What bounds the requests to runners that have named a rate limit.
     [[nodiscard]] send_permits& permits() { return permits_; }
+    /// The runners that have asked to be sent nothing.
+    [[nodiscard]] send_holds& holds() { return holds_; }
 
     /// The observations to report to the leader; waits are reported once.
     [[nodiscard]] std::map<runner_id, runner_observation> take_observations(instant now);
@@ -74,6 +77,7 @@
     std::map<use, std::vector<runner_id>> by_use_;
     std::map<runner_id, target_stats> stats_;
     send_permits permits_;
+    send_holds holds_;
 };
 
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/view_content.h
+++ b/include/cedarpoint/fleet/view_content.h
@@ -13,6 +13,7 @@
 /// A runner that requests can be sent to, as entry daemons learn of it.
 struct view_runner {
     runner_id id;
+    birth life;
     service_id service;
     endpoint address;
     failure_domain_id failure_domain;
--- a/src/daemon/caller_gateway_answers.cpp
+++ b/src/daemon/caller_gateway_answers.cpp
@@ -7,7 +7,7 @@
 #include "io/clock.h"
 #include "io/header_rules.h"
 #include "io/log_line.h"
-#include "io/rate_limit_log.h"
+#include "io/runner_signal_log.h"
 
 #include <utility>
 
@@ -71,11 +71,11 @@
 
 void caller_gateway::note_rate_limit(attempt_id id, const attempt& it)
 {
-    const auto reading = read_rate_limit(it.head.fields.values(engine_header::rate_limit));
-    const bool changed = core_.attempt_rate_limit(steady_now(), id, reading);
-    if (changed || reading.kind == rate_limit_reading::kind_t::unreadable) {
-        log_rate_limit(it.upstream, reading, it.request.str());
-    }
+    answer_signals signals;
+    signals.rate_limit = read_rate_limit(it.head.fields.values(engine_header::rate_limit));
+    signal_news news;
+    news.rate_limit = core_.attempt_rate_limit(steady_now(), id, signals.rate_limit);
+    log_signals(it.upstream, signals, news, it.request.str());
 }
 
 void caller_gateway::begin_answer(attempt_id id, const attempt& it, exchange& to)
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -193,6 +193,10 @@
     context_.metrics.set_in_flight(static_cast<double>(requests_.size()));
     context_.metrics.set_rate_limited_runners(
         static_cast<double>(context_.targets.permits().count_limited()));
+    context_.metrics.set_paused_runners(
+        static_cast<double>(context_.targets.holds().count_paused(now)));
+    context_.metrics.set_leaving_runners(
+        static_cast<double>(context_.targets.holds().count_leaving()));
     context_.metrics.set_suspected_requests(
         static_cast<double>(context_.crashes.count_suspected()));
     context_.metrics.set_quarantined_requests(
@@ -227,7 +231,7 @@
         take_configuration(*accepted);
     }
     auto content = decode(view.items());
-    context_.targets.update(content);
+    context_.targets.update(steady_now(), content);
     context_.crashes.set_shared(steady_now(), std::move(content.crashes));
     for (const auto& each : std::vector(requests_.begin(), requests_.end())) {
         each->on_targets_changed();
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -31,6 +31,19 @@
                               .add_counters("cedarpoint_rate_limited_sends_total",
                                             "Requests sent to runners that have named a rate limit")
                               .Add({})},
+      paused_runners_{registry_.add_gauge("cedarpoint_paused_runners",
+                                          "Runners that have asked this daemon for a pause")},
+      leaving_runners_{registry_.add_gauge("cedarpoint_leaving_runners",
+                                           "Runners that have told this daemon that they leave")},
+      held_sends_{registry_
+                      .add_counters("cedarpoint_held_sends_total",
+                                    "Requests sent to runners that had asked to be sent nothing")
+                      .Add({})},
+      unreadable_signals_{
+          registry_
+              .add_counters("cedarpoint_unreadable_signals_total",
+                            "Headers in which a runner says something that can't be read")
+              .Add({})},
       suspected_requests_{registry_.add_gauge("cedarpoint_suspected_requests",
                                               "Requests under which runners have ended")},
       quarantined_requests_{registry_.add_gauge("cedarpoint_quarantined_requests",
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -30,6 +30,12 @@
     void set_rate_limited_runners(double count) { rate_limited_runners_.Set(count); }
     /// A request is sent to a runner that has named a rate limit.
     void count_rate_limited_send() { rate_limited_sends_.Increment(); }
+    void set_paused_runners(double count) { paused_runners_.Set(count); }
+    void set_leaving_runners(double count) { leaving_runners_.Set(count); }
+    /// A request is sent to a runner that has asked to be sent nothing.
+    void count_held_send() { held_sends_.Increment(); }
+    /// A runner says something of itself in an answer that can't be read.
+    void count_unreadable_signal() { unreadable_signals_.Increment(); }
 
     [[nodiscard]] std::string text() const { return registry_.text(); }
 
@@ -45,6 +51,10 @@
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& rate_limited_runners_;
     prometheus::Counter& rate_limited_sends_;
+    prometheus::Gauge& paused_runners_;
+    prometheus::Gauge& leaving_runners_;
+    prometheus::Counter& held_sends_;
+    prometheus::Counter& unreadable_signals_;
     prometheus::Gauge& suspected_requests_;
     prometheus::Gauge& quarantined_requests_;
     prometheus::Counter& runner_ends_;
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -3,7 +3,7 @@
 #include "cedarpoint/core/http_status.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
-#include "io/rate_limit_log.h"
+#include "io/runner_signal_log.h"
 
 #include <utility>
 
@@ -11,8 +11,9 @@
 
 runner_attempt::runner_attempt(entry_context& context, const fleet_target& target, options options,
                                handlers handlers)
-    : context_{context}, address_{target.address}, runner_{target.runner}, group_{target.group},
-      of_group_{!target.model.empty()}, options_{std::move(options)}, handlers_{std::move(handlers)}
+    : context_{context}, address_{target.address}, runner_{target.runner}, life_{target.life},
+      group_{target.group}, of_group_{!target.model.empty()}, options_{std::move(options)},
+      handlers_{std::move(handlers)}
 {
     stall_timer_.setSingleShot(true);
     stall_timer_.setTimerType(Qt::PreciseTimer);
@@ -99,6 +100,7 @@
 void runner_attempt::on_sent()
 {
     sent_at_ = steady_now();
+    note_held_send(*sent_at_);
     if (options_.expects_stream) {
         arm_stall_timer(options_.first_event_limit);
     }
@@ -117,29 +119,52 @@
     const auto now = steady_now();
     context_.targets.on_byte(now, runner_);
     head_ = head;
-    note_rate_limit(now);
+    note_signals(now);
     streaming_ = options_.expects_stream && head.status == http_status::ok &&
                  is_event_stream(head) && is_authentic(head);
 }
 
-void runner_attempt::note_rate_limit(instant now)
+void runner_attempt::note_signals(instant now)
 {
-    if (head_->status == http_status::misdirected_request) {
-        return; // from another runner, which has the address now
+    const auto& names = context_.platform.headers();
+    const auto& fields = head_->fields;
+    signals_ = read_answer_signals({head_->status, fields.values(names.rate_limit),
+                                    fields.values("Retry-After"), fields.values(names.leaving)});
+    if (signals_.is_of_other_runner) {
+        return;
+    }
+    auto& holds = context_.targets.holds();
+    if (signals_.asks_for_pause()) {
+        holds.on_pause(now, runner_, life_, signals_.pause.time);
     }
-    using kind_t = rate_limit_reading::kind_t;
-    const auto& name = context_.platform.headers().rate_limit;
-    const auto reading = read_rate_limit(head_->fields.values(name));
-    if (reading.kind == kind_t::absent && !is_authentic(*head_)) {
-        return; // only an answer that the runner itself has surely made ends a limit
+    signal_news news;
+    news.rate_limit = note_rate_limit(now);
+    news.leave = signals_.leave == leave_reading::leaving && holds.on_leaving(now, runner_, life_);
+    log_signals(runner_, signals_, news, options_.id);
+    if (signals_.has_unreadable()) {
+        context_.metrics.count_unreadable_signal();
     }
-    const bool changed = context_.targets.permits().on_answer(now, runner_, reading, *sent_at_);
-    if (changed || reading.kind == kind_t::unreadable) {
-        log_rate_limit(runner_, reading, options_.id);
+}
+
+bool runner_attempt::note_rate_limit(instant now)
+{
+    const bool is_named = signals_.rate_limit.kind != rate_limit_reading::kind_t::absent;
+    if (!is_named && !is_authentic(*head_)) {
+        return false; // only an answer that the runner itself has surely made ends a limit
     }
+    const bool changed =
+        context_.targets.permits().on_answer(now, runner_, signals_.rate_limit, *sent_at_);
     if (changed) {
         context_.hurry_report(); // others send there until the leader tells them
     }
+    return changed;
+}
+
+void runner_attempt::note_held_send(instant now)
+{
+    if (context_.targets.holds().find(now, runner_) != send_hold::none) {
+        context_.metrics.count_held_send();
+    }
 }
 
 void runner_attempt::on_body(const std::string& bytes)
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -4,6 +4,7 @@
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/fleet/answer_verdict.h"
 #include "cedarpoint/fleet/fleet_target.h"
+#include "cedarpoint/runner_signals/answer_signals.h"
 #include "entry/entry_context.h"
 #include "io/runner_connection.h"
 #include "io/sse_splitter.h"
@@ -87,13 +88,18 @@
     [[nodiscard]] attempt_verdict judge_complete() const;
     [[nodiscard]] bool is_authentic(const http_head& head) const;
     void note(const attempt_verdict& verdict);
-    void note_rate_limit(instant now);
+    /// Takes what the answer's head says of the runner itself.
+    void note_signals(instant now);
+    /// True if it changes whether the runner is limited, or its rate.
+    bool note_rate_limit(instant now);
+    void note_held_send(instant now);
     void arm_stall_timer(milliseconds limit);
     void release();
 
     entry_context& context_;
     endpoint address_;
     runner_id runner_;
+    birth life_; ///< of the runner, as the view showed it at the start
     group_id group_;
     bool of_group_;
     options options_;
@@ -102,6 +108,7 @@
     std::optional<instant> sent_at_;
     std::optional<instant> latest_event_at_; ///< that was passed on
     std::optional<http_head> head_;
+    answer_signals signals_; ///< of that head
     std::string body_;
     sse_splitter events_;
     bool streaming_ = false;
--- a/src/fleet/fleet_messages.cpp
+++ b/src/fleet/fleet_messages.cpp
@@ -31,6 +31,7 @@
     out.set_accepting(in.accepting);
     out.set_doubted(in.suspected);
     out.set_slowness(static_cast<std::uint32_t>(in.slowness));
+    out.set_born(in.life.value);
     return item;
 }
 
@@ -63,6 +64,7 @@
 {
     view_runner out;
     out.id = runner_id{in.id()};
+    out.life = birth{in.born()};
     out.service = service_id{in.service()};
     out.address = address;
     out.failure_domain = failure_domain_id{in.failure_domain()};
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -11,6 +11,7 @@
 {
     fleet_target out;
     out.runner = in.id;
+    out.life = in.life;
     out.address = in.address;
     out.service = in.service;
     out.failure_domain = in.failure_domain;
@@ -38,10 +39,11 @@
 {
 }
 
-void target_set::update(const view_content& view)
+void target_set::update(instant now, const view_content& view)
 {
     targets_.clear();
     by_use_.clear();
+    std::map<runner_id, birth> lives;
     std::map<runner_id, const view_group*> heads;
     for (const auto& [name, group] : view.groups) {
         if (!group.members.empty()) {
@@ -52,8 +54,10 @@
         const auto head = heads.find(runner);
         auto target = make_target(facts, head == heads.end() ? nullptr : head->second);
         by_use_[{target.service, target.model}].push_back(runner);
+        lives[runner] = target.life;
         targets_.emplace(runner, std::move(target));
     }
+    holds_.on_lives(now, std::move(lives));
     std::erase_if(stats_, [&](const auto& each) {
         return each.second.in_flight == 0 && !targets_.contains(each.first);
     });
--- a/src/rate_limits/rate_limit.cpp
+++ b/src/rate_limits/rate_limit.cpp
@@ -1,7 +1,8 @@
 #include "cedarpoint/rate_limits/rate_limit.h"
 
+#include "cedarpoint/core/parse_decimal.h"
+
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
 namespace cedarpoint {
@@ -17,28 +18,12 @@
     return std::chrono::duration<double>(in).count();
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t";
-    const auto first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 } // namespace
 
 std::optional<request_rate> parse_request_rate(std::string_view text)
 {
-    const auto digits = trimmed(text);
-    double value = 0;
-    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
-    const bool whole = ec == std::errc{} && end == digits.data() + digits.size();
-    if (!whole || !std::isfinite(value) || std::signbit(value)) {
-        return {};
-    }
-    return request_rate{value};
+    const auto value = parse_decimal(text);
+    return value ? std::optional{request_rate{*value}} : std::nullopt;
 }
 
 rate_limit_reading read_rate_limit(const std::vector<std::string_view>& values)
--- /dev/null
+++ b/src/runner_signals/send_holds.cpp
@@ -0,0 +1,123 @@
+#include "cedarpoint/runner_signals/send_holds.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cedarpoint {
+namespace {
+
+/// A new life answers before the view shows it. A pause that was asked for within this time before
+/// may be its own.
+constexpr duration view_delay = seconds{1};
+
+/// A runner that leaves and was out of the view for this long has ended.
+constexpr duration forget_after = seconds{60};
+
+} // namespace
+
+send_holds::hold& send_holds::hold_of(instant now, const runner_id& runner, birth life)
+{
+    const auto seen = lives_.find(runner);
+    const auto latest = seen == lives_.end() ? life : std::max(life, seen->second);
+    auto& out = holds_.try_emplace(runner, hold{latest, {}, {}, false, {}}).first->second;
+    if (latest > out.life) {
+        begin_life(now, latest, out);
+    }
+    return out;
+}
+
+void send_holds::on_pause(instant now, const runner_id& runner, birth life, duration time)
+{
+    auto& own = hold_of(now, runner, life);
+    own.paused_at = now;
+    own.paused_until = std::max(own.paused_until, now + time);
+}
+
+bool send_holds::on_leaving(instant now, const runner_id& runner, birth life)
+{
+    auto& own = hold_of(now, runner, life);
+    if (life < own.life) {
+        return false; // an earlier life has said so
+    }
+    return !std::exchange(own.leaving, true);
+}
+
+void send_holds::begin_life(instant now, birth life, hold& of)
+{
+    of.life = life;
+    of.leaving =
+        false; // a runner says it in each answer, so that one request is enough to learn it
+    if (now - of.paused_at > view_delay) {
+        of.paused_until = {};
+    }
+}
+
+void send_holds::on_lives(instant now, std::map<runner_id, birth> lives)
+{
+    lives_ = std::move(lives);
+    for (auto& [runner, own] : holds_) {
+        const auto found = lives_.find(runner);
+        if (found == lives_.end()) {
+            own.absent_since = own.absent_since.value_or(now);
+            continue;
+        }
+        own.absent_since.reset();
+        if (found->second > own.life) {
+            begin_life(now, found->second, own);
+        }
+    }
+    std::erase_if(holds_, [now](const auto& each) { return is_over(now, each.second); });
+}
+
+bool send_holds::is_over(instant now, const hold& in)
+{
+    const bool has_ended = in.absent_since && now - *in.absent_since > forget_after;
+    return now >= in.paused_until && (!in.leaving || has_ended);
+}
+
+send_hold send_holds::find(instant now, const runner_id& runner) const
+{
+    const auto found = holds_.find(runner);
+    if (found == holds_.end()) {
+        return send_hold::none;
+    }
+    if (found->second.leaving) {
+        return send_hold::leaving;
+    }
+    return now < found->second.paused_until ? send_hold::paused : send_hold::none;
+}
+
+std::optional<instant> send_holds::paused_until(instant now, const runner_id& runner) const
+{
+    const auto found = holds_.find(runner);
+    if (found == holds_.end() || now >= found->second.paused_until) {
+        return {};
+    }
+    return found->second.paused_until;
+}
+
+std::map<runner_id, birth> send_holds::leaving() const
+{
+    std::map<runner_id, birth> out;
+    for (const auto& [runner, own] : holds_) {
+        if (own.leaving) {
+            out[runner] = own.life;
+        }
+    }
+    return out;
+}
+
+std::size_t send_holds::count_leaving() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        holds_.begin(), holds_.end(), [](const auto& each) { return each.second.leaving; }));
+}
+
+std::size_t send_holds::count_paused(instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(holds_.begin(), holds_.end(),
+                      [now](const auto& each) { return now < each.second.paused_until; }));
+}
+
+} // namespace cedarpoint
--- a/tests/fleet/target_set_test.cpp
+++ b/tests/fleet/target_set_test.cpp
@@ -35,7 +35,7 @@
 TEST(a_target, is_the_one_with_the_fewest_requests_that_is_not_full)
 {
     target_set targets{failure_domain_id{"zone"}, 1};
-    targets.update(decode(two_groups()));
+    targets.update(start, decode(two_groups()));
     const service_id pool{"pool"};
     targets.on_sent(start, runner_id{"i-1"});
     targets.on_byte(start, runner_id{"i-1"});
@@ -70,7 +70,7 @@
         for (const auto& each : runners) {
             view.runners[each.id] = each;
         }
-        targets.update(view);
+        targets.update(start, view);
     };
     update({runner("i-1", false, 4), runner("i-2", false, 0)});
     const auto choose = [&] {
@@ -91,7 +91,7 @@
 TEST(a_target, that_failed_is_avoided_for_a_while)
 {
     target_set targets{failure_domain_id{"zone"}, 1};
-    targets.update(decode(two_groups()));
+    targets.update(start, decode(two_groups()));
     targets.on_failure(start, runner_id{"i-1"});
     for (int draw = 0; draw < 20; ++draw) {
         const auto choice = targets.choose(start, service_id{"pool"}, model_id{"m"}, {});
@@ -102,7 +102,7 @@
 TEST(a_target, reports_its_waits_once)
 {
     target_set targets{failure_domain_id{"zone"}, 1};
-    targets.update(decode(two_groups()));
+    targets.update(start, decode(two_groups()));
     const runner_id head{"i-1"};
     EXPECT_TRUE(targets.take_observations(start).empty()) << "nothing was seen yet";
     targets.on_sent(start, head);
@@ -194,7 +194,7 @@
 TEST(a_target, that_has_named_a_rate_limit_is_chosen_with_a_permit_only)
 {
     target_set targets{failure_domain_id{"zone"}, 1};
-    targets.update(decode(two_groups()));
+    targets.update(start, decode(two_groups()));
     const service_id pool{"pool"};
     const model_id model{"m"};
     const runner_id limited{"i-1"};
--- /dev/null
+++ b/tests/runner_signals/send_holds_test.cpp
@@ -0,0 +1,94 @@
+#include "cedarpoint/runner_signals/send_holds.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+constexpr instant start{seconds{100}};
+const runner_id runner{"i-1"};
+constexpr birth first{1000};
+constexpr birth second{2000};
+
+std::map<runner_id, birth> seen(birth life)
+{
+    return {{runner, life}, {runner_id{"i-2"}, birth{1}}};
+}
+
+// Guards against requests within a pause after something other than its time has ended it.
+TEST(a_pause, is_ended_by_its_time_alone)
+{
+    send_holds holds;
+    holds.on_pause(start, runner, first, seconds{3});
+    EXPECT_EQ(holds.find(start, runner), send_hold::paused);
+    EXPECT_EQ(holds.find(start, runner_id{"i-2"}), send_hold::none);
+
+    // A shorter one.
+    holds.on_pause(start + seconds{1}, runner, first, milliseconds{100});
+    EXPECT_EQ(holds.paused_until(start + seconds{2}, runner), start + seconds{3});
+
+    // The runner is out of the view for a while, and comes back in the same life.
+    holds.on_lives(start + seconds{1}, {});
+    holds.on_lives(start + seconds{2}, seen(first));
+    EXPECT_EQ(holds.find(start + milliseconds{2999}, runner), send_hold::paused);
+    EXPECT_EQ(holds.count_paused(start + seconds{2}), 1U);
+
+    EXPECT_EQ(holds.find(start + seconds{3}, runner), send_hold::none);
+    EXPECT_EQ(holds.paused_until(start + seconds{3}, runner), std::nullopt);
+    EXPECT_EQ(holds.count_paused(start + seconds{3}), 0U);
+}
+
+TEST(a_pause, is_made_longer_by_a_later_answer)
+{
+    send_holds holds;
+    holds.on_pause(start, runner, first, seconds{3});
+    holds.on_pause(start + seconds{2}, runner, first, seconds{3});
+    EXPECT_EQ(holds.paused_until(start + seconds{2}, runner), start + seconds{5});
+}
+
+TEST(a_pause, is_not_owed_by_a_new_life)
+{
+    send_holds holds;
+    holds.on_pause(start, runner, first, seconds{60});
+    holds.on_lives(start + seconds{5}, seen(second));
+    EXPECT_EQ(holds.find(start + seconds{5}, runner), send_hold::none);
+}
+
+TEST(a_pause, that_a_new_life_may_have_asked_for_before_the_view_showed_it_holds)
+{
+    send_holds holds;
+    holds.on_pause(start, runner, first, seconds{3});
+    holds.on_lives(start + milliseconds{300}, seen(second));
+    EXPECT_EQ(holds.find(start + seconds{2}, runner), send_hold::paused);
+}
+
+TEST(a_leave, lasts_as_long_as_the_life_whatever_the_view_shows)
+{
+    send_holds holds;
+    EXPECT_TRUE(holds.on_leaving(start, runner, first));
+    EXPECT_FALSE(holds.on_leaving(start, runner, first));
+    holds.on_lives(start + seconds{1}, seen(first));
+    holds.on_lives(start + seconds{300}, {});
+    holds.on_lives(start + seconds{310}, seen(first));
+    EXPECT_EQ(holds.find(start + seconds{320}, runner), send_hold::leaving);
+    EXPECT_EQ(holds.leaving().at(runner), first);
+    EXPECT_EQ(holds.count_leaving(), 1U);
+
+    holds.on_lives(start + seconds{400}, seen(second));
+    EXPECT_EQ(holds.find(start + seconds{400}, runner), send_hold::none);
+    EXPECT_FALSE(holds.on_leaving(start + seconds{401}, runner, first))
+        << "an answer of the earlier life, that was late";
+    EXPECT_EQ(holds.find(start + seconds{401}, runner), send_hold::none);
+}
+
+TEST(a_leave, is_forgotten_once_the_runner_has_long_been_gone)
+{
+    send_holds holds;
+    holds.on_leaving(start, runner, first);
+    holds.on_lives(start + seconds{1}, {});
+    holds.on_lives(start + seconds{62}, {});
+    EXPECT_TRUE(holds.leaving().empty());
+}
+
+} // namespace
+} // namespace cedarpoint
