--- a/tests/fleet/fleet_site.cpp
+++ b/tests/fleet/fleet_site.cpp
@@ -184,15 +184,17 @@
         return;
     }
     accounts.emplace_back(request.fields.get("X-Cedarpoint-Tenant"));
-    http_head head{200, {}};
-    head.fields.add("X-Cedarpoint-Request-Id",
-                    std::string{request.fields.get("X-Cedarpoint-Request-Id")});
     if (request.fields.get("X-Cedarpoint-Expect-Instance") != id_) {
-        head.status = 421;
+        http_head head{421, {}};
+        head.fields.add("X-Cedarpoint-Request-Id",
+                        std::string{request.fields.get("X-Cedarpoint-Request-Id")});
         reply->send(std::move(head), "");
         return;
     }
-    head.fields.add("X-Cedarpoint-Instance-Signature", "signed-by-" + id_);
+    if (is_turned_away(request, reply)) {
+        return;
+    }
+    auto head = make_head(request);
     ++served_;
     arrivals.push_back({steady_now(), std::string{request.fields.get("X-Cedarpoint-Request-Id")},
                         request.body, !rate_limit.empty()});
@@ -204,9 +206,6 @@
         stream(request, reply);
         return;
     }
-    if (!rate_limit.empty()) {
-        head.fields.add("Server-Limit", rate_limit);
-    }
     if (fail_next > 0) {
         --fail_next;
         head.status = 500;
@@ -219,16 +218,55 @@
                        [reply, head, body = request.body] { reply->send(head, "plain " + body); });
 }
 
-void platform_runner::stream(const http_request& request, const std::shared_ptr<http_reply>& reply)
+http_head platform_runner::make_head(const http_request& request) const
 {
-    http_head head{200, {}};
-    head.fields.add("X-Cedarpoint-Request-Id",
-                    std::string{request.fields.get("X-Cedarpoint-Request-Id")});
-    head.fields.add("X-Cedarpoint-Instance-Signature", "signed-by-" + id_);
-    head.fields.add("Content-Type", "text/event-stream");
+    http_head out{200, {}};
+    out.fields.add("X-Cedarpoint-Request-Id",
+                   std::string{request.fields.get("X-Cedarpoint-Request-Id")});
+    out.fields.add("X-Cedarpoint-Instance-Signature", "signed-by-" + id_);
     if (!rate_limit.empty()) {
-        head.fields.add("Server-Limit", rate_limit);
+        out.fields.add("Server-Limit", rate_limit);
+    }
+    if (leaving) {
+        out.fields.add("Server-Leaving", "1");
+    }
+    return out;
+}
+
+bool platform_runner::is_turned_away(const http_request& request,
+                                     const std::shared_ptr<http_reply>& reply)
+{
+    if (!turn_away) {
+        return false;
     }
+    const auto retry_after = turn_away(std::string{request.fields.get("X-Cedarpoint-Request-Id")});
+    if (!retry_after) {
+        return false;
+    }
+    auto head = make_head(request);
+    head.status = 503;
+    head.fields.add("X-Cedarpoint-Not-Executed", "1");
+    if (!retry_after->empty()) {
+        head.fields.add("Retry-After", *retry_after);
+    }
+    reply->send(std::move(head), "");
+    return true;
+}
+
+void platform_runner::be_silent(bool silent)
+{
+    if (silent) {
+        timer_.stop();
+    }
+    else {
+        timer_.start(heartbeat_ms);
+    }
+}
+
+void platform_runner::stream(const http_request& request, const std::shared_ptr<http_reply>& reply)
+{
+    auto head = make_head(request);
+    head.fields.add("Content-Type", "text/event-stream");
     reply->begin(std::move(head));
     const std::string after{request.fields.get("Last-Event-Id")};
     for (int event = after.empty() ? 1 : std::stoi(after) + 1; event <= 3; ++event) {
--- a/tests/fleet/fleet_site.h
+++ b/tests/fleet/fleet_site.h
@@ -8,6 +8,7 @@
 #include <QTemporaryDir>
 #include <QTimer>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,12 +47,18 @@
     bool cut_stream = false;           ///< the next stream breaks off after its first event
     std::vector<std::string> accounts; ///< that requests were passed on for
     std::string rate_limit;            ///< named in each answer unless it is empty
-    milliseconds answer_time{0};       ///< of a plain request
-    int slots = 4;                     ///< as its heartbeats tell
-    std::string ended_by;              ///< a request whose body holds this ends the runner
-    milliseconds time_to_end{40};      ///< such a request runs before the runner ends
-    milliseconds time_away{2500};      ///< until it is back as a new life under its id
-    std::vector<instant> ends;         ///< of its lives
+    bool leaving = false;              ///< each answer says that it leaves
+    /// Asked for each request, by its id. Empty: it is served; otherwise it is turned away with
+    /// this Retry-After, without one if it is empty.
+    std::function<std::optional<std::string>(const std::string&)> turn_away;
+    /// Ends its heartbeats, or begins them anew; it serves on.
+    void be_silent(bool silent);
+    milliseconds answer_time{0};  ///< of a plain request
+    int slots = 4;                ///< as its heartbeats tell
+    std::string ended_by;         ///< a request whose body holds this ends the runner
+    milliseconds time_to_end{40}; ///< such a request runs before the runner ends
+    milliseconds time_away{2500}; ///< until it is back as a new life under its id
+    std::vector<instant> ends;    ///< of its lives
     /// Ends at once, as a process that crashes, and comes back after `time_away`.
     void crash();
     struct arrival {
@@ -66,6 +73,10 @@
     void on_request(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void take_order(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void stream(const http_request& request, const std::shared_ptr<http_reply>& reply);
+    /// The head of an answer to the request, with what the runner says of itself.
+    [[nodiscard]] http_head make_head(const http_request& request) const;
+    [[nodiscard]] bool is_turned_away(const http_request& request,
+                                      const std::shared_ptr<http_reply>& reply);
     void announce();
     void begin_life();
     [[nodiscard]] std::string announcement_text();
--- /dev/null
+++ b/tests/runner_signals/paused_fleet_test.cpp
@@ -0,0 +1,314 @@
+// Guards against requests that reach a runner within a pause that it has asked an entry daemon for,
+// or after it has told one that it leaves.
+
+#include "daemon/site.h"
+#include "fleet/fleet_site.h"
+#include "io/clock.h"
+#include "support/fleet_processes.h"
+#include "support/open_loop_callers.h"
+#include "support/pausing_runner.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::call;
+using testing_support::fleet_processes;
+using testing_support::open_loop_callers;
+using testing_support::pausing_runner;
+using testing_support::platform_runner;
+using testing_support::wait_until;
+
+/// How long after a runner has said that it leaves a caller's request may still be sent there; from
+/// the users' rules.
+constexpr duration drain_time = seconds{2};
+
+constexpr duration at_once = milliseconds{500};
+constexpr int refused_status = 503;
+constexpr duration pause_of_all = seconds{5};
+
+std::string document(int version, const std::string& service)
+{
+    const bool streams = service == "pool";
+    return fmt::format(R"({{"version":{},
+        "routes":[{{"name":"r","host":"h.example","pathPrefix":"/r/","kind":"{}","resumable":{},
+                   "timeoutMs":2000,"service":"{}","maxAttempts":2}}],
+        "services":[{{"name":"{}"}}]}})",
+                       version, streams ? "streaming" : "safe", streams, service, service);
+}
+
+struct site_shape {
+    int entry_daemons = 0;
+    int net = 0; ///< of the loopback range; the next ones are this site's as well
+};
+
+// The name is that which the test library looks for.
+void PrintTo( // NOLINT(readability-identifier-naming)
+    const site_shape& in, std::ostream* out)
+{
+    *out << in.entry_daemons << " entry daemons";
+}
+
+class a_fleet_whose_runners_speak : public testing::TestWithParam<site_shape> {
+protected:
+    static constexpr int runner_count = 4;
+
+    void start(const std::string& service)
+    {
+        fleet.start_all();
+        for (int made = 0; made < runner_count; ++made) {
+            runners.push_back(std::make_unique<platform_runner>(
+                fmt::format("s-{}", made), service, fleet.controls(), std::uint64_t{1000}));
+            // Some answers come after a later request of the same daemon was turned away.
+            runners.back()->answer_time = milliseconds{20 + 60 * made};
+            runners.back()->slots = 100;
+        }
+        ASSERT_TRUE(fleet.put(document(1, service)));
+        for (const auto& entry : fleet.entries()) {
+            ASSERT_TRUE(wait_until([&] {
+                return call(entry, "GET", "/r/x", "X-Cedarpoint-Request-Id: 0-w\r\n", "")
+                           .head.status == 200;
+            }));
+        }
+        callers = std::make_unique<open_loop_callers>(
+            fleet.entries(), 4.0 * GetParam().entry_daemons, "", [](std::size_t) {
+                return open_loop_callers::request{"GET", "/r/x", ""};
+            });
+        pass_time(seconds{1});
+        for (const auto& runner : runners) {
+            pauses.push_back(std::make_unique<pausing_runner>(*runner));
+        }
+    }
+
+    static void pass_time(duration time)
+    {
+        wait_until([until = steady_now() + time] { return steady_now() > until; });
+    }
+
+    /// One runner turns one entry daemon away, for 1.5 to 4 s; each daemon keeps two runners.
+    void pause_at_random()
+    {
+        std::uniform_int_distribution<int> any_sender{0, GetParam().entry_daemons - 1};
+        std::uniform_int_distribution<std::size_t> any_runner{0, pauses.size() - 1};
+        std::uniform_int_distribution<int> any_ms{1500, 4000};
+        const int sender = any_sender(random);
+        const auto paused = std::count_if(pauses.begin(), pauses.end(), [&](const auto& each) {
+            return each->is_paused_for(sender);
+        });
+        auto& chosen = *pauses[any_runner(random)];
+        if (paused < runner_count - 2 && !chosen.is_paused_for(sender)) {
+            chosen.ask(sender, milliseconds{any_ms(random)});
+        }
+    }
+
+    /// For `time`, one daemon after the other is turned away somewhere.
+    void pass_time_with_pauses(duration time)
+    {
+        const auto until = steady_now() + time;
+        while (steady_now() < until) {
+            pause_at_random();
+            pass_time(milliseconds{600} / GetParam().entry_daemons);
+        }
+    }
+
+    [[nodiscard]] int count_within() const
+    {
+        int out = 0;
+        for (const auto& each : pauses) {
+            out += each->within;
+        }
+        return out;
+    }
+
+    [[nodiscard]] int count_asked() const
+    {
+        int out = 0;
+        for (const auto& each : pauses) {
+            out += each->asked;
+        }
+        return out;
+    }
+
+    /// The requests that a runner got from daemons more than `drain_time` after it had told them
+    /// that it leaves, and those that it got at all after `from`.
+    struct leave_count {
+        int late = 0;
+        int after = 0;
+    };
+    [[nodiscard]] leave_count count_after_leave(std::size_t runner, instant left,
+                                                instant from) const
+    {
+        leave_count out;
+        std::map<int, instant> told;
+        for (const auto& each : pauses[runner]->arrivals) {
+            if (each.at < left) {
+                continue;
+            }
+            const auto first = told.emplace(each.sender, each.at).first->second;
+            out.late += each.at - first > drain_time ? 1 : 0;
+            out.after += each.at >= from ? 1 : 0;
+        }
+        return out;
+    }
+
+    /// Tests run side by side, so that each needs addresses of its own.
+    [[nodiscard]] static int net_of_this_test()
+    {
+        const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+        constexpr std::array<const char*, 5> first_words{"sends", "refuses", "begins", "spares",
+                                                         "hears"};
+        const auto found = std::find_if(first_words.begin(), first_words.end(),
+                                        [&](const char* each) { return name.starts_with(each); });
+        return GetParam().net + static_cast<int>(found - first_words.begin());
+    }
+
+    int net = net_of_this_test();
+    fleet_processes fleet{{net, GetParam().entry_daemons, fmt::format("paused-{}", net), false}};
+    std::vector<std::unique_ptr<platform_runner>> runners;
+    std::unique_ptr<open_loop_callers> callers;
+    std::vector<std::unique_ptr<pausing_runner>> pauses;
+    std::mt19937_64 random{39}; // NOLINT(cert-msc51-cpp): the same plan in each run
+};
+
+TEST_P(a_fleet_whose_runners_speak, sends_nothing_within_a_pause_whatever_else_happens)
+{
+    start("shop");
+    const auto began = steady_now();
+    pass_time_with_pauses(seconds{4});
+
+    // Configurations change.
+    for (int version = 2; version < 5; ++version) {
+        ASSERT_TRUE(fleet.put(document(version, "shop")));
+        pass_time_with_pauses(milliseconds{700});
+    }
+    // A runner falls out of the view and comes back.
+    runners[0]->be_silent(true);
+    pass_time_with_pauses(milliseconds{1200});
+    runners[0]->be_silent(false);
+    pass_time_with_pauses(milliseconds{1500});
+
+    // The leader is lost, and comes back.
+    const auto lost = fleet.leader();
+    ASSERT_TRUE(lost.has_value());
+    fleet.at(*lost).signal(SIGKILL);
+    pass_time_with_pauses(seconds{3});
+    fleet.start(*lost, false);
+    pass_time_with_pauses(seconds{2});
+
+    EXPECT_EQ(count_within(), 0);
+    EXPECT_GT(count_asked(), GetParam().entry_daemons) << "it is what it is meant to be";
+    EXPECT_GT(callers->served_share(began, steady_now()), 0.99) << "the others serve meanwhile";
+}
+
+TEST_P(a_fleet_whose_runners_speak, refuses_at_once_while_all_have_asked_for_a_pause)
+{
+    start("shop");
+    for (const auto& each : pauses) {
+        for (int sender = 0; sender < GetParam().entry_daemons; ++sender) {
+            each->ask(sender, pause_of_all);
+        }
+    }
+    pass_time(seconds{2}); // by then each daemon has asked all four
+    const auto all_paused = steady_now();
+    pass_time(seconds{2});
+    EXPECT_EQ(count_within(), 0);
+    int refused = 0;
+    for (const auto& each : callers->results) {
+        if (each.status != refused_status || each.ended < all_paused) {
+            continue;
+        }
+        ++refused;
+        EXPECT_LT(each.took, at_once);
+        const auto passed = std::chrono::duration<double>(steady_now() - each.ended).count();
+        EXPECT_GT(each.retry_after, passed) << "it is not worth coming back sooner";
+        EXPECT_LT(each.retry_after, 6);
+    }
+    EXPECT_GT(refused, GetParam().entry_daemons);
+
+    // The pauses end; all are served again.
+    pass_time(seconds{4});
+    EXPECT_EQ(count_within(), 0);
+    EXPECT_GT(callers->served_share(steady_now() - seconds{1}, steady_now()), 0.99);
+}
+
+TEST_P(a_fleet_whose_runners_speak, begins_anew_with_a_new_life)
+{
+    start("shop");
+    for (int sender = 0; sender < GetParam().entry_daemons; ++sender) {
+        pauses[0]->ask(sender, seconds{60});
+    }
+    pass_time(seconds{3});
+    EXPECT_EQ(count_within(), 0);
+    runners[0]->crash();
+    pauses[0]->forget();
+    pass_time(runners[0]->time_away);
+    const auto before = pauses[0]->arrivals.size();
+    pass_time(seconds{3});
+    EXPECT_GT(pauses[0]->arrivals.size(),
+              before + static_cast<std::size_t>(GetParam().entry_daemons))
+        << "the new life has asked for nothing";
+}
+
+TEST_P(a_fleet_whose_runners_speak, spares_one_that_says_that_it_leaves)
+{
+    start("shop");
+    const auto left = steady_now();
+    runners[0]->leaving = true; // its heartbeats still say that it is ready
+    pass_time(seconds{3});
+    const auto with_leader = count_after_leave(0, left, left + seconds{1});
+    EXPECT_EQ(with_leader.late, 0);
+    EXPECT_EQ(with_leader.after, 0) << "those that it has not told have heard it from others";
+
+    // Without a leader each daemon knows what it has been told itself, also by a 503.
+    for (int which = 0; which < fleet_processes::control_count; ++which) {
+        fleet.at(which).signal(SIGKILL);
+    }
+    const auto left_alone = steady_now();
+    runners[1]->leaving = true;
+    for (int sender = 0; sender < GetParam().entry_daemons; sender += 2) {
+        pauses[1]->ask(sender, milliseconds{1});
+    }
+    pass_time(seconds{5});
+    EXPECT_EQ(count_after_leave(1, left_alone, left_alone).late, 0);
+    EXPECT_EQ(count_after_leave(0, left, left + seconds{1}).late, 0);
+    EXPECT_GT(callers->served_share(left, steady_now()), 0.99) << "the others serve meanwhile";
+
+    // The next leader hears it from the daemons.
+    for (int which = 0; which < fleet_processes::control_count; ++which) {
+        fleet.start(which, false);
+    }
+    const auto back = steady_now();
+    pass_time(seconds{6});
+    for (const std::size_t which : {0U, 1U}) {
+        EXPECT_EQ(count_after_leave(which, left, back).after, 0) << which;
+    }
+}
+
+TEST_P(a_fleet_whose_runners_speak, hears_a_leave_in_the_head_of_a_stream)
+{
+    start("pool");
+    const auto left = steady_now();
+    runners[0]->leaving = true;
+    pass_time(seconds{4});
+    const auto seen = count_after_leave(0, left, left + seconds{1});
+    EXPECT_EQ(seen.late, 0);
+    EXPECT_EQ(seen.after, 0);
+    EXPECT_GT(callers->served_share(left, steady_now()), 0.99);
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, a_fleet_whose_runners_speak,
+                         testing::Values(site_shape{8, 210}, site_shape{30, 216}),
+                         [](const auto& each) {
+                             return fmt::format("{}_entry_daemons", each.param.entry_daemons);
+                         });
+
+} // namespace
+} // namespace cedarpoint
--- a/tests/support/open_loop_callers.cpp
+++ b/tests/support/open_loop_callers.cpp
@@ -1,5 +1,6 @@
 #include "support/open_loop_callers.h"
 
+#include "cedarpoint/core/parse_decimal.h"
 #include "io/clock.h"
 
 #include <fmt/format.h>
@@ -56,7 +57,10 @@
     const auto began = steady_now();
     const auto answer = std::make_shared<result>();
     exchange_handlers handlers;
-    handlers.on_head = [answer](const http_head& head) { answer->status = head.status; };
+    handlers.on_head = [answer](const http_head& head) {
+        answer->status = head.status;
+        answer->retry_after = parse_decimal(head.fields.get("Retry-After")).value_or(0);
+    };
     handlers.on_body = [answer](const std::string& bytes) { answer->text += bytes; };
     handlers.on_end = [this, connection, answer, began](exchange_end how, const reason&) {
         pool_.give_back(connection);
--- a/tests/support/open_loop_callers.h
+++ b/tests/support/open_loop_callers.h
@@ -25,7 +25,8 @@
         instant ended;
         int status = 0; ///< 0: no whole answer
         duration took{};
-        std::string text; ///< of the answer
+        double retry_after = 0; ///< seconds; 0: none is named
+        std::string text;       ///< of the answer
     };
 
     /// `name`: in the ids of the requests, which begin with the number of their entry daemon.
