A pause that a runner asks for is a bar, until its time is over

Cause: nobody read Retry-After of a runner's 503. It counted as a failure of health, which puts a runner behind the others for 0.3 s and more, a preference that ends by itself. Change: send_holds bars a paused or leaving runner where a target is chosen (first attempts, retries, resumes, moved streams) and again when the request is written to its connection. Such a 503 is no failure of health. It takes no permit of a named rate. If all targets pause, callers are refused at once, with the time until the first pause ends and up to 0.5 s more, spread. A runner's Retry-After, if its 503 is passed on, is replaced by ours: it is asked of this daemon. Why it holds: the decision is made with what is known when the bytes are written; what comes later was under way. Pauses are kept by runner, apart from views and targets. Bounds are as they were.

--- a/include/cedarpoint/fleet/answer_verdict.h
+++ b/include/cedarpoint/fleet/answer_verdict.h
@@ -12,6 +12,7 @@
     bool disclaims = false;    ///< the runner says that it did not run the request
     bool is_authentic = false; ///< it bears this request's id and a runner's signature, unencoded
     bool caller_has_events = false; ///< the caller has got part of a stream already
+    bool asks_for_pause = false;    ///< the runner is well, and wants nothing for a while
 };
 
 /// What an attempt's end says about its target.
--- a/include/cedarpoint/fleet/target_set.h
+++ b/include/cedarpoint/fleet/target_set.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <utility>
@@ -22,11 +23,13 @@
     enum class outcome_t {
         chosen,
         none_available, ///< none is known, accepting and untried
+        paused,         ///< some would do, but have asked this daemon for a pause
         all_full,       ///< some would do, but are full
         rate_limited    ///< some have room, but may not be sent one more request now
     };
     outcome_t outcome = outcome_t::none_available;
     const fleet_target* target = nullptr; ///< valid until the next update; null unless chosen
+    std::optional<instant> pause_ends;    ///< the first of the pauses that were met
 };
 
 /// The targets of this entry daemon's view, and what it observed of each. Chooses by the rules of
@@ -42,7 +45,7 @@
     void update_loads(const std::map<runner_id, int>& in_flight_elsewhere);
 
     /// The target with the lowest cost for a service and, where it has groups, a model; none of
-    /// those in `tried`.
+    /// those in `tried`, and none that has asked to be sent nothing.
     [[nodiscard]] target_choice choose(instant now, const service_id& service,
                                        const model_id& model, const std::set<runner_id>& tried);
     /// Null if the runner is no target any more.
@@ -71,6 +74,9 @@
 private:
     using use = std::pair<service_id, model_id>;
 
+    /// True if the runner has asked to be sent nothing; notes in `out` how long.
+    [[nodiscard]] bool is_held(instant now, const runner_id& runner, target_choice& out) const;
+
     failure_domain_id own_domain_;
     std::mt19937_64 random_;
     std::map<runner_id, fleet_target> targets_;
--- a/src/entry/own_answer.cpp
+++ b/src/entry/own_answer.cpp
@@ -7,22 +7,20 @@
 namespace cedarpoint {
 namespace {
 
-/// Refusals for want of room, which a group's repair ends within seconds.
-constexpr std::string_view soon = "0.25";
 /// A quarantine lasts until an operator lifts it.
 constexpr std::string_view much_later = "3600";
 constexpr std::string_view never = "";
 
 constexpr std::array<own_answer_shape, 8> shapes{{
     {own_answer::no_configuration, http_status::service_unavailable,
-     "no configuration is known yet", "no configuration is known yet", soon},
+     "no configuration is known yet", "no configuration is known yet", retry_soon},
     {own_answer::no_route, http_status::not_found, "no route", "no route", never},
     {own_answer::unknown_key, http_status::unauthorized, "unknown key", "unknown key", never},
-    {own_answer::not_run, http_status::service_unavailable, "not served", "not served", soon},
+    {own_answer::not_run, http_status::service_unavailable, "not served", "not served", retry_soon},
     {own_answer::outcome_unknown, http_status::bad_gateway, "the runner's answer did not come",
      "the runner's answer did not arrive", never},
     {own_answer::expired_unrun, http_status::service_unavailable, "its time is up",
-     "deadline exceeded", soon},
+     "deadline exceeded", retry_soon},
     {own_answer::expired, http_status::gateway_timeout, "its time is up", "deadline exceeded",
      never},
     {own_answer::quarantined, http_status::too_many_requests,
--- a/src/entry/own_answer.h
+++ b/src/entry/own_answer.h
@@ -25,6 +25,9 @@
     std::string_view retry_after; ///< seconds; only where it has not run. Empty: none
 };
 
+/// Seconds after which a caller that was refused for want of room may find some.
+inline constexpr std::string_view retry_soon = "0.25";
+
 [[nodiscard]] const own_answer_shape& shape_of(own_answer kind);
 
 } // namespace cedarpoint
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -36,6 +36,8 @@
 const char* why_none(target_choice::outcome_t outcome)
 {
     switch (outcome) {
+    case target_choice::outcome_t::paused:
+        return "all targets have asked for a pause";
     case target_choice::outcome_t::all_full:
         return "all targets are full";
     case target_choice::outcome_t::rate_limited:
@@ -154,6 +156,9 @@
     const auto now = steady_now();
     const auto choice = context_.targets.choose(now, admission_.service, admission_.model, tried_);
     if (choice.target == nullptr) {
+        if (choice.outcome == target_choice::outcome_t::paused) {
+            pause_ends_ = choice.pause_ends;
+        }
         give_up(why_none(choice.outcome));
         return;
     }
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -71,6 +71,8 @@
     void pass_failure(const std::string& why);
     void break_off(const std::string& why);
     void answer(own_answer kind, const std::string& why);
+    /// The value of Retry-After; empty: none.
+    [[nodiscard]] std::string retry_after(const own_answer_shape& shape);
     void on_caller_gone();
     void on_deadline();
     void finish(const char* outcome, std::string_view cause);
@@ -88,6 +90,7 @@
     retry_facts facts_;
     std::optional<request_fingerprint> fingerprint_; ///< computed once it is asked for
     std::set<runner_id> tried_;
+    std::optional<instant> pause_ends_;       ///< only if all targets have asked for a pause
     std::shared_ptr<runner_attempt> attempt_; ///< the latest; null before the first
     event_cursor cursor_;
     bool begun_ = false; ///< the caller has got a stream's head
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -9,7 +9,19 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <random>
+
 namespace cedarpoint {
+namespace {
+
+constexpr const char* retry_after_field = "Retry-After";
+
+/// Callers that were refused for a pause come back over this many seconds after its end: the
+/// runner is not met by all of them at once.
+constexpr double longest_spread_s = 0.5;
+
+} // namespace
 
 void relay::deliver()
 {
@@ -54,7 +66,13 @@
 
 void relay::pass_failure(const std::string& why)
 {
-    reply_->send(without_hop_by_hop(*failure_), failure_body_);
+    auto head = without_hop_by_hop(*failure_);
+    if (head.status == http_status::service_unavailable && head.fields.has(retry_after_field)) {
+        // The pause is asked of this daemon; others may serve the caller sooner.
+        head = without_field(head, retry_after_field);
+        head.fields.add(retry_after_field, std::string{retry_soon});
+    }
+    reply_->send(std::move(head), failure_body_);
     finish("failed_at_runner", why);
 }
 
@@ -70,8 +88,8 @@
     http_head head{shape.status, {}};
     head.fields.add(context_.platform.headers().request_id, id_);
     head.fields.add("Content-Type", "application/json");
-    if (!shape.retry_after.empty()) {
-        head.fields.add("Retry-After", std::string{shape.retry_after});
+    if (auto value = retry_after(shape); !value.empty()) {
+        head.fields.add(retry_after_field, std::move(value));
     }
     reply_->send(std::move(head), fmt::format("{{\"error\":\"{}\"}}", shape.wire_text));
     const bool refused = shape.status == http_status::service_unavailable ||
@@ -79,6 +97,16 @@
     finish(refused ? "refused" : "rejected", why.empty() ? shape.log_cause : why);
 }
 
+std::string relay::retry_after(const own_answer_shape& shape)
+{
+    if (shape.kind != own_answer::not_run || !pause_ends_) {
+        return std::string{shape.retry_after};
+    }
+    std::uniform_real_distribution<double> spread{0, longest_spread_s};
+    const std::chrono::duration<double> left = *pause_ends_ - steady_now();
+    return fmt::format("{:.3f}", std::max(left.count(), 0.0) + spread(context_.random));
+}
+
 void relay::on_caller_gone()
 {
     if (ended_) {
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -89,18 +89,30 @@
 
 bool runner_attempt::on_connected()
 {
-    if (handlers_.may_send()) {
+    const auto why = why_not_now(steady_now());
+    if (why.empty()) {
         return true;
     }
     cancel();
-    handlers_.on_end({attempt_outcome::not_run, target_effect::none, "too little time is left"});
+    handlers_.on_end({attempt_outcome::not_run, target_effect::none, std::string{why}});
     return false;
 }
 
+std::string_view runner_attempt::why_not_now(instant now)
+{
+    if (!handlers_.may_send()) {
+        return "too little time is left";
+    }
+    // The runner may have spoken to another request while this one waited for its connection.
+    return context_.targets.holds().find(now, runner_) == send_hold::none
+               ? ""
+               : "the runner has asked to be sent nothing";
+}
+
 void runner_attempt::on_sent()
 {
     sent_at_ = steady_now();
-    note_held_send(*sent_at_);
+    count_held_send(*sent_at_);
     if (options_.expects_stream) {
         arm_stall_timer(options_.first_event_limit);
     }
@@ -160,7 +172,7 @@
     return changed;
 }
 
-void runner_attempt::note_held_send(instant now)
+void runner_attempt::count_held_send(instant now)
 {
     if (context_.targets.holds().find(now, runner_) != send_hold::none) {
         context_.metrics.count_held_send();
@@ -237,6 +249,7 @@
     facts.disclaims = head_->fields.has(context_.platform.headers().not_executed);
     facts.is_authentic = is_authentic(*head_);
     facts.caller_has_events = options_.continues_stream;
+    facts.asks_for_pause = signals_.asks_for_pause();
     return judge_answer(facts);
 }
 
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -76,8 +76,10 @@
     [[nodiscard]] const std::string& body() const { return body_; }
 
 private:
-    /// False if it is too late for the request; the attempt has ended then.
+    /// False if the request may not be sent any more; the attempt has ended then.
     [[nodiscard]] bool on_connected();
+    /// Why the request may not be sent now; empty if it may.
+    [[nodiscard]] std::string_view why_not_now(instant now);
     void on_sent();
     void on_head(const http_head& head);
     void on_body(const std::string& bytes);
@@ -92,7 +94,7 @@
     void note_signals(instant now);
     /// True if it changes whether the runner is limited, or its rate.
     bool note_rate_limit(instant now);
-    void note_held_send(instant now);
+    void count_held_send(instant now);
     void arm_stall_timer(milliseconds limit);
     void release();
 
--- a/src/fleet/answer_verdict.cpp
+++ b/src/fleet/answer_verdict.cpp
@@ -20,12 +20,18 @@
     return {attempt_outcome::succeeded, target_effect::success, ""};
 }
 
+/// What an answer without a result says of its runner.
+target_effect effect_of_failure(const answer_facts& in)
+{
+    return in.asks_for_pause ? target_effect::none : target_effect::failure;
+}
+
 } // namespace
 
 attempt_verdict judge_answer(const answer_facts& in)
 {
     if (in.disclaims || in.status == http_status::misdirected_request) {
-        return {attempt_outcome::not_run, target_effect::failure,
+        return {attempt_outcome::not_run, effect_of_failure(in),
                 fmt::format("status {} not executed", in.status)};
     }
     if (in.status < http_status::first_error) {
@@ -35,7 +41,7 @@
     if (in.status < http_status::first_server_error) {
         return {attempt_outcome::client_error, target_effect::none, why};
     }
-    return {attempt_outcome::server_error, target_effect::failure, why};
+    return {attempt_outcome::server_error, effect_of_failure(in), why};
 }
 
 attempt_verdict judge_stream_end(bool cut_within_event)
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -90,6 +90,9 @@
         if (!target.accepting || tried.contains(runner)) {
             continue;
         }
+        if (is_held(now, runner, out)) {
+            continue;
+        }
         const auto& stats = stats_[runner];
         if (is_full(target, stats)) {
             out.outcome = std::max(out.outcome, target_choice::outcome_t::all_full);
@@ -111,6 +114,18 @@
     return out;
 }
 
+bool target_set::is_held(instant now, const runner_id& runner, target_choice& out) const
+{
+    const auto hold = holds_.find(now, runner);
+    if (hold != send_hold::paused) {
+        return hold != send_hold::none;
+    }
+    out.outcome = std::max(out.outcome, target_choice::outcome_t::paused);
+    const auto ends = *holds_.paused_until(now, runner);
+    out.pause_ends = std::min(out.pause_ends.value_or(ends), ends);
+    return true;
+}
+
 const fleet_target* target_set::find(const runner_id& runner) const
 {
     const auto found = targets_.find(runner);
--- a/src/io/header_rules.cpp
+++ b/src/io/header_rules.cpp
@@ -29,6 +29,17 @@
     return out;
 }
 
+http_head without_field(const http_head& head, std::string_view name)
+{
+    http_head out{head.status, {}};
+    for (const auto& [each, value] : head.fields.all()) {
+        if (!equal_ignoring_case(each, name)) {
+            out.fields.add(each, value);
+        }
+    }
+    return out;
+}
+
 bool is_event_stream(const http_head& head)
 {
     return head.fields.get("Content-Type").starts_with("text/event-stream");
--- a/src/io/header_rules.h
+++ b/src/io/header_rules.h
@@ -13,6 +13,9 @@
 /// A head without its hop-by-hop fields.
 [[nodiscard]] http_head without_hop_by_hop(const http_head& head);
 
+/// The head without the fields of this name.
+[[nodiscard]] http_head without_field(const http_head& head, std::string_view name);
+
 /// True if the body is a stream of server-sent events.
 [[nodiscard]] bool is_event_stream(const http_head& head);
 
--- a/tests/fleet/answer_verdict_test.cpp
+++ b/tests/fleet/answer_verdict_test.cpp
@@ -52,6 +52,18 @@
     EXPECT_EQ(judge_answer({.status = 500}).effect, target_effect::failure);
 }
 
+TEST(an_answer, that_asks_for_a_pause_is_no_failure_of_its_runner)
+{
+    answer_facts in;
+    in.status = 503;
+    in.asks_for_pause = true;
+    EXPECT_EQ(judge_answer(in).effect, target_effect::none);
+    EXPECT_EQ(judge_answer(in).outcome, attempt_outcome::server_error);
+    in.disclaims = true;
+    EXPECT_EQ(judge_answer(in).effect, target_effect::none);
+    EXPECT_EQ(judge_answer(in).outcome, attempt_outcome::not_run);
+}
+
 TEST(a_stream, that_ends_within_an_event_was_cut)
 {
     EXPECT_EQ(judge_stream_end(true).outcome, attempt_outcome::may_have_run);
--- a/tests/fleet/target_set_test.cpp
+++ b/tests/fleet/target_set_test.cpp
@@ -99,6 +99,48 @@
     }
 }
 
+// Guards against pauses that only put a target behind the others.
+TEST(a_target, that_has_asked_for_a_pause_is_not_chosen_even_if_there_is_no_other)
+{
+    target_set targets{failure_domain_id{"zone"}, 1};
+    targets.update(start, decode(two_groups()));
+    const auto choose = [&](instant now) {
+        return targets.choose(now, service_id{"pool"}, model_id{"m"}, {});
+    };
+    targets.holds().on_pause(start, runner_id{"i-1"}, {}, seconds{3});
+    EXPECT_EQ(choose(start).target->runner.str(), "i-2");
+    targets.holds().on_pause(start, runner_id{"i-2"}, {}, seconds{2});
+    const auto none = choose(start + seconds{1});
+    EXPECT_EQ(none.target, nullptr);
+    EXPECT_EQ(none.outcome, target_choice::outcome_t::paused);
+    EXPECT_EQ(none.pause_ends, start + seconds{2}) << "the first that ends";
+
+    // Out of the view and back: the pause stands.
+    targets.update(start + seconds{1}, {});
+    targets.update(start + seconds{1}, decode(two_groups()));
+    EXPECT_EQ(choose(start + milliseconds{1999}).target, nullptr);
+    EXPECT_EQ(choose(start + seconds{2}).target->runner.str(), "i-2");
+    EXPECT_EQ(choose(start + seconds{3}).outcome, target_choice::outcome_t::chosen);
+
+    // One that leaves is no target at all.
+    targets.holds().on_leaving(start + seconds{3}, runner_id{"i-1"}, {});
+    targets.holds().on_leaving(start + seconds{3}, runner_id{"i-2"}, {});
+    EXPECT_EQ(choose(start + seconds{9}).outcome, target_choice::outcome_t::none_available);
+}
+
+// Guards against a paused runner's part of its rate being kept from daemons that may send there.
+TEST(a_target, that_has_asked_for_a_pause_wants_no_permits)
+{
+    target_set targets{failure_domain_id{"zone"}, 1};
+    targets.update(start, decode(two_groups()));
+    const runner_id limited{"i-1"};
+    targets.permits().on_answer(start, limited,
+                                {rate_limit_reading::kind_t::named, request_rate{2}}, start);
+    targets.holds().on_pause(start, limited, {}, seconds{3});
+    (void)targets.choose(start, service_id{"pool"}, model_id{"m"}, {});
+    EXPECT_EQ(targets.permits().take_observations(start).at(limited).wanted, 0U);
+}
+
 TEST(a_target, reports_its_waits_once)
 {
     target_set targets{failure_domain_id{"zone"}, 1};
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -73,6 +73,9 @@
         own["address"] = endpoint{ip_of_entry(which), mesh_port}.str();
         own["callers"] = endpoint{ip_of_entry(which), callers_port}.str();
         own["ready"] = endpoint{ip_of_entry(which), ready_port}.str();
+        if (options_.retry_ratio > 0) {
+            own["retry_budget"]["ratio"] = options_.retry_ratio;
+        }
     }
     const auto file = fmt::format("{}/d-{}.json", folder_.path().toStdString(), which);
     std::ofstream{file} << own.dump();
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -26,6 +26,8 @@
         /// puts proxies at the addresses that they are told.
         bool behind_proxies = false;
         std::string preload; ///< a library of the tests, loaded into each daemon; empty: none
+        /// Of the requests that come, the part that may be sent to a second runner; 0: the default.
+        double retry_ratio = 0;
     };
 
     explicit fleet_processes(options options);
