A runner that says in an answer that it leaves gets nothing new from any daemon

What callers saw: nothing that we know of; such a runner went on getting requests until its own heartbeat or departure was heard (DRAIN). Cause: nobody read the header; a leave was known by heartbeats alone. The daemon reports the runner with its life, and the leader proposes the drain to the log that the runner's own announcement would: all daemons, the planner and the next leader know it, whatever heartbeats say. A later life owes nothing; a late answer of an earlier one counts for nothing. Comments of some files here lose their notes on how values were chosen.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -44,6 +45,9 @@
     /// Another runner answered at the runner's address.
     void on_other_runner(const runner_id& runner);
     void on_order_result(instant now, const group_order& order, order_result result);
+    /// The runner has said in an answer that it leaves; `life`: the one that it was in, 0 if not
+    /// known. Counts like its own announcement that it drains, whatever its heartbeats say.
+    void on_runner_leaving(const runner_id& runner, birth life);
 
     /// An entry daemon's report, and the answer to it.
     wire::fleet_update on_follow(instant now, const daemon_id& follower,
@@ -67,6 +71,8 @@
     std::function<void(std::uint64_t version, const reason&)> on_unreadable_configuration;
     /// Told when an entry daemon has reported on a request under which runners ended.
     std::function<void(instant now, const request_fingerprint&, const crash_history&)> on_crashes;
+    /// Told when a runner drains because it has said in an answer that it leaves.
+    std::function<void(const runner_id&)> on_leave_heard;
     /// Told when a request is to be quarantined.
     std::function<void(instant now, const quarantine_order&)> on_quarantine;
     /// An operator has lifted the quarantine of a request, and the log holds that.
@@ -92,7 +98,8 @@
     follower_tracker followers_;
     permit_allocator rate_limits_;
     quarantine_controller quarantine_;
-    std::vector<planner_step> records_; ///< commands for the log, until the next tick
+    std::map<runner_id, birth> drained_; ///< proposed to the log in this term
+    std::vector<planner_step> records_;  ///< commands for the log, until the next tick
     std::uint64_t term_ = 0;
 };
 
--- a/include/cedarpoint/fleet/health_report.h
+++ b/include/cedarpoint/fleet/health_report.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/core/units.h"
 #include "cedarpoint/quarantine/crash_observation.h"
 #include "cedarpoint/rate_limits/permit_messages.h"
 
@@ -40,6 +41,9 @@
     std::map<model_id, model_demand> demand;
     rate_limit_sightings rate_limits;
     crash_histories crashes; ///< of requests under which runners have ended
+    /// Runners that have said in an answer that they leave, in the lives that said so, while the
+    /// view still shows them as accepting.
+    std::map<runner_id, birth> leaving;
 };
 
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/target_set.h
+++ b/include/cedarpoint/fleet/target_set.h
@@ -67,6 +67,9 @@
     /// The runners that have asked to be sent nothing.
     [[nodiscard]] send_holds& holds() { return holds_; }
 
+    /// Targets that have said that they leave, in the lives that said so.
+    [[nodiscard]] std::map<runner_id, birth> leaving_targets() const;
+
     /// The observations to report to the leader; waits are reported once.
     [[nodiscard]] std::map<runner_id, runner_observation> take_observations(instant now);
     [[nodiscard]] const std::map<runner_id, fleet_target>& targets() const { return targets_; }
--- a/include/cedarpoint/runner_signals/send_holds.h
+++ b/include/cedarpoint/runner_signals/send_holds.h
@@ -31,9 +31,14 @@
     void on_pause(instant now, const runner_id& runner, birth life, duration time);
     /// An answer says that the runner leaves. True if that was not known.
     bool on_leaving(instant now, const runner_id& runner, birth life);
+    /// The runner is known to be in this life.
+    void on_life(instant now, const runner_id& runner, birth life);
     /// The view shows the runners in these lives.
     void on_lives(instant now, std::map<runner_id, birth> lives);
 
+    /// For runners whose lives are not told: one that was not there may be back in a new one.
+    void forget_leave(const runner_id& runner);
+
     [[nodiscard]] send_hold find(instant now, const runner_id& runner) const;
     /// The end of the runner's pause; empty if it is not paused.
     [[nodiscard]] std::optional<instant> paused_until(instant now, const runner_id& runner) const;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -13,14 +13,14 @@
 namespace cedarpoint {
 namespace {
 
-/// Time between two ticks. Not measured.
+/// Time between two ticks.
 constexpr int tick_ms = 20;
 /// After a planned stop has begun, callers still come for this long: the balancer asks every second
 /// and takes a daemon out after two misses. A second is left for what is on its way.
 constexpr duration balancer_patience = milliseconds{3000};
-/// Left of the stop bound when what still runs is broken off. Not measured.
+/// Left of the stop bound when what still runs is broken off.
 constexpr duration stop_margin = milliseconds{700};
-/// Connections of callers at a time. Not measured.
+/// Connections of callers at a time.
 constexpr std::size_t most_caller_connections = 2000;
 /// Of a request; twice the limit in the users' own configuration (4 MiB).
 constexpr std::size_t most_caller_body = std::size_t{8} << 20;
@@ -281,6 +281,7 @@
     out.runners = context_.targets.take_observations(now);
     out.rate_limits = context_.targets.permits().take_observations(now);
     out.crashes = context_.crashes.unconfirmed();
+    out.leaving = context_.targets.leaving_targets();
     out.demand = context_.demand;
     for (auto& [model, count] : context_.demand) {
         count = {};
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -153,6 +153,9 @@
     news.rate_limit = note_rate_limit(now);
     news.leave = signals_.leave == leave_reading::leaving && holds.on_leaving(now, runner_, life_);
     log_signals(runner_, signals_, news, options_.id);
+    if (news.rate_limit || news.leave) {
+        context_.hurry_report(); // others send there until the leader tells them
+    }
     if (signals_.has_unreadable()) {
         context_.metrics.count_unreadable_signal();
     }
@@ -164,12 +167,7 @@
     if (!is_named && !is_authentic(*head_)) {
         return false; // only an answer that the runner itself has surely made ends a limit
     }
-    const bool changed =
-        context_.targets.permits().on_answer(now, runner_, signals_.rate_limit, *sent_at_);
-    if (changed) {
-        context_.hurry_report(); // others send there until the leader tells them
-    }
-    return changed;
+    return context_.targets.permits().on_answer(now, runner_, signals_.rate_limit, *sent_at_);
 }
 
 void runner_attempt::count_held_send(instant now)
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -9,7 +9,7 @@
 namespace cedarpoint {
 namespace {
 
-/// A runner that was silent for this long is forgotten. Not measured.
+/// A runner that was silent for this long is forgotten.
 constexpr duration forget_after = seconds{60};
 
 planner_step make_record(std::string command)
@@ -53,6 +53,7 @@
     view_ = {};
     viewed_version_ = 0;
     records_.clear();
+    drained_.clear();
     for (auto& runner : runners_in_log(state_)) {
         registry_.expect(now, std::move(runner));
     }
@@ -84,6 +85,7 @@
     for (const auto& runner : registry_.forget_silent(now, forget_after)) {
         steps.push_back(make_record(fleet_state::remove_runner(runner)));
         rate_limits_.forget(runner);
+        drained_.erase(runner);
     }
     add_quarantines(now, steps);
     auto planned = planner_.tick(now);
@@ -149,6 +151,26 @@
     registry_.note_dead(runner);
 }
 
+void fleet_leader::on_runner_leaving(const runner_id& runner, birth life)
+{
+    const auto* record = registry_.find(runner);
+    if (record == nullptr || state_.is_leaving(runner)) {
+        return;
+    }
+    const auto told = life == birth{} ? record->latest.born : life;
+    if (told < record->latest.born) {
+        return; // an earlier life has said so
+    }
+    const auto [found, is_first] = drained_.try_emplace(runner, told);
+    if (!is_first && std::exchange(found->second, told) == told) {
+        return;
+    }
+    records_.push_back(make_record(fleet_state::depart(runner, false, told)));
+    if (on_leave_heard) {
+        on_leave_heard(runner);
+    }
+}
+
 void fleet_leader::on_order_result(instant now, const group_order& order, order_result result)
 {
     if (result == order_result::unreached) {
@@ -200,6 +222,9 @@
     auto report = decode_report(in);
     reports_.put(now, follower, report);
     take_rate_limits(now, follower, std::move(report.rate_limits));
+    for (const auto& [runner, life] : report.leaving) {
+        on_runner_leaving(runner, life);
+    }
     take_crashes(now, follower, decode_crashes(now, in.suspected()));
     const auto confirmed = in.term() == term_ ? in.version() : 0;
     const auto from = followers_.on_report(now, follower, confirmed, in.behind(), view_.version());
--- a/src/fleet/fleet_messages.cpp
+++ b/src/fleet/fleet_messages.cpp
@@ -207,6 +207,11 @@
         each->set_runner(runner.str());
         encode_rate_limit(seen, *each);
     }
+    for (const auto& [runner, life] : in.leaving) {
+        auto* each = out.add_leaving();
+        each->set_runner(runner.str());
+        each->set_born(life.value);
+    }
 }
 
 health_report decode_report(const wire::fleet_follow& in)
@@ -224,6 +229,9 @@
     for (const auto& each : in.rate_limits()) {
         out.rate_limits[runner_id{each.runner()}] = decode_rate_limit(each);
     }
+    for (const auto& each : in.leaving()) {
+        out.leaving[runner_id{each.runner()}] = birth{each.born()};
+    }
     return out;
 }
 
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -132,6 +132,16 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+std::map<runner_id, birth> target_set::leaving_targets() const
+{
+    auto out = holds_.leaving();
+    std::erase_if(out, [this](const auto& each) {
+        const auto* target = find(each.first);
+        return target == nullptr || !target->accepting;
+    });
+    return out;
+}
+
 void target_set::on_sent(instant now, const runner_id& runner)
 {
     permits_.on_sent(now, runner);
--- a/src/runner_signals/send_holds.cpp
+++ b/src/runner_signals/send_holds.cpp
@@ -28,6 +28,7 @@
 
 void send_holds::on_pause(instant now, const runner_id& runner, birth life, duration time)
 {
+    std::erase_if(holds_, [now](const auto& each) { return is_over(now, each.second); });
     auto& own = hold_of(now, runner, life);
     own.paused_at = now;
     own.paused_until = std::max(own.paused_until, now + time);
@@ -52,6 +53,14 @@
     }
 }
 
+void send_holds::on_life(instant now, const runner_id& runner, birth life)
+{
+    const auto found = holds_.find(runner);
+    if (found != holds_.end() && life > found->second.life) {
+        begin_life(now, life, found->second);
+    }
+}
+
 void send_holds::on_lives(instant now, std::map<runner_id, birth> lives)
 {
     lives_ = std::move(lives);
@@ -62,9 +71,7 @@
             continue;
         }
         own.absent_since.reset();
-        if (found->second > own.life) {
-            begin_life(now, found->second, own);
-        }
+        on_life(now, runner, found->second);
     }
     std::erase_if(holds_, [now](const auto& each) { return is_over(now, each.second); });
 }
@@ -75,6 +82,13 @@
     return now >= in.paused_until && (!in.leaving || has_ended);
 }
 
+void send_holds::forget_leave(const runner_id& runner)
+{
+    if (const auto found = holds_.find(runner); found != holds_.end()) {
+        found->second.leaving = false;
+    }
+}
+
 send_hold send_holds::find(instant now, const runner_id& runner) const
 {
     const auto found = holds_.find(runner);
--- a/tests/fleet/fleet_leader_test.cpp
+++ b/tests/fleet/fleet_leader_test.cpp
@@ -210,5 +210,43 @@
         << "one of a service that is known may have the address now";
 }
 
+// Guards against a runner that leaves getting requests from daemons that it has not told itself,
+// because its own heartbeats still say that it is ready.
+TEST_F(a_leader_with_a_large_configuration, drains_a_runner_that_has_told_a_daemon_that_it_leaves)
+{
+    const runner_id runner{"i-1"};
+    auto alive = heartbeat_of("i-1", "shop", 1);
+    alive.born = birth{1000};
+    ASSERT_TRUE(leader.announce(start, alive));
+    const auto apply_all = [&] {
+        for (const auto& step : leader.tick(start)) {
+            state.apply(step.command);
+        }
+    };
+    const auto tell = [&](std::uint64_t born) {
+        wire::fleet_follow report;
+        report.add_leaving()->set_runner("i-1");
+        report.mutable_leaving(0)->set_born(born);
+        (void)leader.on_follow(start, daemon_id{"entry"}, report);
+        apply_all();
+    };
+    apply_all();
+    tell(999);
+    EXPECT_FALSE(state.is_leaving(runner)) << "an earlier life has said so";
+    tell(1000);
+    EXPECT_TRUE(state.is_leaving(runner));
+    alive.sequence = 2;
+    leader.announce(start + milliseconds{10}, alive);
+    leader.begin_term(start + milliseconds{20}, 2);
+    EXPECT_TRUE(state.is_leaving(runner)) << "whatever its heartbeats say, and the next leader";
+
+    // A new life under its id.
+    alive.born = birth{2000};
+    alive.sequence = 1;
+    leader.announce(start + milliseconds{30}, alive);
+    apply_all();
+    EXPECT_FALSE(state.is_leaving(runner));
+}
+
 } // namespace
 } // namespace cedarpoint
