Control daemons obey pauses, and hear leaves in answers to orders and probes

What callers saw: nothing. Change: while a runner pauses for this daemon orders and probes to it are dropped, also those that wait for a connection; the planner repeats them. A leave drains the runner, in the life that was asked. Measured: two tests of their own pass; they were not run on the code before.

--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -15,14 +15,13 @@
 namespace cedarpoint {
 namespace {
 
-/// Time between two ticks. Not measured.
+/// Time between two ticks.
 constexpr int tick_ms = 20;
-/// A leader is elected 0.5 to 1 s after the old one fell silent: the round "elections within 0.5 to
-/// 1 s" (Potting Shed 0.855 -> 0.869), after a day without a leader for 2.2 s (inc-a6e6).
+/// A leader is elected 0.5 to 1 s after the old one fell silent.
 constexpr duration election_timeout = milliseconds{500};
 /// Between two heartbeats of the log's leader; of the same round.
 constexpr duration raft_heartbeat = milliseconds{100};
-/// Connections of operators and runners at a time. Not measured.
+/// Connections of operators and runners at a time.
 constexpr std::size_t most_api_connections = 1500;
 /// Of a declarative document; the largest seen has 260 KB with 900 routes.
 constexpr std::size_t most_api_body = 16 << 20;
@@ -112,6 +111,9 @@
     leader_.set_event_handler(log_group);
     leader_.on_unreadable_configuration = log_unreadable;
     leader_.on_crashes = log_crashes;
+    leader_.on_leave_heard = [](const runner_id& runner) {
+        log_line("runner_leaving").with("runner", runner.str()).write();
+    };
     leader_.on_quarantine = log_quarantine;
 }
 
@@ -199,6 +201,13 @@
     hooks.on_probe_failed = [this](const runner_id& runner, probe_failure how) {
         on_probe_failed(runner, how);
     };
+    hooks.life_of = [this](const runner_id& runner) {
+        const auto* record = leader_.registry().find(runner);
+        return record == nullptr ? birth{} : record->latest.born;
+    };
+    hooks.on_leaving = [this](const runner_id& runner, birth life) {
+        leader_.on_runner_leaving(runner, life);
+    };
     orders_ = std::make_unique<runner_orders>(platform_, std::move(hooks));
 }
 
--- a/src/control_daemon/runner_orders.cpp
+++ b/src/control_daemon/runner_orders.cpp
@@ -1,6 +1,9 @@
 #include "control_daemon/runner_orders.h"
 
 #include "cedarpoint/core/http_status.h"
+#include "cedarpoint/runner_signals/answer_signals.h"
+#include "io/clock.h"
+#include "io/runner_signal_log.h"
 
 #include <array>
 #include <utility>
@@ -8,11 +11,11 @@
 namespace cedarpoint {
 namespace {
 
-/// How long an order may take to be answered. Not measured.
+/// How long an order may take to be answered.
 constexpr milliseconds order_timeout{700};
-/// How long a probe may take, and a connection for either. Not measured.
+/// How long a probe may take, and a connection for either.
 constexpr milliseconds probe_timeout{300};
-/// Longest idle time of a kept connection that is used again. Not measured.
+/// Longest idle time of a kept connection that is used again.
 constexpr milliseconds longest_idle{2500};
 
 bool is_order(const planner_step& step)
@@ -49,6 +52,7 @@
 /// One order or probe that waits for its answer.
 struct runner_orders::call {
     planner_step step;
+    birth life; ///< of the runner, as known when the call began
     runner_connection* connection = nullptr;
     int status = 0; ///< 0 before the head has come
     QTimer timer;
@@ -80,8 +84,14 @@
 
 void runner_orders::carry_out(const planner_step& step)
 {
+    const auto life = hooks_.life_of(step.order.to);
+    holds_.on_life(steady_now(), step.order.to, life);
+    if (holds_.find(steady_now(), step.order.to) == send_hold::paused) {
+        return;
+    }
     const auto each = std::make_shared<call>();
     each->step = step;
+    each->life = life;
     calls_.insert(each);
     each->connection = pool_.take(step.order.address, longest_idle);
     start_timer(each);
@@ -114,9 +124,10 @@
             on_connected(open);
         }
     };
-    handlers.on_head = [weak](const http_head& head) {
+    handlers.on_head = [this, weak](const http_head& head) {
         if (const auto open = weak.lock()) {
             open->status = head.status;
+            note_signals(*open, head);
         }
     };
     handlers.on_body = [](const std::string& /*bytes*/) {}; // the status says it all
@@ -137,13 +148,30 @@
 
 void runner_orders::on_connected(const call_ptr& each)
 {
-    if (hooks_.may_send()) {
+    const bool is_paused = holds_.find(steady_now(), each->step.order.to) == send_hold::paused;
+    if (hooks_.may_send() && !is_paused) {
         return;
     }
     each->connection->cancel();
     close(each);
 }
 
+void runner_orders::note_signals(const call& each, const http_head& head)
+{
+    const auto& runner = each.step.order.to;
+    const auto signals = read_answer_signals({head.status,
+                                              {},
+                                              head.fields.values("Retry-After"),
+                                              head.fields.values(platform_.headers().leaving)});
+    if (signals.asks_for_pause()) {
+        holds_.on_pause(steady_now(), runner, each.life, signals.pause.time);
+    }
+    if (signals.leave == leave_reading::leaving) {
+        hooks_.on_leaving(runner, each.life);
+    }
+    log_signals(runner, signals, {}, "");
+}
+
 void runner_orders::on_end(const call_ptr& each, exchange_end how)
 {
     close(each);
--- a/src/control_daemon/runner_orders.h
+++ b/src/control_daemon/runner_orders.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/fleet/group_order.h"
 #include "cedarpoint/fleet/platform_adapter.h"
+#include "cedarpoint/runner_signals/send_holds.h"
 #include "io/runner_pool.h"
 
 #include <QTimer>
@@ -32,6 +33,10 @@
         std::function<void(const group_order&, order_result)> on_order_end;
         std::function<void(const runner_id&)> on_probe_answered;
         std::function<void(const runner_id&, probe_failure)> on_probe_failed;
+        /// The life that a runner is known to be in.
+        std::function<birth(const runner_id&)> life_of;
+        /// An answer says that the runner, asked in this life, leaves.
+        std::function<void(const runner_id&, birth)> on_leaving;
     };
 
     runner_orders(const platform_adapter& platform, hooks hooks);
@@ -39,6 +44,7 @@
     runner_orders(const runner_orders&) = delete;
     runner_orders& operator=(const runner_orders&) = delete;
 
+    /// Drops the step while the runner has asked this daemon for a pause: the planner repeats it.
     void carry_out(const planner_step& step);
     /// Ends what is under way without a report: this process may no longer give orders.
     void cancel_all();
@@ -50,8 +56,10 @@
     [[nodiscard]] std::string make_request(const planner_step& step) const;
     void start(const call_ptr& each);
     void start_timer(const call_ptr& each);
-    /// Drops the call unless orders may still be given.
+    /// Drops the call unless it may still be made.
     void on_connected(const call_ptr& each);
+    /// Takes what the answer's head says of the runner itself.
+    void note_signals(const call& each, const http_head& head);
     void on_end(const call_ptr& each, exchange_end how);
     void report_order(const call& each, exchange_end how);
     void report_probe(const call& each, exchange_end how);
@@ -60,6 +68,7 @@
     const platform_adapter& platform_;
     hooks hooks_;
     runner_pool pool_;
+    send_holds holds_;
     std::set<call_ptr> calls_;
 };
 
--- a/tests/fleet/runner_orders_test.cpp
+++ b/tests/fleet/runner_orders_test.cpp
@@ -9,6 +9,7 @@
 namespace cedarpoint {
 namespace {
 
+using testing_support::pass_time;
 using testing_support::wait_until;
 
 class orders_to_a_runner : public testing::Test {
@@ -22,6 +23,8 @@
         hooks.on_order_end = [this](const group_order&, order_result) { ++ended; };
         hooks.on_probe_answered = [](const runner_id&) {};
         hooks.on_probe_failed = [](const runner_id&, probe_failure) {};
+        hooks.life_of = [this](const runner_id&) { return life; };
+        hooks.on_leaving = [this](const runner_id&, birth told) { left.push_back(told); };
         orders = std::make_unique<runner_orders>(installed_platform(), std::move(hooks));
     }
 
@@ -35,18 +38,16 @@
         orders->carry_out(step);
     }
 
-    static void pass_time(duration time)
-    {
-        wait_until([until = steady_now() + time] { return steady_now() > until; });
-    }
-
     int received = 0;
     int ended = 0;
     bool leads = true;
+    birth life{1000};
+    std::vector<birth> left; ///< lives that were heard to leave
+    http_head answer{200, {}};
     http_listener runner{caller_limits{},
                          [this](const http_request&, const std::shared_ptr<http_reply>& reply) {
                              ++received;
-                             reply->send({200, {}}, "");
+                             reply->send(http_head{answer}, "");
                          }};
     std::unique_ptr<runner_orders> orders;
 };
@@ -68,5 +69,38 @@
     EXPECT_EQ(ended, 0) << "what it came to is not known to the next leader either";
 }
 
+// Guards against orders and probes to a runner that has asked this control daemon for a pause.
+TEST_F(orders_to_a_runner, wait_until_a_pause_that_it_has_asked_for_is_over)
+{
+    answer.status = 503;
+    answer.fields.add("Retry-After", "0.6");
+    give_order();
+    EXPECT_TRUE(wait_until([&] { return ended == 1; }));
+    answer = {200, {}};
+    for (int again = 0; again < 3; ++again) {
+        give_order();
+        pass_time(milliseconds{100});
+    }
+    EXPECT_EQ(received, 1);
+    pass_time(milliseconds{400});
+    give_order();
+    EXPECT_TRUE(wait_until([&] { return ended == 2; }));
+    EXPECT_EQ(received, 2);
+}
+
+TEST_F(orders_to_a_runner, tell_that_it_leaves_in_the_life_that_was_asked)
+{
+    answer.fields.add("Server-Leaving", "1");
+    give_order();
+    life = birth{2000}; // it has begun anew meanwhile
+    EXPECT_TRUE(wait_until([&] { return ended == 1; }));
+    EXPECT_EQ(left, std::vector{birth{1000}});
+
+    answer.status = 421;
+    give_order();
+    EXPECT_TRUE(wait_until([&] { return ended == 2; }));
+    EXPECT_EQ(left.size(), 1U) << "another runner has its address";
+}
+
 } // namespace
 } // namespace cedarpoint
