serve: pauses and leaves that runners tell in answers

What callers saw: nothing that we know of. Change: the router bars them by the same class; a leave is forgotten once the runner was absent, since lives are not told here. A 503 that asks for a pause does not count for the breaker. Requests wait in the queue as they do for a full runner.

--- a/include/cedarpoint/request/dispatcher.h
+++ b/include/cedarpoint/request/dispatcher.h
@@ -19,7 +19,7 @@
 
 namespace cedarpoint {
 
-/// Limits of one daemon. The defaults were not measured.
+/// Limits of one daemon.
 struct dispatch_options {
     duration longest_wait = seconds{30}; ///< in the queue, for requests without a deadline
     int max_attempts = 4;                ///< for one request, the first one included
@@ -51,9 +51,8 @@
     void attempt_sending(attempt_id attempt);
     /// The head of the answer is about to be passed to the caller.
     void attempt_answering(attempt_id attempt);
-    /// The head of an answer says this of its runner's rate limit. True if it changes whether the
-    /// runner is limited, or its rate.
-    bool attempt_rate_limit(instant now, attempt_id attempt, const rate_limit_reading& in);
+    /// The head of an answer says this of its runner. What of it was not known before.
+    signal_news attempt_signals(instant now, attempt_id attempt, const answer_signals& in);
     /// One more whole event was passed to the caller.
     void attempt_event(attempt_id attempt);
     /// Whether a 5xx answer should come back as `server_error` rather than be passed on.
--- a/include/cedarpoint/request/open_requests.h
+++ b/include/cedarpoint/request/open_requests.h
@@ -33,11 +33,12 @@
     bool answered = false;    ///< the answer's head went to the caller
     std::uint64_t events = 0; ///< whole events that the caller has
     int attempts = 0;
-    attempt_id attempt;   ///< the latest
-    runner_id upstream;   ///< of the latest attempt
-    endpoint address;     ///< of that upstream
-    bool leaving = false; ///< that upstream, when the attempt began
-    instant began_at;     ///< the latest attempt
+    attempt_id attempt;           ///< the latest
+    runner_id upstream;           ///< of the latest attempt
+    endpoint address;             ///< of that upstream
+    bool leaving = false;         ///< that upstream, when the attempt began
+    instant began_at;             ///< the latest attempt
+    bool asked_for_pause = false; ///< its runner, in its answer
 
     /// Notes that its attempt ended so, and says what the failure rule must know.
     [[nodiscard]] failed_attempt fail(attempt_end how);
--- a/include/cedarpoint/request/token_retry_budget.h
+++ b/include/cedarpoint/request/token_retry_budget.h
@@ -9,10 +9,9 @@
 /// list of peers; those of a fleet share a bound and use `windowed_retry_budget`.
 class token_retry_budget {
 public:
-    /// Tokens that a first attempt earns: retries are at most a tenth of the requests. Not
-    /// measured.
+    /// Tokens that a first attempt earns: retries are at most a tenth of the requests.
     static constexpr double tokens_per_request = 0.1;
-    /// Tokens at most, and at the start: retries that may come at once. Not measured.
+    /// Tokens at most, and at the start: retries that may come at once.
     static constexpr double most_tokens = 20;
 
     void on_first_attempt() { tokens_ = std::min(most_tokens, tokens_ + tokens_per_request); }
--- a/include/cedarpoint/routing/breaker.h
+++ b/include/cedarpoint/routing/breaker.h
@@ -10,9 +10,9 @@
 /// Owns the count of failures. Relies on its user to ask before sending and to report each end.
 class breaker {
 public:
-    /// Failures in a row. Not measured.
+    /// Failures in a row.
     static constexpr int failures_to_open = 3;
-    /// From the last failure to the trial, and from one trial to the next. Not measured.
+    /// From the last failure to the trial, and from one trial to the next.
     static constexpr duration open_time = seconds{5};
 
     [[nodiscard]] bool allows(instant now) const;
--- a/include/cedarpoint/routing/router.h
+++ b/include/cedarpoint/routing/router.h
@@ -5,6 +5,8 @@
 #include "cedarpoint/rate_limits/send_permits.h"
 #include "cedarpoint/routing/breaker.h"
 #include "cedarpoint/routing/target.h"
+#include "cedarpoint/runner_signals/answer_signals.h"
+#include "cedarpoint/runner_signals/send_holds.h"
 
 #include <cstdint>
 #include <list>
@@ -57,14 +59,13 @@
 class router {
 public:
     /// More than all other parts together: the session's group wins if it can take the request.
-    /// Not measured.
     static constexpr double session_bonus = 4.0;
-    /// As much as 40% of a target's slots: a busier group than that loses. Not measured.
+    /// As much as 40% of a target's slots: a busier group than that loses.
     static constexpr double prefix_bonus = 0.4;
     /// As much as the whole range of load: load alone never sends a request out of the daemon's
-    /// failure domain while a place there is free. Not measured.
+    /// failure domain while a place there is free.
     static constexpr double home_bonus = 1.0;
-    /// Prefixes remembered; the least recently used goes first. Not measured.
+    /// Prefixes remembered; the least recently used goes first.
     static constexpr std::size_t max_prefixes = 65536;
 
     router(failure_domain_id home, own_permit_options permits)
@@ -73,7 +74,7 @@
     }
 
     /// Replaces the targets; what is in flight stays counted.
-    void set_targets(target_table all) { targets_ = std::move(all); }
+    void set_targets(target_table all);
     [[nodiscard]] const target_table& targets() const { return targets_; }
 
     /// Counts nothing: the choice holds once `on_dispatch` is called for it.
@@ -83,12 +84,9 @@
     void on_dispatch(instant now, const target& place, std::uint64_t prefix);
     /// It came to its end; `failed` counts against the upstream's breaker.
     void on_end(instant now, const runner_id& upstream, bool failed);
-    /// An answer came at `now` to a request sent at `sent_at`; see `send_permits::on_answer`.
-    bool on_rate_limit(instant now, const runner_id& upstream, const rate_limit_reading& in,
-                       instant sent_at)
-    {
-        return permits_.on_answer(now, upstream, in, sent_at);
-    }
+    /// An answer came at `now` to a request sent at `sent_at`, and says this of the upstream.
+    signal_news on_signals(instant now, const runner_id& upstream, const answer_signals& in,
+                           instant sent_at);
     /// This daemon's requests there; other daemons' are in `target::reported_others`.
     [[nodiscard]] int in_flight(const runner_id& upstream) const;
 
@@ -110,6 +108,7 @@
     target_table targets_;
     std::unordered_map<runner_id, int> in_flight_;
     std::unordered_map<runner_id, breaker> breakers_;
+    send_holds holds_;
     send_permits permits_; ///< no leader speaks of limits here, so all are this daemon's own
     std::unordered_map<std::uint64_t, prefix_entry> prefixes_;
     std::list<std::uint64_t> prefix_order_; ///< least recently used first
--- a/src/daemon/caller_gateway.h
+++ b/src/daemon/caller_gateway.h
@@ -64,7 +64,7 @@
     void on_request(http_request request, std::shared_ptr<http_reply> reply);
     [[nodiscard]] std::optional<request_fingerprint>
     make_fingerprint(const http_request& request, const request_facts& facts) const;
-    void note_rate_limit(attempt_id id, const attempt& it);
+    void note_signals(attempt_id id, const attempt& it);
     void answer_models(const http_request& request, http_reply& reply);
     void refuse_now(http_reply& reply, const refusal& error, const std::string& request);
     void do_start(const start_attempt& it);
--- a/src/daemon/caller_gateway_answers.cpp
+++ b/src/daemon/caller_gateway_answers.cpp
@@ -14,8 +14,8 @@
 namespace cedarpoint {
 namespace {
 
-/// Bytes of an answer that is kept until it is whole; larger ones are passed on as they come. Not
-/// measured; docs/API.md promises it.
+/// Bytes of an answer that is kept until it is whole; larger ones are passed on as they come:
+/// docs/API.md promises it.
 constexpr std::size_t max_whole_answer = 16 << 20;
 constexpr int first_server_error = 500;
 
@@ -45,7 +45,7 @@
         on_end(id, call_end::cut, {"answer", it.upstream.str(), "it is another request's answer"});
         return;
     }
-    note_rate_limit(id, it);
+    note_signals(id, it);
     if (head.fields.has(engine_header::not_run)) {
         it.call->cancel();
         retire(id);
@@ -69,12 +69,13 @@
     }
 }
 
-void caller_gateway::note_rate_limit(attempt_id id, const attempt& it)
+void caller_gateway::note_signals(attempt_id id, const attempt& it)
 {
-    answer_signals signals;
-    signals.rate_limit = read_rate_limit(it.head.fields.values(engine_header::rate_limit));
-    signal_news news;
-    news.rate_limit = core_.attempt_rate_limit(steady_now(), id, signals.rate_limit);
+    const auto& fields = it.head.fields;
+    const auto signals =
+        read_answer_signals({it.head.status, fields.values(engine_header::rate_limit),
+                             fields.values("Retry-After"), fields.values(engine_header::leaving)});
+    const auto news = core_.attempt_signals(steady_now(), id, signals);
     log_signals(it.upstream, signals, news, it.request.str());
 }
 
--- a/src/daemon/engine_headers.h
+++ b/src/daemon/engine_headers.h
@@ -12,6 +12,8 @@
 inline constexpr const char* not_run = "Cedarpoint-Not-Run";
 /// In a runner's answer: requests a second that it takes from all daemons together.
 inline constexpr const char* rate_limit = "Cedarpoint-Rate-Limit";
+/// In a runner's answer, with the value 1: it leaves and wants nothing new.
+inline constexpr const char* leaving = "Cedarpoint-Leaving";
 } // namespace engine_header
 
 /// True for headers that are passed neither to runners nor from them: they are between the caller
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -187,10 +187,14 @@
     }
 }
 
-bool dispatcher::attempt_rate_limit(instant now, attempt_id attempt, const rate_limit_reading& in)
+signal_news dispatcher::attempt_signals(instant now, attempt_id attempt, const answer_signals& in)
 {
-    const auto* it = open_.find_attempt(attempt);
-    return it != nullptr && router_.on_rate_limit(now, it->upstream, in, it->began_at);
+    auto* it = open_.find_attempt(attempt);
+    if (it == nullptr) {
+        return {};
+    }
+    it->asked_for_pause = in.asks_for_pause();
+    return router_.on_signals(now, it->upstream, in, it->began_at);
 }
 
 void dispatcher::attempt_event(attempt_id attempt)
@@ -215,7 +219,8 @@
     }
     open_.end_attempt(attempt);
     note_end(now, *it, how, out);
-    const bool failed = how != attempt_end::complete && how != attempt_end::refused;
+    const bool failed = how != attempt_end::complete && how != attempt_end::refused &&
+                        !it->asked_for_pause; // a runner that asks for a pause is well
     router_.on_end(now, it->upstream, failed);
     if (how == attempt_end::complete) {
         out.emplace_back(
--- a/src/request/failure_rule.cpp
+++ b/src/request/failure_rule.cpp
@@ -42,7 +42,6 @@
 
 duration retry_pause(int attempts, std::uint64_t salt)
 {
-    // Not measured.
     constexpr milliseconds first_pause{100};
     constexpr int most_doublings = 5; // 3.2 s at most
     constexpr std::int64_t parts = 1000;
--- a/src/request/open_requests.cpp
+++ b/src/request/open_requests.cpp
@@ -43,6 +43,7 @@
     it.began_at = now;
     it.at = open_request::phase::running;
     it.sending = false;
+    it.asked_for_pause = false;
     it.attempt = attempt_id{++last_attempt_};
     it.upstream = upstream;
     it.call.query.tried.insert(upstream);
--- a/src/request/refusals.cpp
+++ b/src/request/refusals.cpp
@@ -3,7 +3,7 @@
 namespace cedarpoint::refusals {
 namespace {
 
-// When a caller is told to try again. Not measured.
+// When a caller is told to try again.
 constexpr milliseconds short_retry{1000}; ///< what is full or away now may be free or back
 constexpr milliseconds claim_retry{2000}; ///< the claim's holder or home must answer first
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -7,11 +7,12 @@
 
 constexpr const char* full_note = "full";
 constexpr const char* rate_limited_note = "rate limited";
+constexpr const char* paused_note = "paused";
 
 /// For a place that could take the request if it had less to do.
 bool is_busy(const std::string& note)
 {
-    return note == full_note || note == rate_limited_note;
+    return note == full_note || note == rate_limited_note || note == paused_note;
 }
 
 bool serves(const target& it, const route_query& query)
@@ -71,6 +72,9 @@
         found != breakers_.end() && !found->second.allows(now)) {
         return "breaker open";
     }
+    if (const auto hold = holds_.find(now, it.upstream); hold != send_hold::none) {
+        return hold == send_hold::paused ? paused_note : "leaving";
+    }
     if (requests_at(it) >= it.slots) {
         return full_note;
     }
@@ -119,6 +123,30 @@
     return out;
 }
 
+void router::set_targets(target_table all)
+{
+    targets_ = std::move(all);
+    for (const auto& it : targets_) {
+        if (!it.present) {
+            holds_.forget_leave(it.upstream);
+        }
+    }
+}
+
+signal_news router::on_signals(instant now, const runner_id& upstream, const answer_signals& in,
+                               instant sent_at)
+{
+    if (in.is_of_other_runner) {
+        return {};
+    }
+    if (in.asks_for_pause()) {
+        holds_.on_pause(now, upstream, {}, in.pause.time);
+    }
+    const bool leaves = in.leave == leave_reading::leaving;
+    return {permits_.on_answer(now, upstream, in.rate_limit, sent_at),
+            leaves && holds_.on_leaving(now, upstream, {})};
+}
+
 int router::in_flight(const runner_id& upstream) const
 {
     const auto it = in_flight_.find(upstream);
--- a/tests/request/dispatcher_scenario_test.cpp
+++ b/tests/request/dispatcher_scenario_test.cpp
@@ -35,6 +35,7 @@
             {"end", &dispatcher_play::end},         {"gone", &dispatcher_play::gone},
             {"tick", &dispatcher_play::tick},       {"stop", &dispatcher_play::stop},
             {"show", &dispatcher_play::show},       {"names", &dispatcher_play::names},
+            {"pauses", &dispatcher_play::pauses},   {"leaves", &dispatcher_play::leaves},
         };
         for (const auto& it : table) {
             if (step.verb() == it.verb) {
@@ -168,9 +169,27 @@
         for (std::size_t n = 1; n < in.size(); ++n) {
             values.push_back(in.word(n));
         }
-        const auto reading = read_rate_limit({values.begin(), values.end()});
-        const bool changed = it_.attempt_rate_limit(now_, attempt_of(in), reading);
-        return {changed ? "the rate limit has changed" : "no news"};
+        answer_signals signals;
+        signals.rate_limit = read_rate_limit({values.begin(), values.end()});
+        const auto news = it_.attempt_signals(now_, attempt_of(in), signals);
+        return {news.rate_limit ? "the rate limit has changed" : "no news"};
+    }
+
+    /// pauses ATTEMPT VALUE: the head of its answer, a 503 with this Retry-After.
+    lines pauses(const scenario_step& in)
+    {
+        const auto value = in.word(1);
+        (void)it_.attempt_signals(now_, attempt_of(in),
+                                  read_answer_signals({503, {}, {value}, {}}));
+        return {};
+    }
+
+    /// leaves ATTEMPT: the head of its answer says that the runner leaves.
+    lines leaves(const scenario_step& in)
+    {
+        const auto news =
+            it_.attempt_signals(now_, attempt_of(in), read_answer_signals({200, {}, {}, {"1"}}));
+        return {news.leave ? "it leaves" : "no news"};
     }
 
     lines event(const scenario_step& in)
