Soak: every fifth seed has runners that ask daemons for pauses

Cause: no random run had them. Change: draws of its own, so that the other seeds stay as they are; nothing may arrive within a pause, but from a daemon that began anew.

--- a/tests/runner_signals/paused_fleet_test.cpp
+++ b/tests/runner_signals/paused_fleet_test.cpp
@@ -20,12 +20,11 @@
 namespace cedarpoint {
 namespace {
 
-using testing_support::call;
 using testing_support::fleet_processes;
 using testing_support::open_loop_callers;
+using testing_support::pass_time;
 using testing_support::pausing_runner;
 using testing_support::platform_runner;
-using testing_support::wait_until;
 
 /// How long after a runner has said that it leaves a caller's request may still be sent there; from
 /// the users' rules.
@@ -72,12 +71,7 @@
             runners.back()->slots = 100;
         }
         ASSERT_TRUE(fleet.put(document(1, service)));
-        for (const auto& entry : fleet.entries()) {
-            ASSERT_TRUE(wait_until([&] {
-                return call(entry, "GET", "/r/x", "X-Cedarpoint-Request-Id: 0-w\r\n", "")
-                           .head.status == 200;
-            }));
-        }
+        ASSERT_TRUE(fleet.wait_serving("/r/x"));
         callers = std::make_unique<open_loop_callers>(
             fleet.entries(), 4.0 * GetParam().entry_daemons, "", [](std::size_t) {
                 return open_loop_callers::request{"GET", "/r/x", ""};
@@ -88,11 +82,6 @@
         }
     }
 
-    static void pass_time(duration time)
-    {
-        wait_until([until = steady_now() + time] { return steady_now() > until; });
-    }
-
     /// One runner turns one entry daemon away, for 1.5 to 4 s; each daemon keeps two runners, and
     /// no request is turned away by both others.
     void pause_at_random()
@@ -254,7 +243,6 @@
     pass_time(seconds{3});
     EXPECT_EQ(count_within(), 0);
     runners[0]->crash();
-    pauses[0]->forget();
     pass_time(runners[0]->time_away);
     const auto before = pauses[0]->arrivals.size();
     pass_time(seconds{3});
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -1,6 +1,7 @@
 // A seeded soak: real processes, a proxy between control daemons and all others, signals from
 // outside, requests and changes all the while. Every third seed has a request that ends each runner
-// which runs it; every second one suspends machines where the others pause processes. By hand:
+// which runs it; every second one suspends machines where the others pause processes; in every
+// fifth one runners turn entry daemons away and ask them for pauses. By hand:
 //     SOAK_FIRST=100 SOAK_COUNT=50 build/cedarpoint_tests --gtest_filter='*fleet_soak*'
 // A seed that ever failed is added to `kept_seeds` with a line on the cause.
 
@@ -9,6 +10,7 @@
 #include "io/clock.h"
 #include "soak/loopback_proxy.h"
 #include "support/fleet_processes.h"
+#include "support/pausing_runner.h"
 
 #include <algorithm>
 #include <csignal>
@@ -24,6 +26,8 @@
 using testing_support::call;
 using testing_support::fleet_processes;
 using testing_support::loopback_proxy;
+using testing_support::pass_time;
+using testing_support::pausing_runner;
 using testing_support::platform_runner;
 using testing_support::wait_until;
 
@@ -92,11 +96,34 @@
             runners.back()->ended_by = crashing_body;
             runners.back()->time_away = milliseconds{500};
         }
+        for (const auto& runner : runners) {
+            pauses.push_back(std::make_unique<pausing_runner>(*runner));
+        }
+    }
+
+    /// One runner turns one entry daemon away. Has draws of its own: the others of a seed stay as
+    /// they are without it.
+    void ask_for_pause()
+    {
+        auto& chosen = *pauses[pause_random() % pauses.size()];
+        const auto sender = static_cast<int>(pause_random() % entry_count);
+        chosen.ask(sender, milliseconds{1500 + pause_random() % 2500});
     }
 
-    void pass_time(milliseconds time)
+    void expect_no_request_within_pauses() const
     {
-        wait_until([until = steady_now() + time] { return steady_now() > until; });
+        for (const auto& each : pauses) {
+            EXPECT_EQ(each->within, 0) << "requests within a pause";
+        }
+    }
+
+    /// The daemon begins anew.
+    void restart(int which)
+    {
+        fleet.start(which, false);
+        for (const auto& each : pauses) {
+            each->forget(which - control_count);
+        }
     }
 
     std::string harm()
@@ -108,7 +135,7 @@
         case 0:
             daemon.signal(SIGKILL);
             pass_time(milliseconds{random() % 600});
-            fleet.start(which, false);
+            restart(which);
             return fmt::format("killed {}", which);
         case 1:
             daemon.signal(SIGSTOP);
@@ -118,7 +145,7 @@
         case 2:
             daemon.signal(SIGTERM);
             wait_until([&] { return !daemon.is_running(); });
-            fleet.start(which, false);
+            restart(which);
             return fmt::format("restarted {}", which);
         case 3:
             daemon.signal(SIGHUP);
@@ -180,9 +207,10 @@
 
     bool send_request()
     {
-        const auto entry = fleet.entries()[random() % entry_count];
+        const auto sender = random() % entry_count;
+        const auto entry = fleet.entries()[sender];
         const bool once = random() % 2 == 0;
-        const auto id = fmt::format("r{}", ++requests);
+        const auto id = fmt::format("{}-r{}", sender, ++requests);
         const auto headers = "X-Cedarpoint-Request-Id: " + id +
                              "\r\nX-Cedarpoint-Deadline-Ms: 3000\r\nX-Cedarpoint-Model: small\r\n";
         const auto served = served_total();
@@ -210,10 +238,11 @@
     /// Its status. Draws nothing: the other draws of a seed stay as they are without it.
     int send_crashing_request()
     {
-        const auto entry = fleet.entries()[static_cast<std::size_t>(++crashing_sent % entry_count)];
-        const auto headers = fmt::format("X-Cedarpoint-Request-Id: c{}\r\n"
+        const int sender = ++crashing_sent % entry_count;
+        const auto entry = fleet.entries()[static_cast<std::size_t>(sender)];
+        const auto headers = fmt::format("X-Cedarpoint-Request-Id: {}-c{}\r\n"
                                          "X-Cedarpoint-Deadline-Ms: 2000\r\n",
-                                         crashing_sent);
+                                         sender, crashing_sent);
         return call(entry, "POST", "/once/x", headers, crashing_body).head.status;
     }
 
@@ -252,12 +281,15 @@
     }
 
     std::mt19937_64 random;
+    std::mt19937_64 pause_random{GetParam()};
     int net;
+    bool has_pauses = GetParam() % 5 == 2;
     bool has_crashing_request = GetParam() % 3 == 1;
     fleet_processes fleet{{net, entry_count, fmt::format("soak-{}", GetParam()), true,
                            GetParam() % 2 == 1 ? BINARY_DIR "/libsuspended_clock.so" : ""}};
     std::vector<std::unique_ptr<loopback_proxy>> proxies;
     std::vector<std::unique_ptr<platform_runner>> runners;
+    std::vector<std::unique_ptr<pausing_runner>> pauses;
     int sent_version = 0;
     int acknowledged = 0;
     int requests = 0;
@@ -274,10 +306,14 @@
     for (int round = 0; round < rounds; ++round) {
         story += harm() + "; ";
         SCOPED_TRACE(story);
+        if (has_pauses) {
+            ask_for_pause();
+        }
         change_configuration();
         read_configuration();
         send_request();
         send_request();
+        expect_no_request_within_pauses();
         if (has_crashing_request) {
             send_crashing_request();
         }
--- a/tests/support/pausing_runner.h
+++ b/tests/support/pausing_runner.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cedarpoint::testing_support {
@@ -26,7 +27,7 @@
     /// users' rules allow two requests; the product sends none.
     static constexpr duration under_way = milliseconds{500};
 
-    explicit pausing_runner(platform_runner& runner)
+    explicit pausing_runner(platform_runner& runner) : runner_{runner}
     {
         runner.turn_away = [this](const std::string& request) { return on_request(request); };
     }
@@ -39,9 +40,7 @@
         const auto found = asked_.find(sender);
         return is_due_for(sender) || (found != asked_.end() && steady_now() < found->second.until);
     }
-    /// It begins a new life.
-    void forget() { asked_.clear(); }
-    /// An entry daemon begins anew, or stands still: it need not know its pauses any more.
+    /// An entry daemon begins anew, and need not know its pauses any more.
     void forget(int sender) { asked_.erase(sender); }
 
     struct arrival {
@@ -63,6 +62,9 @@
         const auto now = steady_now();
         const int sender = sender_of(request);
         arrivals.push_back({now, sender});
+        if (std::exchange(lives_, runner_.ends.size()) != runner_.ends.size()) {
+            asked_.clear(); // a new life has asked for nothing yet
+        }
         if (const auto due = due_.extract(sender); !due.empty()) {
             ++asked;
             asked_[sender] = {now, now + due.mapped()};
@@ -85,6 +87,8 @@
         return answers.at(turn_++ % answers.size());
     }
 
+    platform_runner& runner_;
+    std::size_t lives_ = 0; ///< that have ended
     std::map<int, duration> due_;
     std::map<int, pause> asked_;
     std::size_t turn_ = 0;
