--- a/tests/daemon/site.cpp
+++ b/tests/daemon/site.cpp
@@ -32,6 +32,11 @@
     return true;
 }
 
+void pass_time(duration time)
+{
+    wait_until([until = steady_now() + time] { return steady_now() > until; });
+}
+
 raw_caller::raw_caller(const endpoint& to)
 {
     socket_.connectToHost(QHostAddress{QString::fromStdString(to.ip)}, to.port);
--- a/tests/daemon/site.h
+++ b/tests/daemon/site.h
@@ -16,6 +16,8 @@
 
 /// Runs the event loop until `done` or until far longer than anything takes. True if done.
 bool wait_until(const std::function<bool()>& done);
+/// Runs the event loop for this long.
+void pass_time(duration time);
 
 /// A caller's connection, byte by byte.
 class raw_caller {
--- a/tests/quarantine/crashing_request_test.cpp
+++ b/tests/quarantine/crashing_request_test.cpp
@@ -17,11 +17,10 @@
 namespace cedarpoint {
 namespace {
 
-using testing_support::call;
 using testing_support::fleet_processes;
 using testing_support::open_loop_callers;
+using testing_support::pass_time;
 using testing_support::platform_runner;
-using testing_support::wait_until;
 
 // The promise, from the users' rules: once a request has ended three runners, at most three more
 // arrivals at runners from daemons that have been in touch for this long, ever after.
@@ -74,20 +73,10 @@
             runners.back()->ended_by = "ends-runners";
         }
         ASSERT_TRUE(fleet.put(document));
-        for (const auto& entry : fleet.entries()) {
-            ASSERT_TRUE(wait_until([&] {
-                return call(entry, "GET", "/safe/x", "X-Cedarpoint-Request-Id: 0-w\r\n", "")
-                           .head.status == 200;
-            }));
-        }
+        ASSERT_TRUE(fleet.wait_serving("/safe/x"));
         pass_time(seconds{1});
     }
 
-    static void pass_time(duration time)
-    {
-        wait_until([until = steady_now() + time] { return steady_now() > until; });
-    }
-
     /// Callers of one body, on a safe or on an unsafe route.
     std::unique_ptr<open_loop_callers> ask(double per_second, const std::string& name,
                                            const std::string& target, const std::string& body)
--- a/tests/rate_limits/limited_fleet_test.cpp
+++ b/tests/rate_limits/limited_fleet_test.cpp
@@ -20,11 +20,10 @@
 namespace cedarpoint {
 namespace {
 
-using testing_support::call;
 using testing_support::fleet_processes;
 using testing_support::open_loop_callers;
+using testing_support::pass_time;
 using testing_support::platform_runner;
-using testing_support::wait_until;
 
 // The promise to a runner in need, from the users' rules.
 constexpr duration window = seconds{4};
@@ -100,12 +99,7 @@
             runners.back()->answer_time = milliseconds{20};
         }
         ASSERT_TRUE(fleet.put(document));
-        for (const auto& entry : fleet.entries()) {
-            ASSERT_TRUE(wait_until([&] {
-                return call(entry, "GET", "/safe/x", "X-Cedarpoint-Request-Id: 0-w\r\n", "")
-                           .head.status == 200;
-            }));
-        }
+        ASSERT_TRUE(fleet.wait_serving("/safe/x"));
         callers = std::make_unique<open_loop_callers>(
             fleet.entries(), shape.requests_per_second, "", [](std::size_t) {
                 return open_loop_callers::request{"GET", "/safe/x", ""};
@@ -113,11 +107,6 @@
         pass_time(seconds{2});
     }
 
-    static void pass_time(duration time)
-    {
-        wait_until([until = steady_now() + time] { return steady_now() > until; });
-    }
-
     [[nodiscard]] std::size_t arrivals_since(const platform_runner& runner, instant from) const
     {
         return static_cast<std::size_t>(
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -1,8 +1,10 @@
 #include "support/fleet_processes.h"
 
+#include "cedarpoint/core/http_status.h"
 #include "daemon/site.h"
 #include "fleet/fleet_site.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -116,4 +118,15 @@
     });
 }
 
+bool fleet_processes::wait_serving(const std::string& target) const
+{
+    const auto all = entries();
+    return std::all_of(all.begin(), all.end(), [&](const endpoint& entry) {
+        return wait_until([&] {
+            const auto answer = call(entry, "GET", target, "X-Cedarpoint-Request-Id: 0-w\r\n", "");
+            return answer.head.status == http_status::ok;
+        });
+    });
+}
+
 } // namespace cedarpoint::testing_support
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -53,6 +53,9 @@
     /// `stopped`: one that answers nothing and is not asked.
     [[nodiscard]] bool put(const std::string& document, std::optional<int> stopped = {}) const;
 
+    /// Waits until each entry daemon serves a GET of `target`. False if one does not.
+    [[nodiscard]] bool wait_serving(const std::string& target) const;
+
 private:
     [[nodiscard]] std::string ip_of_entry(int which) const;
 
--- a/tests/suspension/suspended_fleet_test.cpp
+++ b/tests/suspension/suspended_fleet_test.cpp
@@ -18,6 +18,7 @@
 using testing_support::call;
 using testing_support::fleet_processes;
 using testing_support::open_loop_callers;
+using testing_support::pass_time;
 using testing_support::platform_runner;
 using testing_support::raw_caller;
 using testing_support::wait_until;
@@ -43,9 +44,7 @@
                                                                 fleet.controls()));
         }
         ASSERT_TRUE(fleet.put(document(1)));
-        for (const auto& entry : fleet.entries()) {
-            ASSERT_TRUE(wait_until([&] { return ask(entry) == 200; }));
-        }
+        ASSERT_TRUE(fleet.wait_serving("/safe/x"));
     }
 
     static int ask(const endpoint& entry)
@@ -53,11 +52,6 @@
         return call(entry, "GET", "/safe/x", "X-Cedarpoint-Request-Id: w\r\n", "").head.status;
     }
 
-    static void pass_time(duration time)
-    {
-        wait_until([until = steady_now() + time] { return steady_now() > until; });
-    }
-
     void suspend(const std::vector<int>& daemons, duration time)
     {
         for (const int which : daemons) {
