--- a/include/cedarpoint/admission/wait_queue.h
+++ b/include/cedarpoint/admission/wait_queue.h
@@ -32,9 +32,8 @@
 /// Relies on its user to remove what it serves or gives up.
 class wait_queue {
 public:
-    /// Requests, over all classes and accounts. Not measured.
+    /// Requests, over all classes and accounts.
     static constexpr std::size_t max_length = 2048;
-    /// Not measured.
     static constexpr duration promote_after = seconds{20};
 
     /// False if the queue is full; `shed` then names a request that may have to give its place.
--- a/include/cedarpoint/config/json_reader.h
+++ b/include/cedarpoint/config/json_reader.h
@@ -17,7 +17,7 @@
 /// Parses JSON with comments; refuses double keys and more than `max_json_depth` levels.
 std::optional<nlohmann::json> parse_json(std::string_view text, faults& out);
 
-/// Bounds the reader's recursion. Not measured.
+/// Bounds the reader's recursion.
 inline constexpr int max_json_depth = 64;
 
 /// The values that an integer key accepts, both ends included.
--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -28,18 +28,16 @@
 
 /// Times and bounds of one log.
 struct raft_options {
-    /// The shortest; each timeout is drawn from one to two times this. Not measured against other
-    /// values here; with it a new leader holds its lease 2.9 s after a kill at worst
-    /// (docs/MEASUREMENTS.md). Control daemons of a fleet set a shorter one.
+    /// The shortest; each timeout is drawn from one to two times this. Control daemons of a fleet
+    /// set a shorter one.
     duration election_timeout = milliseconds{1000};
-    /// Between two appends of a leader to each member. Not measured against other values.
+    /// Between two appends of a leader to each member.
     duration heartbeat = milliseconds{200};
-    /// Two daemons' clocks run apart by at most this over an election timeout. Assumed, not
-    /// measured.
+    /// Two daemons' clocks run apart by at most this over an election timeout.
     duration drift = milliseconds{100};
-    /// Entries in one append. Not measured.
+    /// Entries in one append.
     std::size_t max_batch_entries = 256;
-    /// Between two sendings of the snapshot to the same follower. Not measured.
+    /// Between two sendings of the snapshot to the same follower.
     duration snapshot_interval = seconds{1};
     start_mode start = start_mode::unknown;
 };
--- a/include/cedarpoint/consensus/replicated_log.h
+++ b/include/cedarpoint/consensus/replicated_log.h
@@ -48,11 +48,9 @@
         wire::membership bootstrap;
         raft_options raft;
         std::uint64_t seed = 1;
-        /// With a disk: a snapshot is taken once the log file is larger than this (4 MiB). Not
-        /// measured.
+        /// With a disk: a snapshot is taken once the log file is larger than this (4 MiB).
         std::uint64_t snapshot_bytes = 4 << 20;
         /// Without a disk: a snapshot is taken once more entries than this came after the last one.
-        /// Not measured.
         std::uint64_t snapshot_entries = 20'000;
     };
 
--- a/include/cedarpoint/control/log_client.h
+++ b/include/cedarpoint/control/log_client.h
@@ -34,11 +34,10 @@
         std::function<void(const daemon_id&, wire::envelope)> send;
     };
 
-    /// Between two sendings of the same command. Not measured.
+    /// Between two sendings of the same command.
     static constexpr duration ask_again = milliseconds{400};
     /// Redirects to a leader that are followed without a pause of `ask_again`; members may point at
-    /// each other. Not measured; bounded in dc94759 while a storm of messages was looked into, of
-    /// which redirects were not the cause.
+    /// each other.
     static constexpr int max_redirects = 3;
 
     /// `first_call` differs at each start, so that answers to an earlier process match no call.
--- a/include/cedarpoint/fleet/retry_budget_options.h
+++ b/include/cedarpoint/fleet/retry_budget_options.h
@@ -10,8 +10,7 @@
     double ratio = 0.1;
     milliseconds window{10'000};
     double slack = 10; ///< retries, of the whole fleet
-    /// The part of both that is used, because daemons' shares of the traffic are uneven. Not
-    /// measured.
+    /// The part of both that is used, because daemons' shares of the traffic are uneven.
     double safety = 0.6;
 };
 
--- a/include/cedarpoint/fleet/stall_rule.h
+++ b/include/cedarpoint/fleet/stall_rule.h
@@ -8,15 +8,14 @@
 
 // When a stream of events counts as stalled at its runner. A stalled stream goes on at another
 // runner if its route allows that and one is available; otherwise it is waited for, because a late
-// answer is better than none. Moving streams sooner was tried twice and lost requests, since a
-// stream that finds no second place is broken off (docs/MEASUREMENTS.md, "streams moved after 0.6
-// of their aim", "the same after an unusual pause").
+// answer is better than none. Moving streams sooner loses requests, since a stream that finds no
+// second place is broken off.
 
-/// Shortest time until the first event. Not measured on its own.
+/// Shortest time until the first event.
 inline constexpr milliseconds shortest_first_event_wait{700};
-/// Shortest pause between two events. Not measured on its own.
+/// Shortest pause between two events.
 inline constexpr milliseconds shortest_event_pause{400};
-/// Times the route's aim that a wait may last. Not measured on its own.
+/// Times the route's aim that a wait may last.
 inline constexpr int aims_until_stalled = 2;
 
 /// How long to wait for the first event after the request was sent; `target_latency` is the route's
--- a/include/cedarpoint/fleet/target_ranking.h
+++ b/include/cedarpoint/fleet/target_ranking.h
@@ -11,9 +11,8 @@
 // nothing else against it. The lowest cost is chosen. No rule excludes a target but `is_full`.
 
 /// True if the target has as many requests from all daemons as it may: its slots and a short queue.
-/// Others' requests are known late, so they only bound the load. Ranked by them, all daemons chose
-/// the same target at the same time (rounds "others' requests choose only": TDV 0.446, "own choose,
-/// all bound": 0.734).
+/// Others' requests are known late, so they only bound the load. Ranked by them, all daemons would
+/// choose the same target at the same time.
 [[nodiscard]] bool is_full(const fleet_target& target, const target_stats& stats);
 
 /// This daemon's requests there with the one to come; each counts as many times as the target is
--- a/include/cedarpoint/groups/group_controller.h
+++ b/include/cedarpoint/groups/group_controller.h
@@ -55,22 +55,21 @@
 /// Bounds on control. `domain` and `grant_ttl` come from settings; the others have the values here.
 struct control_options {
     failure_domain_id domain;
-    /// Between two sendings of the same order to a runner. Not measured.
+    /// Between two sendings of the same order to a runner.
     duration order_interval = seconds{1};
     /// A daemon sends requests to a group for at most this long after its last grant
-    /// (`settings::grant_ttl`). Not measured.
+    /// (`settings::grant_ttl`).
     duration grant_ttl = seconds{3};
-    /// Two daemons' clocks run apart by at most this over one grant. Assumed, not measured.
+    /// Two daemons' clocks run apart by at most this over one grant.
     duration drift = milliseconds{500};
-    /// A report is at most this old when it arrives. Assumed, not measured; a drain waits for it
-    /// (6deb75e: a drained node's group is away for 5.6 s, with this and the grant's lifetime).
+    /// A report is at most this old when it arrives; a drain waits for it.
     duration report_lag = seconds{1};
     /// A runner that checks no epoch has ended all old work this long after the last grant
-    /// (docs/DESIGN.md, Groups). Assumed, not measured.
+    /// (docs/DESIGN.md, Groups).
     duration in_flight_bound = seconds{60};
-    /// A draining group is stopped after this, with requests in flight or without. Not measured.
+    /// A draining group is stopped after this, with requests in flight or without.
     duration drain_bound = seconds{600};
-    /// Groups that load at the same time, to spare the weight store. Not measured.
+    /// Groups that load at the same time, to spare the weight store.
     int loads_at_once = 2;
 };
 
--- a/include/cedarpoint/sessions/session_table.h
+++ b/include/cedarpoint/sessions/session_table.h
@@ -15,9 +15,7 @@
 /// names of two accounts are two sessions. Relies on its user to call `expire` now and then.
 class session_table {
 public:
-    /// Not measured.
     static constexpr duration idle_limit = std::chrono::hours{24};
-    /// Not measured.
     static constexpr std::size_t max_sessions = 200'000;
 
     /// Empty if the session is not known.
--- a/src/admission/account_limits.cpp
+++ b/src/admission/account_limits.cpp
@@ -10,7 +10,7 @@
 
 constexpr double us_per_minute = 60e6;
 constexpr double us_per_ms = 1000;
-/// The bucket's size: ten seconds' worth of requests may start at once. Not measured.
+/// The bucket's size: ten seconds' worth of requests may start at once.
 constexpr double burst_minutes = 1.0 / 6;
 
 /// Rounded up, and at least 1.
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -20,7 +20,7 @@
 
 using json = nlohmann::json;
 
-// How often a daemon is asked. Not measured.
+// How often a daemon is asked.
 constexpr unsigned long apply_poll_ms = 100;  ///< until a revision is in force
 constexpr unsigned long watch_poll_ms = 1000; ///< for a new status
 
--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -8,7 +8,7 @@
 namespace cedarpoint {
 namespace {
 
-/// Without a byte from the daemon for so long, a call fails. Not measured.
+/// Without a byte from the daemon for so long, a call fails.
 constexpr int transfer_timeout_ms = 15'000;
 
 } // namespace
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -13,9 +13,7 @@
 namespace cedarpoint {
 namespace {
 
-/// Requests in flight from which the event loop is paced; fewer gain nothing. The value was not
-/// measured; pacing, with two other changes, took 1,000 streams from 40.7 to 15.4 us a token
-/// (538d82a).
+/// Requests in flight from which the event loop is paced; fewer gain nothing.
 constexpr std::size_t busy_requests = 64;
 
 } // namespace
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -5,9 +5,9 @@
 namespace cedarpoint {
 namespace {
 
-/// A day: bounds every time in the settings. Not measured.
+/// A day: bounds every time in the settings.
 constexpr std::int64_t longest_ms = 86'400'000;
-/// Nine voters. Not measured.
+/// Nine voters.
 constexpr std::int64_t most_tolerated_losses = 4;
 
 std::optional<endpoint> read_endpoint(json_reader& in, const char* key, bool needed)
@@ -45,7 +45,7 @@
 
 void read_budget(json_reader& in, retry_budget_options& out)
 {
-    constexpr double most_slack = 1e6; // not measured
+    constexpr double most_slack = 1e6;
     out.ratio = in.number_or("ratio", out.ratio, 0, 1);
     out.window = read_ms(in, "window_ms", out.window);
     out.slack = in.number_or("slack", out.slack, 0, most_slack);
--- a/src/consensus/membership_policy.cpp
+++ b/src/consensus/membership_policy.cpp
@@ -5,13 +5,13 @@
 namespace cedarpoint {
 namespace {
 
-/// A learner that is to vote must have answered within this. Not measured.
+/// A learner that is to vote must have answered within this.
 constexpr duration ready_silence = seconds{1};
-/// Entries of the log that it may be behind. Not measured.
+/// Entries of the log that it may be behind.
 constexpr std::uint64_t ready_lag = 64;
-/// A voter that was silent for this long gives its place to a learner. Not measured.
+/// A voter that was silent for this long gives its place to a learner.
 constexpr duration voter_silence = seconds{3};
-/// A learner that was silent for this long is removed. Not measured.
+/// A learner that was silent for this long is removed.
 constexpr duration learner_silence = seconds{60};
 
 bool follows_closely(instant now, const raft_node& leader, const member_id& member)
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -7,12 +7,12 @@
 namespace {
 
 /// At the first start of a system the first election comes after one heartbeat and a random part of
-/// an election timeout divided by this. Not measured.
+/// an election timeout divided by this.
 constexpr int first_start_parts = 2;
 /// A random delay of up to an election timeout divided by this separates daemons that restart
-/// together. Not measured.
+/// together.
 constexpr int restart_parts = 3;
-/// A follower forgets its leader after this many election timeouts without an append. Not measured.
+/// A follower forgets its leader after this many election timeouts without an append.
 constexpr int leader_silence_timeouts = 2;
 
 } // namespace
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -5,8 +5,8 @@
 namespace cedarpoint {
 namespace {
 
-/// Time between two attempts to write what the disk refused. Not measured; an attempt that fails
-/// costs one system call.
+/// Time between two attempts to write what the disk refused; one that fails costs one
+/// system call.
 constexpr duration write_interval = milliseconds{100};
 
 /// The same for a snapshot, which nothing waits for.
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -9,17 +9,13 @@
 namespace cedarpoint {
 namespace {
 
-/// Between two steps of the group controller. Not measured against other values; docs/CAPACITY.md
-/// (item 6) names what ten steps a second cost.
+/// Between two steps of the group controller.
 constexpr duration look_interval = milliseconds{100};
-/// Between two pulls of the root's configuration and of the other domains' views. Not measured
-/// against other values; with it a file is in force everywhere after 0.62 s at worst
-/// (docs/MEASUREMENTS.md, target 18 s).
+/// Between two pulls of the root's configuration and of the other domains' views.
 constexpr duration pull_interval = milliseconds{500};
-/// A runner is absent after this many watch intervals without a report. Not measured against other
-/// values; a node's loss shows after 3 s at the default interval (docs/MEASUREMENTS.md).
+/// A runner is absent after this many watch intervals without a report.
 constexpr int absent_after_looks = 3;
-/// Reports go to the domain's other daemons this many times in a watch interval. Not measured.
+/// Reports go to the domain's other daemons this many times in a watch interval.
 constexpr int shares_per_watch_interval = 2;
 
 std::string join_nodes(const std::vector<node_id>& nodes)
--- a/src/control/control_plane_calls.cpp
+++ b/src/control/control_plane_calls.cpp
@@ -5,11 +5,11 @@
 namespace cedarpoint {
 namespace {
 
-/// An operator's call is retried for this long. Not measured.
+/// An operator's call is retried for this long.
 constexpr duration operator_limit = seconds{10};
-/// A claim is retried for this long; then nothing runs (docs/DESIGN.md, Claims). Not measured.
+/// A claim is retried for this long; then nothing runs (docs/DESIGN.md, Claims).
 constexpr duration claim_limit = seconds{3};
-/// The end of a claim is retried for this long. Not measured.
+/// The end of a claim is retried for this long.
 constexpr duration finish_limit = seconds{60};
 
 } // namespace
--- a/src/control/control_plane_views.cpp
+++ b/src/control/control_plane_views.cpp
@@ -9,10 +9,9 @@
 namespace cedarpoint {
 namespace {
 
-/// A daemon from which no message came for this long counts as no watcher. Not measured.
+/// A daemon from which no message came for this long counts as no watcher.
 constexpr duration peer_silence = seconds{4};
-/// Daemons of the domain that look at each runner. Not measured against other values; the looks in
-/// docs/CAPACITY.md (10 a second for a daemon) are counted with two.
+/// Daemons of the domain that look at each runner.
 constexpr std::size_t watchers_per_runner = 2;
 
 } // namespace
--- a/src/control_daemon/control_api.cpp
+++ b/src/control_daemon/control_api.cpp
@@ -11,7 +11,7 @@
 namespace cedarpoint {
 namespace {
 
-/// The value of Retry-After, in seconds. Not measured.
+/// The value of Retry-After, in seconds.
 constexpr const char* retry_after_seconds = "0.2";
 
 void answer(const control_api::reply_ptr& reply, int status, const std::string& body = {})
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -10,7 +10,7 @@
 namespace cedarpoint {
 namespace {
 
-/// Time between two refreshes of the view while nothing pushes it sooner. Not measured.
+/// Time between two refreshes of the view while nothing pushes it sooner.
 constexpr duration refresh_interval = milliseconds{40};
 /// Time between two lines that sum up the plan, and two updates of the metrics on it.
 constexpr duration summary_interval = seconds{1};
--- a/src/control_daemon/log_membership.cpp
+++ b/src/control_daemon/log_membership.cpp
@@ -8,7 +8,7 @@
 namespace cedarpoint {
 namespace {
 
-/// Time between two looks at the members. Not measured.
+/// Time between two looks at the members.
 constexpr duration check_interval = milliseconds{500};
 
 } // namespace
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -15,9 +15,9 @@
 namespace cedarpoint {
 namespace {
 
-/// Time between two ticks. Not measured.
+/// Time between two ticks.
 constexpr int tick_ms = 20;
-/// Time between two updates of the targets. Not measured.
+/// Time between two updates of the targets.
 constexpr duration view_interval = milliseconds{50};
 constexpr duration metrics_interval = seconds{1};
 /// Time between two messages on requests under which runners ended, where there is no news: by them
--- a/src/daemon/decision_log.h
+++ b/src/daemon/decision_log.h
@@ -18,7 +18,7 @@
 /// Writes each decision as a log line and keeps the latest requests' ones for `explain`.
 class decision_log {
 public:
-    /// Requests whose decisions are kept for `explain`. Not measured.
+    /// Requests whose decisions are kept for `explain`.
     static constexpr std::size_t kept_requests = 20'000;
 
     void add(const decision& it);
--- a/src/daemon/loop_pacer.h
+++ b/src/daemon/loop_pacer.h
@@ -10,8 +10,6 @@
 /// that time. When the process is not busy, nothing is delayed.
 class loop_pacer {
 public:
-    /// Measured with 1,000 streams: 1 ms took 15.4 to 16.4 us a token, 2 ms 13.4 to 18.7, none
-    /// 17.7 to 18.7 (docs/MEASUREMENTS.md).
     static constexpr std::chrono::microseconds shortest_round{1000};
 
     explicit loop_pacer(std::function<bool()> is_busy) : is_busy_{std::move(is_busy)} {}
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -18,9 +18,9 @@
 
 namespace status = http_status;
 
-/// Of a declarative file. Not measured.
+/// Of a declarative file.
 constexpr std::size_t max_operator_body = 32 << 20;
-/// Connections of operators and of whoever scrapes the metrics, at a time. Not measured.
+/// Connections of operators and of whoever scrapes the metrics, at a time.
 constexpr std::size_t max_operator_connections = 256;
 
 caller_limits operator_limits()
--- a/src/daemon/request_reader.cpp
+++ b/src/daemon/request_reader.cpp
@@ -11,9 +11,9 @@
 namespace cedarpoint {
 namespace {
 
-/// Bytes of an id in a header; longer ones are refused. Not measured.
+/// Bytes of an id in a header; longer ones are refused.
 constexpr std::size_t max_header_id = 256;
-/// A day; a longer deadline is refused. Not measured.
+/// A day; a longer deadline is refused.
 constexpr std::int64_t max_deadline_ms = 24LL * 3600 * 1000;
 constexpr std::size_t prefix_bytes = 1024; ///< of the prompt: enough to tell system prompts apart
 
--- a/src/daemon/runner_client.cpp
+++ b/src/daemon/runner_client.cpp
@@ -9,9 +9,9 @@
 namespace cedarpoint {
 namespace {
 
-/// Bytes of a runner's state; a longer one is not read. Not measured.
+/// Bytes of a runner's state; a longer one is not read.
 constexpr std::size_t max_state = 65536;
-/// How long the connection and the whole call may take. Not measured.
+/// How long the connection and the whole call may take.
 constexpr call_options state_call{milliseconds{800}, milliseconds{1500}};
 
 std::optional<runner_phase> parse_phase(const std::string& text)
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -9,12 +9,12 @@
 namespace cedarpoint {
 namespace {
 
-/// Time between two reports. Not measured.
+/// Time between two reports.
 constexpr duration report_interval = milliseconds{200};
-/// The same while this daemon has no view. Not measured.
+/// The same while this daemon has no view.
 constexpr duration first_report_interval = milliseconds{50};
-/// A leader that did not answer for this long is looked for among all control daemons. Not
-/// measured; four reports.
+/// A leader that did not answer for this long is looked for among all control daemons:
+/// four reports.
 constexpr duration leader_silence = milliseconds{900};
 
 } // namespace
--- a/src/entry/reachability_checker.cpp
+++ b/src/entry/reachability_checker.cpp
@@ -6,7 +6,7 @@
 namespace cedarpoint {
 namespace {
 
-/// Time between two attempts at one runner. Not measured.
+/// Time between two attempts at one runner.
 constexpr duration attempt_interval = milliseconds{600};
 
 } // namespace
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -13,18 +13,18 @@
 namespace cedarpoint {
 namespace {
 
-/// With less time left than this a request is not sent: no runner would answer. Not measured.
+/// With less time left than this a request is not sent: no runner would answer.
 constexpr milliseconds shortest_attempt{15};
 
 /// Longest idle time of a kept connection that is used for a request that may run once only: the
 /// longer it rested, the likelier it is closed while the request is on its way, and such a request
-/// can't be sent again. Not measured.
+/// can't be sent again.
 constexpr milliseconds longest_idle_for_once{1000};
-/// The same for a request that can be sent again. Not measured.
+/// The same for a request that can be sent again.
 constexpr milliseconds longest_idle_for_repeatable{4000};
 
 /// A stream's runner is held back while its caller has not taken this many bytes; it goes on when
-/// half of them are taken. Not measured; bounds memory per stream.
+/// half of them are taken. Bounds the memory of a stream.
 constexpr std::size_t slow_caller_bytes = 256 << 10;
 
 std::optional<milliseconds> parse_milliseconds(std::string_view text)
--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -6,12 +6,12 @@
 namespace cedarpoint {
 namespace {
 
-/// Probes in a row without an answer until a runner is unresponsive. One may be a lost packet. Not
-/// measured; with the probe interval of 400 ms this takes about 0.7 s.
+/// Probes in a row without an answer until a runner is unresponsive. One may be a lost packet.
+/// With the probe interval of 400 ms this takes about 0.7 s.
 constexpr int probes_to_unresponsive = 2;
 
 /// A silent, unresponsive member of a group without traffic is given up once the head's streams
-/// have been quiet for this long. Not measured.
+/// have been quiet for this long.
 constexpr duration idle_grace = seconds{2};
 
 /// True if the runner reports to be in this group, under the group's epoch.
--- a/src/fleet/follower_tracker.cpp
+++ b/src/fleet/follower_tracker.cpp
@@ -5,15 +5,14 @@
 namespace cedarpoint {
 namespace {
 
-/// A follower without a report for this long is lost. Not measured.
+/// A follower without a report for this long is lost.
 constexpr duration follower_silence = milliseconds{2500};
 
-/// An update that was not confirmed after this is sent again. Chosen with the mended finding CONFIG
-/// of hunt-53ac (docs/RULES-KEPT.md); not measured on its own.
+/// An update that was not confirmed after this is sent again.
 constexpr duration resend_after = seconds{1};
 
-/// The same for a follower that reports a gap. Not measured; two reports, so that an update that is
-/// under way may still arrive.
+/// The same for a follower that reports a gap: two reports, so that an update that is under
+/// way may still arrive.
 constexpr duration resend_after_gap = milliseconds{400};
 
 } // namespace
--- a/src/fleet/group_conversion.cpp
+++ b/src/fleet/group_conversion.cpp
@@ -11,22 +11,22 @@
 namespace {
 
 /// The utilization of the taking model must fall to this part of what it was, or a conversion is
-/// not worth the seconds without the retired groups. Not measured on its own.
+/// not worth the seconds without the retired groups.
 constexpr double largest_remainder = 0.95;
 
 /// Time between the beginnings of two conversions, so that the second sees the first in the reports
-/// of entry daemons, which come every 200 ms. Not measured.
+/// of entry daemons, which come every 200 ms.
 constexpr duration conversion_interval = milliseconds{300};
 
 /// A conversion that has not formed its groups by then is given up: the longest retirement and some
-/// seconds to join. Not measured.
+/// seconds to join.
 constexpr duration conversion_limit = seconds{12};
 
 /// One of this many runners may be under conversion; one conversion may always be.
 constexpr std::size_t runners_per_converted = 8;
 
 /// A model that has got groups by a conversion gives none for this long: the work that the averages
-/// show is older than the conversion. Not measured on its own.
+/// show is older than the conversion.
 constexpr duration taker_rest = seconds{5};
 
 using runner_index = std::map<runner_id, const runner_snapshot*>;
--- a/src/fleet/group_lifecycle.cpp
+++ b/src/fleet/group_lifecycle.cpp
@@ -9,12 +9,12 @@
 namespace {
 
 /// How long entry daemons get to try the head of a waiting group before its members are ordered
-/// out, which ends the group for good. Not measured; a try takes up to 300 ms and its result up to
-/// 200 ms to arrive.
+/// out, which ends the group for good. A try takes up to 300 ms and its result up to 200 ms
+/// to arrive.
 constexpr duration check_patience = milliseconds{900};
 
 /// A group that retires is not looked at for idleness before this: entry daemons learn of it with
-/// the next view and report every 200 ms. Not measured.
+/// the next view and report every 200 ms.
 constexpr duration shortest_retirement = milliseconds{500};
 
 std::string list(const std::vector<runner_id>& members)
--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -14,8 +14,7 @@
 constexpr duration rejoin_time = milliseconds{200};
 
 /// Cost of a second until a group's last member has joined, in shares of the wanted groups: a group
-/// that takes 16 s to load costs as much as half of a model's groups being there already. Not
-/// measured on its own; of the round "survivors went to the model that was quicker".
+/// that takes 16 s to load costs as much as half of a model's groups being there already.
 constexpr double cost_per_second = 0.03;
 
 /// Costs of a group before there is work, in shares of the model's wanted groups: of each group of
@@ -26,8 +25,7 @@
 constexpr double cost_of_new_domain = 0.1;
 constexpr double cost_of_stranded = 0.2;
 
-/// The advantage of a model's first group: above all costs, so that each model is served. For the
-/// first in each failure domain it was worth less (round "first groups", docs/CUSTOMER-ROUNDS.md).
+/// The advantage of a model's first group: above all costs, so that each model is served.
 constexpr double advantage_of_first_group = 10;
 
 duration join_time(const runner_snapshot& runner, const engine_model& model)
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -13,9 +13,8 @@
 /// of earlier leaders.
 constexpr unsigned term_shift = 20;
 
-/// The fleet counts as announced once no new runner was heard for this long. Not measured; it came
-/// with "no group before the fleet has announced itself", after runners of a domain had been given
-/// to the wrong model (TDV grown scale-1).
+/// The fleet counts as announced once no new runner was heard for this long: before that,
+/// runners of a domain may be given to the wrong model.
 constexpr duration start_quiet_time = milliseconds{700};
 
 epoch make_epoch(std::uint64_t term, std::uint64_t number)
--- a/src/fleet/group_targets.cpp
+++ b/src/fleet/group_targets.cpp
@@ -12,12 +12,10 @@
 /// The utilization of a model without any group, whose work can't be measured: short of room.
 constexpr double utilization_without_group = 4;
 
-/// A model below this utilization is not short of room. Round "runners change their model"
-/// (docs/CUSTOMER-ROUNDS.md).
+/// A model below this utilization is not short of room.
 constexpr double utilization_to_take = 0.4;
 
-/// A model takes runners from another one whose utilization is lower by this factor. The same
-/// round.
+/// A model takes runners from another one whose utilization is lower by this factor.
 constexpr double least_gap = 2;
 
 std::size_t count_usable(const placement_snapshot& in, const fleet_service& service)
--- a/src/fleet/health_reports.cpp
+++ b/src/fleet/health_reports.cpp
@@ -5,20 +5,19 @@
 namespace cedarpoint {
 namespace {
 
-/// A report is used for this long. Not measured; at one report every 200 ms three may be lost.
+/// A report is used for this long: at one every 200 ms, three may be lost.
 constexpr duration report_lifetime = milliseconds{900};
 
 /// A follower counts as one that shares the fleet's limits for this long after its latest report.
-/// Not measured; the same time after which the leader stops sending to it (`follower_tracker`).
+/// The leader stops sending to it after the same time (`follower_tracker`).
 constexpr duration follower_lifetime = milliseconds{2500};
 
-/// Without a byte for this long, while requests are in flight, a runner stalls. Not measured on its
-/// own; it is the longest gap between events that the users' routes aim at. Moving streams sooner,
-/// after 0.6 of that aim, lost requests: docs/MEASUREMENTS.md, "streams moved after 0.6".
+/// Without a byte for this long, while requests are in flight, a runner stalls: the longest gap
+/// between events that the users' routes aim at. Moving streams sooner loses requests.
 constexpr milliseconds stall_threshold{300};
 
 /// Connections in a row that must fail before an entry daemon reports a stall without waiting
-/// requests. Not measured; one may be a lost packet.
+/// requests; one may be a lost packet.
 constexpr std::uint32_t failed_connects_to_stall = 2;
 
 bool has_recent_byte(const runner_observation& in)
--- a/src/fleet/latency_tracker.cpp
+++ b/src/fleet/latency_tracker.cpp
@@ -6,10 +6,6 @@
 namespace cedarpoint {
 namespace {
 
-// The five constants below came together with the rule (round "all groups that fit before
-// requests; doubted and slow runners after the others": Potting Shed grown 0.750 -> 0.800). None of
-// them was measured on its own.
-
 /// Weight of a single wait in the moving mean: about the latest 25 waits count.
 constexpr double weight_of_one_wait = 0.04;
 
--- a/src/fleet/load_limiter.cpp
+++ b/src/fleet/load_limiter.cpp
@@ -10,8 +10,7 @@
 constexpr double window_seconds = 5;
 /// Loads count a second longer than the window: an order may be carried out that much later.
 constexpr duration counted_for = seconds{6};
-/// The part of the rate that is used; the rest covers orders that are carried out later still. Not
-/// measured.
+/// The part of the rate that is used; the rest covers orders that are carried out later still.
 constexpr double used_part = 0.8;
 
 } // namespace
--- a/src/fleet/request_admission.cpp
+++ b/src/fleet/request_admission.cpp
@@ -7,7 +7,7 @@
 
 /// The platform's range is 0 to 9.
 constexpr int lowest_engine_priority = 9;
-/// Ranks of routes within one rank of an account. Not measured.
+/// Ranks of routes within one rank of an account.
 constexpr int route_ranks = 2;
 
 /// The account of a bearer key; null if there is no key or nobody has it.
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -4,10 +4,10 @@
 namespace {
 
 /// An address may pass to another runner that is heard there once its owner was silent for this
-/// long. Not measured on its own; came with "held-up heartbeats do not take an address back".
+/// long; a heartbeat that was held up for less does not take an address back.
 constexpr duration owner_silence = seconds{4};
 /// Before that, only to a runner that has just begun: its heartbeats are numbered up to this. A
-/// higher number may be a heartbeat that was held up, of a runner that ended before. Not measured.
+/// higher number may be a heartbeat that was held up, of a runner that ended before.
 constexpr std::uint64_t young_sequence = 3;
 
 } // namespace
--- a/src/fleet/target_ranking.cpp
+++ b/src/fleet/target_ranking.cpp
@@ -5,24 +5,23 @@
 namespace cedarpoint {
 namespace {
 
-/// Requests that may wait at a target beyond its slots: a slot frees soon. Not measured on its own;
-/// of the round "own choose, all bound".
+/// Requests that may wait at a target beyond its slots: a slot frees soon.
 constexpr int queue_allowance = 3;
 
-/// Cost of the way to another failure domain, in requests. Not measured.
+/// Cost of the way to another failure domain, in requests.
 constexpr double other_domain_cost = 0.5;
 
 /// Above any load, so that an avoided target is chosen only if there is no other.
 constexpr double avoided_cost = 1000;
 
-/// The widest difference that the draw may overrule, in requests. Not measured.
+/// The widest difference that the draw may overrule, in requests.
 constexpr double draw_width = 0.5;
 
 /// Without a byte for this long, while requests wait there, a target is avoided. Sooner than the
-/// leader's threshold (300 ms): it costs only the choice of another target. Not measured.
+/// leader's threshold (300 ms): it costs only the choice of another target.
 constexpr duration stall_threshold = milliseconds{250};
 
-/// Backoff after the first failure; it doubles with each further one, up to 4.8 s. Not measured.
+/// Backoff after the first failure; it doubles with each further one, up to 4.8 s.
 constexpr duration shortest_backoff = milliseconds{300};
 constexpr int most_doublings = 4;
 
--- a/src/fleet/view_builder.cpp
+++ b/src/fleet/view_builder.cpp
@@ -6,8 +6,7 @@
 namespace cedarpoint {
 namespace {
 
-/// A plain runner that was not heard for this many heartbeats is left out of the view. Not
-/// measured.
+/// A plain runner that was not heard for this many heartbeats is left out of the view.
 constexpr int heartbeats_to_lose = 3;
 
 /// `Runner` is an `announcement` or a `registered_runner`.
--- a/src/fleet/weight_staging.cpp
+++ b/src/fleet/weight_staging.cpp
@@ -10,18 +10,17 @@
 namespace {
 
 /// Weights that have not arrived after this many times their load time are taken for lost, and the
-/// runner may be chosen again. Not measured.
+/// runner may be chosen again.
 constexpr int load_times_to_overdue = 2;
 
 /// An order that was not answered with success is sent again after the first, and the runner counts
 /// as one without weights under way after the second: until then it holds a place of the store.
-/// Round "orders to stage are repeated".
 constexpr duration repeat_interval = seconds{1};
 constexpr duration unanswered_limit = seconds{6};
 
 /// The least factor on the worth of a group of a model that few runners of the fabric domain hold.
 /// Survivors of two groups of one model make a third without the store, so a domain keeps to its
-/// model (round "a domain keeps to its model").
+/// model.
 constexpr double least_home_factor = 0.1;
 
 /// Stands for the work of a group that lacks no weights, so that its worth is finite.
--- a/src/fleet/work_average.cpp
+++ b/src/fleet/work_average.cpp
@@ -5,7 +5,7 @@
 namespace cedarpoint {
 namespace {
 
-/// Time constant of the average. Round "capacity follows the work" (docs/MEASUREMENTS.md).
+/// Time constant of the average.
 constexpr double average_seconds = 1.5;
 
 } // namespace
--- a/src/io/connect_probe.cpp
+++ b/src/io/connect_probe.cpp
@@ -6,7 +6,7 @@
 namespace cedarpoint {
 namespace {
 
-/// How long a connection may take. Not measured.
+/// How long a connection may take.
 constexpr int connect_timeout_ms = 300;
 
 } // namespace
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -5,14 +5,12 @@
 namespace cedarpoint {
 namespace {
 
-/// A caller's connection without a request is closed after this. Not measured.
+/// A caller's connection without a request is closed after this.
 constexpr int idle_timeout_ms = 75'000;
 constexpr int stall_timeout_ms = 120'000; ///< a caller that takes nothing for this long is gone
-/// After the last answer, so that the caller can read it before the connection is reset. Not
-/// measured.
+/// After the last answer, so that the caller can read it before the connection is reset.
 constexpr int linger_ms = 1000;
-/// Bytes read ahead of the parser: holds a caller that sends faster than it is served. Not
-/// measured.
+/// Bytes read ahead of the parser: holds a caller that sends faster than it is served.
 constexpr qint64 read_buffer = 65536;
 
 } // namespace
--- a/src/io/log_sink.h
+++ b/src/io/log_sink.h
@@ -10,7 +10,7 @@
 /// up to a bound, then dropped and counted; the count is told when there is room again.
 class log_sink {
 public:
-    /// Bytes of lines that wait for the reader; more lines are dropped and counted. Not measured.
+    /// Bytes of lines that wait for the reader; more lines are dropped and counted.
     static constexpr std::size_t most_kept = 256 << 10;
 
     explicit log_sink(int descriptor);
--- a/src/io/mesh.cpp
+++ b/src/io/mesh.cpp
@@ -7,20 +7,20 @@
 namespace cedarpoint {
 namespace {
 
-/// Messages that wait for one peer; more are dropped. Not measured.
+/// Messages that wait for one peer; more are dropped.
 constexpr int high_water = 10'000;
-/// Time to the first attempt to connect again; it doubles up to the second figure. Not measured.
+/// Time to the first attempt to connect again; it doubles up to the second figure.
 constexpr int reconnect_ms = 50;
 constexpr int reconnect_max_ms = 400;
-/// How long a connection may take. Not measured.
+/// How long a connection may take.
 constexpr int connect_timeout_ms = 300;
 /// How long a peer that took the connection may be silent. ZeroMQ waits 30 s by default: after a
 /// cut daemons waited for such peers (soak seed 150; mesh_test: 30.1 s before, 1.6 s with this).
 constexpr int handshake_ms = 1500;
-/// ZeroMQ's own heartbeats, which end a connection that is dead. Not measured.
+/// ZeroMQ's own heartbeats, which end a connection that is dead.
 constexpr int heartbeat_ms = 1000;
 constexpr int heartbeat_timeout_ms = 2500;
-/// Bounds what a peer can make this process allocate; snapshots go in one message. Not measured.
+/// Bounds what a peer can make this process allocate; snapshots go in one message.
 constexpr std::size_t max_message = 64 << 20;
 constexpr const char* zap_address = "inproc://zeromq.zap.01";
 constexpr const char* zap_domain = "cedarpoint";
--- a/src/io/runner_connection.cpp
+++ b/src/io/runner_connection.cpp
@@ -7,7 +7,7 @@
 namespace cedarpoint {
 namespace {
 
-/// Bytes of a runner's head; one that is larger is not valid. Not measured.
+/// Bytes of a runner's head; one that is larger is not valid.
 constexpr std::size_t max_answer_head = 65536;
 
 /// The value of "timeout=N" in a Keep-Alive header.
--- a/src/io/runner_pool.cpp
+++ b/src/io/runner_pool.cpp
@@ -7,7 +7,7 @@
 namespace cedarpoint {
 namespace {
 
-/// Time between two looks for idle connections that are too old. Not measured.
+/// Time between two looks for idle connections that are too old.
 constexpr int sweep_ms = 1000;
 
 /// Ends after the present call: the connection may be the one that is reporting.
--- a/src/io/simple_listeners.cpp
+++ b/src/io/simple_listeners.cpp
@@ -5,7 +5,7 @@
 namespace cedarpoint {
 namespace {
 
-/// For the balancer and whoever scrapes the metrics. Not measured.
+/// For the balancer and whoever scrapes the metrics.
 caller_limits small_limits()
 {
     caller_limits out;
--- a/src/io/sse_splitter.h
+++ b/src/io/sse_splitter.h
@@ -9,7 +9,7 @@
 /// Cuts a stream of server-sent events into whole events, each with its closing empty line.
 class sse_splitter {
 public:
-    /// Bytes of one event. Not measured; bounds what a runner can make a daemon keep.
+    /// Bytes of one event: bounds what a runner can make a daemon keep.
     static constexpr std::size_t max_event = 1 << 20;
 
     /// Calls `visit` with each event that is whole now. False once an event is too large.
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -12,7 +12,7 @@
 namespace cedarpoint {
 namespace {
 
-/// Bytes of one read. Not measured.
+/// Bytes of one read.
 constexpr std::size_t read_block = 65536;
 
 /// Notifiers may be in the middle of reporting when they are no longer needed.
--- a/src/io/upstream_call.cpp
+++ b/src/io/upstream_call.cpp
@@ -5,9 +5,9 @@
 namespace cedarpoint {
 namespace {
 
-/// Bytes of a runner's head; one that is larger is not valid. Not measured.
+/// Bytes of a runner's head; one that is larger is not valid.
 constexpr std::size_t max_answer_head = 65536;
-/// Bytes read ahead of the caller: holds a runner that sends faster. Not measured.
+/// Bytes read ahead of the caller: holds a runner that sends faster.
 constexpr qint64 read_buffer = 65536;
 
 std::string serialize(const http_request& request)
