A leave that is told while the runner is out of the view counts from then

What callers saw: nothing; found by a random test of ours before the landing. Cause: a runner counted as ended 60 s after it had left the view, also if it had answered since: its leave was forgotten too early, and it was a target again if it came back in the same life. Change: an answer begins that time anew. The random test orders pauses, leaves, new lives, views with and without a runner and jumps of 0.5 to 30 s; nothing may be sent within what a runner asked for.

--- a/include/cedarpoint/runner_signals/send_holds.h
+++ b/include/cedarpoint/runner_signals/send_holds.h
@@ -53,7 +53,8 @@
         instant paused_at; ///< when the latest answer came that asked for a pause
         instant paused_until;
         bool leaving = false;
-        std::optional<instant> absent_since; ///< empty while the view shows the runner
+        /// Empty while the view shows the runner; from its latest answer on, if that was later.
+        std::optional<instant> absent_since;
     };
 
     [[nodiscard]] hold& hold_of(instant now, const runner_id& runner, birth life);
--- a/src/runner_signals/send_holds.cpp
+++ b/src/runner_signals/send_holds.cpp
@@ -23,6 +23,9 @@
     if (latest > out.life) {
         begin_life(now, latest, out);
     }
+    if (out.absent_since) {
+        out.absent_since = now; // it speaks, so it has not ended
+    }
     return out;
 }
 
--- /dev/null
+++ b/tests/runner_signals/random_holds_test.cpp
@@ -0,0 +1,163 @@
+// Random orders of what runners say, new lives, views with and without a runner, and jumps of time:
+// nothing may be sent to a runner within what it has asked for.
+
+#include "cedarpoint/runner_signals/send_holds.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace cedarpoint {
+namespace {
+
+constexpr int seeds = 200;
+constexpr int steps = 400;
+/// A runner that was out of the view for longer counts as ended.
+constexpr duration forget_after = seconds{60};
+
+class random_holds {
+public:
+    explicit random_holds(std::uint64_t seed) : random_{seed} { show(); }
+
+    void step()
+    {
+        switch (draw(8)) {
+        case 0:
+        case 1:
+            pass_time(milliseconds{draw(700)});
+            break;
+        case 2:
+            pass_time(milliseconds{500 + draw(29'500)}); // a suspension
+            break;
+        case 3:
+            begin_life(any_runner());
+            break;
+        case 4:
+            is_shown_ = show_at_ != instant::max() || draw(3) > 0;
+            show();
+            break;
+        case 5:
+            tell_leave(any_runner());
+            break;
+        default:
+            ask_for_pause(any_runner());
+            break;
+        }
+        check();
+    }
+
+private:
+    struct runner_facts {
+        runner_id id;
+        birth life{1};
+        birth viewed{1};
+        instant wants_nothing_until;         ///< this life
+        instant latest_pause_end;            ///< of any life
+        bool has_left = false;               ///< told since the view showed this life
+        std::optional<instant> absent_since; ///< from the view
+    };
+
+    int draw(int below) { return std::uniform_int_distribution<int>{0, below - 1}(random_); }
+    runner_facts& any_runner() { return runners_.at(static_cast<std::size_t>(draw(2))); }
+
+    /// It speaks: it has not ended.
+    void note_answer(runner_facts& of) const
+    {
+        if (of.absent_since) {
+            of.absent_since = now_;
+        }
+    }
+
+    void ask_for_pause(runner_facts& of)
+    {
+        note_answer(of);
+        const milliseconds time{1 + draw(4000)};
+        holds_.on_pause(now_, of.id, of.viewed, time);
+        of.wants_nothing_until = std::max(of.wants_nothing_until, now_ + time);
+        of.latest_pause_end = std::max(of.latest_pause_end, now_ + time);
+    }
+
+    void tell_leave(runner_facts& of)
+    {
+        note_answer(of);
+        holds_.on_leaving(now_, of.id, of.viewed);
+        of.has_left = of.has_left || of.viewed == of.life;
+    }
+
+    /// The view shows the new life within a second.
+    void begin_life(runner_facts& of)
+    {
+        ++of.life.value;
+        of.wants_nothing_until = {};
+        of.has_left = false;
+        show_at_ = std::min(show_at_, now_ + milliseconds{draw(900)});
+    }
+
+    void show()
+    {
+        std::map<runner_id, birth> lives;
+        for (auto& each : runners_) {
+            if (is_shown_ || each.id.str() != "i-0") {
+                each.viewed = each.life;
+                lives[each.id] = each.viewed;
+                each.absent_since.reset();
+                continue;
+            }
+            each.absent_since = each.absent_since.value_or(now_);
+        }
+        holds_.on_lives(now_, lives);
+        show_at_ = instant::max();
+    }
+
+    void pass_time(duration time)
+    {
+        const auto until = now_ + time;
+        if (show_at_ <= until) {
+            now_ = std::max(now_, show_at_);
+            is_shown_ = true; // a life that begins is heard of
+            show();
+        }
+        now_ = until;
+    }
+
+    void check()
+    {
+        for (auto& each : runners_) {
+            const bool has_ended = each.absent_since && now_ - *each.absent_since > forget_after;
+            each.has_left = each.has_left && !has_ended;
+            const auto found = holds_.find(now_, each.id);
+            if (now_ < each.wants_nothing_until) {
+                EXPECT_NE(found, send_hold::none) << each.id.str();
+            }
+            if (each.has_left && is_shown_) {
+                EXPECT_EQ(found, send_hold::leaving) << each.id.str();
+            }
+            if (now_ >= each.latest_pause_end) {
+                EXPECT_NE(found, send_hold::paused) << each.id.str();
+            }
+        }
+    }
+
+    std::mt19937_64 random_;
+    instant now_{seconds{100}};
+    instant show_at_ = instant::max();
+    bool is_shown_ = true; ///< the first runner, in the view
+    std::vector<runner_facts> runners_{{runner_id{"i-0"}}, {runner_id{"i-1"}}};
+    send_holds holds_;
+};
+
+TEST(random_signals, are_obeyed_whatever_comes_between)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        random_holds world{seed};
+        for (int step = 0; step < steps; ++step) {
+            world.step();
+            ASSERT_FALSE(testing::Test::HasFailure()) << "step " << step;
+        }
+    }
+}
+
+} // namespace
+} // namespace cedarpoint
