--- a/src/runner_signals/send_holds.cpp
+++ b/src/runner_signals/send_holds.cpp
@@ -49,8 +49,8 @@
 void send_holds::begin_life(instant now, birth life, hold& of)
 {
     of.life = life;
-    of.leaving =
-        false; // a runner says it in each answer, so that one request is enough to learn it
+    // A runner says in each answer that it leaves: one request is enough to learn it again.
+    of.leaving = false;
     if (now - of.paused_at > view_delay) {
         of.paused_until = {};
     }
--- /dev/null
+++ b/tests/fleet/platform_runner.cpp
@@ -0,0 +1,257 @@
+#include "fleet/platform_runner.h"
+
+#include "io/clock.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace cedarpoint::testing_support {
+namespace {
+
+using nlohmann::json;
+
+caller_limits runner_limits()
+{
+    caller_limits out;
+    out.max_connections = 100;
+    return out;
+}
+
+} // namespace
+
+platform_runner::platform_runner(std::string id, std::string service,
+                                 std::vector<endpoint> controls, std::uint64_t born,
+                                 std::uint64_t sequence)
+    : id_{std::move(id)}, service_{std::move(service)}, controls_{std::move(controls)}, born_{born},
+      sequence_{sequence}
+{
+    QObject::connect(&timer_, &QTimer::timeout, [this] { announce(); });
+    begin_life();
+}
+
+void platform_runner::begin_life()
+{
+    listener_ = std::make_unique<http_listener>(
+        runner_limits(),
+        [this](const http_request& request, const std::shared_ptr<http_reply>& reply) {
+            on_request(request, reply);
+        });
+    reason why;
+    EXPECT_TRUE(listener_->start(address_, why)) << why.str();
+    address_ = listener_->address();
+    timer_.start(runner_heartbeat);
+}
+
+void platform_runner::crash()
+{
+    if (listener_ == nullptr) {
+        return;
+    }
+    ends.push_back(steady_now());
+    timer_.stop();
+    listener_.reset();
+    group_.clear();
+    state_.clear();
+    sequence_ = 0;
+    ++born_;
+    QTimer::singleShot(time_away, &timer_, [this] { begin_life(); });
+}
+
+std::string platform_runner::announcement_text()
+{
+    json out{{"service", service_},
+             {"address", address_.str()},
+             {"zone", "z"},
+             {"slots", slots},
+             {"version", "v1"},
+             {"state", draining_ ? "draining" : "ready"},
+             {"coldRemainingMs", 0},
+             {"sequence", ++sequence_},
+             {"domain", "z-d0"},
+             {"staged", {"small"}},
+             {"models", json::array({{{"name", "small"}, {"version", 1}}})}};
+    if (born_ > 0) {
+        out["born"] = born_;
+    }
+    if (!group_.empty()) {
+        out["group"] = {{"name", group_}, {"epoch", epoch_}, {"rank", rank_}, {"state", state_}};
+    }
+    return out.dump();
+}
+
+void platform_runner::announce()
+{
+    if (announcing_) {
+        return;
+    }
+    announcing_ = true;
+    const auto body = announcement_text();
+    const bool tells_drain = draining_;
+    exchange_request request;
+    request.bytes = fmt::format("POST /cedarpoint/instances/{}/heartbeat HTTP/1.1\r\n"
+                                "Host: h\r\nContent-Length: {}\r\n\r\n{}",
+                                id_, body.size(), body);
+    auto* connection = pool_.take(controls_[control_]);
+    const auto status = std::make_shared<int>(0);
+    exchange_handlers handlers;
+    handlers.on_head = [status](const http_head& head) { *status = head.status; };
+    handlers.on_body = [](const std::string&) {};
+    handlers.on_end = [this, connection, status, tells_drain](exchange_end, const reason&) {
+        pool_.give_back(connection);
+        announcing_ = false;
+        if (*status == 200) {
+            drain_acknowledged_ = drain_acknowledged_ || tells_drain;
+            return;
+        }
+        control_ = (control_ + 1) % controls_.size();
+    };
+    connection->start(std::move(request), std::move(handlers));
+}
+
+void platform_runner::drain()
+{
+    draining_ = true;
+}
+
+void platform_runner::on_request(const http_request& request,
+                                 const std::shared_ptr<http_reply>& reply)
+{
+    if (request.target == "/cedarpoint/report") {
+        reply->send({200, {}}, "{}");
+        return;
+    }
+    if (request.target == "/cedarpoint/order") {
+        take_order(request, reply);
+        return;
+    }
+    accounts.emplace_back(request.fields.get("X-Cedarpoint-Tenant"));
+    if (request.fields.get("X-Cedarpoint-Expect-Instance") != id_) {
+        http_head head{421, {}};
+        head.fields.add("X-Cedarpoint-Request-Id",
+                        std::string{request.fields.get("X-Cedarpoint-Request-Id")});
+        reply->send(std::move(head), "");
+        return;
+    }
+    if (is_turned_away(request, reply)) {
+        return;
+    }
+    auto head = make_head(request);
+    ++served_;
+    arrivals.push_back({steady_now(), std::string{request.fields.get("X-Cedarpoint-Request-Id")},
+                        request.body, !rate_limit.empty()});
+    if (!ended_by.empty() && request.body.find(ended_by) != std::string::npos) {
+        QTimer::singleShot(time_to_end, &timer_, [this] { crash(); });
+        return;
+    }
+    if (service_ == "pool") {
+        stream(request, reply);
+        return;
+    }
+    if (fail_next > 0) {
+        --fail_next;
+        head.status = 500;
+    }
+    if (answer_time == milliseconds{0}) {
+        reply->send(std::move(head), "plain " + request.body);
+        return;
+    }
+    QTimer::singleShot(answer_time,
+                       [reply, head, body = request.body] { reply->send(head, "plain " + body); });
+}
+
+http_head platform_runner::make_head(const http_request& request) const
+{
+    http_head out{200, {}};
+    out.fields.add("X-Cedarpoint-Request-Id",
+                   std::string{request.fields.get("X-Cedarpoint-Request-Id")});
+    out.fields.add("X-Cedarpoint-Instance-Signature", "signed-by-" + id_);
+    if (!rate_limit.empty()) {
+        out.fields.add("Server-Limit", rate_limit);
+    }
+    if (leaving) {
+        out.fields.add("Server-Leaving", "1");
+    }
+    return out;
+}
+
+bool platform_runner::is_turned_away(const http_request& request,
+                                     const std::shared_ptr<http_reply>& reply)
+{
+    if (!turn_away) {
+        return false;
+    }
+    const auto retry_after = turn_away(std::string{request.fields.get("X-Cedarpoint-Request-Id")});
+    if (!retry_after) {
+        return false;
+    }
+    auto head = make_head(request);
+    head.status = 503;
+    if (disclaims) {
+        head.fields.add("X-Cedarpoint-Not-Executed", "1");
+    }
+    if (!retry_after->empty()) {
+        head.fields.add("Retry-After", *retry_after);
+    }
+    reply->send(std::move(head), "");
+    return true;
+}
+
+void platform_runner::be_silent(bool silent)
+{
+    if (silent) {
+        timer_.stop();
+    }
+    else {
+        timer_.start(runner_heartbeat);
+    }
+}
+
+void platform_runner::stream(const http_request& request, const std::shared_ptr<http_reply>& reply)
+{
+    auto head = make_head(request);
+    head.fields.add("Content-Type", "text/event-stream");
+    reply->begin(std::move(head));
+    const std::string after{request.fields.get("Last-Event-Id")};
+    for (int event = after.empty() ? 1 : std::stoi(after) + 1; event <= 3; ++event) {
+        reply->write(fmt::format("id: {}\ndata: token {}\n\n", event, event));
+        if (cut_stream) {
+            cut_stream = false;
+            reply->write("id: 2\nda");
+            QTimer::singleShot(20, [reply] { reply->abort(); });
+            return;
+        }
+    }
+    reply->finish();
+}
+
+void platform_runner::take_order(const http_request& request,
+                                 const std::shared_ptr<http_reply>& reply)
+{
+    const auto order = json::parse(request.body);
+    const auto op = order.at("op").get<std::string>();
+    int status = 202;
+    if (op == "join") {
+        group_ = order.at("group").get<std::string>();
+        epoch_ = order.at("epoch").get<std::uint64_t>();
+        const auto members = order.at("members").get<std::vector<std::string>>();
+        rank_ = static_cast<std::size_t>(std::find(members.begin(), members.end(), id_) -
+                                         members.begin());
+        state_ = "ready";
+    }
+    else if (op != "stage" && (order.at("group") != group_ || order.at("epoch") != epoch_)) {
+        status = 409;
+    }
+    else if (op == "open") {
+        state_ = "open";
+    }
+    else if (op == "leave") {
+        group_.clear();
+        state_.clear();
+    }
+    reply->send({status, {}}, "");
+    announce();
+}
+
+} // namespace cedarpoint::testing_support
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -17,7 +17,6 @@
 constexpr std::uint16_t control_port = 18'229;
 constexpr std::uint16_t callers_port = 18'230;
 constexpr std::uint16_t ready_port = 18'231;
-constexpr int heartbeat_ms = 150;
 
 } // namespace
 
@@ -68,7 +67,7 @@
         own["control"] = controls_[static_cast<std::size_t>(which)].str();
         own["data_folder"] = fmt::format("{}/data-{}", folder_.path().toStdString(), which);
         own["first_start"] = first;
-        own["heartbeat_ms"] = heartbeat_ms;
+        own["heartbeat_ms"] = runner_heartbeat.count();
     }
     else {
         own["role"] = "entry";
