Test of a drained group: waits until the daemon's targets follow the group's state

Traced by its log: the group was draining at 21.189, requests 2 and 3 were routed at 21.190 and 21.218 by targets of before, the next saw it draining at 21.249; targets are refreshed each 50 ms (daemon.cpp, view_interval). Change: 0.5 s pass before the ten requests, none of which may arrive, as before.

--- a/tests/daemon/planned_stop_test.cpp
+++ b/tests/daemon/planned_stop_test.cpp
@@ -66,6 +66,7 @@
         const auto* it = at.it().control().domain().groups().find(group_id{group});
         return it == nullptr || it->state != group_state::serving;
     }));
+    pass_time(milliseconds{500}); // the daemon's targets follow the group's state after 50 ms
     const int before = engine.in_flight() + engine.served();
     for (int n = 0; n < 10; ++n) {
         raw_caller other{at.callers()};
