Two ends of one runner are told apart by the connections that they broke

Cause: two observations of one runner's end were taken for one end if they lay closer together than a second ("no runner is back sooner"). A runner that is back after 0.5 s and ends again is one end for two daemons then. The same constant could err the other way: an end whose report was held up by more than a second counted twice, since ages are read at their arrival.

Change: an observation names when the connection was made that broke. A connection that was made after an end was taken by another process, whatever the time between; all others are of the same end, however late their sender wrote into them. The leader, and the daemons of `serve`, put the times of a report on their own clock by the fastest message of the last two minutes (core/peer_clock), so a report that is held up does not move them; a daemon's observation has a serial number, so told twice it is one. Reports of the version before name no connection: there a request counts for a later life if it was sent half a second after the end.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cedarpoint/core/peer_clocks.h"
 #include "cedarpoint/fleet/fleet_messages.h"
 #include "cedarpoint/fleet/fleet_state.h"
 #include "cedarpoint/fleet/fleet_view.h"
@@ -96,6 +97,7 @@
     view_source view_;
     std::uint64_t viewed_version_ = 0; ///< of the configuration in the view
     follower_tracker followers_;
+    peer_clocks clocks_; ///< of entry daemons; outlast the terms of this daemon
     permit_allocator rate_limits_;
     quarantine_controller quarantine_;
     std::map<runner_id, birth> drained_; ///< proposed to the log in this term
--- a/include/cedarpoint/quarantine/crash_ledger.h
+++ b/include/cedarpoint/quarantine/crash_ledger.h
@@ -9,7 +9,8 @@
 
 namespace cedarpoint {
 
-/// True if both saw the same end of the same runner.
+/// True if both saw the same end of the same runner. What tells two ends apart is a connection that
+/// was made after the first of them: another process took it. So a runner may be back at once.
 [[nodiscard]] bool is_same_end(const crash_observation& one, const crash_observation& other);
 
 /// Adds up which requests were in flight when runners ended. Observations of several daemons merge
--- a/include/cedarpoint/quarantine/crash_observation.h
+++ b/include/cedarpoint/quarantine/crash_observation.h
@@ -6,6 +6,7 @@
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/quarantine/request_fingerprint.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,6 +21,10 @@
     instant ended_at; ///< its connection, without an answer
     daemon_id daemon; ///< that saw it
     request_id request;
+    /// The connection that ended was made; empty if an earlier version of the program saw the end.
+    std::optional<instant> connected_at;
+    /// Tells the observations of one daemon apart, however often it reports them; 0: not told.
+    std::uint64_t serial = 0;
 };
 
 /// What is known of one request.
--- /dev/null
+++ b/src/core/peer_clocks.cpp
@@ -0,0 +1,19 @@
+#include "cedarpoint/core/peer_clocks.h"
+
+namespace cedarpoint {
+namespace {
+
+/// A steady clock starts near zero with its machine; more than a century is no reading of one.
+constexpr std::int64_t latest_stamp_us = std::int64_t{1} << 52;
+
+} // namespace
+
+instant peer_clocks::sent_at(instant now, const daemon_id& peer, std::int64_t stamp_us)
+{
+    if (stamp_us <= 0 || stamp_us > latest_stamp_us) {
+        return now;
+    }
+    return clocks_[peer].on_message(now, instant{duration{stamp_us}});
+}
+
+} // namespace cedarpoint
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -95,7 +95,9 @@
     mesh_ = std::make_unique<mesh>([this](const wire::envelope& in) {
         if (in.has_crashes()) {
             const auto now = steady_now();
-            dispatcher_.merge_crashes(now, decode_crashes(now, in.crashes().suspected()));
+            const auto made_at =
+                peer_clocks_.sent_at(now, daemon_id{in.from()}, in.crashes().stamp_us());
+            dispatcher_.merge_crashes(now, decode_crashes(made_at, in.crashes().suspected()));
         }
         control_->receive(steady_now(), in);
     });
@@ -249,7 +251,14 @@
 {
     next_share_ = now + share_interval;
     wire::envelope out;
-    encode_crashes(now, dispatcher_.known_crashes(), *out.mutable_crashes()->mutable_suspected());
+    auto known = dispatcher_.known_crashes();
+    for (auto& [request, history] : known) {
+        for (auto& crash : history.crashes) {
+            crash.daemon = crash.daemon.empty() ? own_.id : crash.daemon;
+        }
+    }
+    out.mutable_crashes()->set_stamp_us(now.time_since_epoch().count());
+    encode_crashes(now, known, *out.mutable_crashes()->mutable_suspected());
     if (out.crashes().suspected_size() > 0) {
         control_->send_to_all(out);
     }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cedarpoint/control/control_plane.h"
+#include "cedarpoint/core/peer_clocks.h"
 #include "cedarpoint/request/dispatcher.h"
 #include "daemon/caller_gateway.h"
 #include "daemon/decision_log.h"
@@ -66,6 +67,7 @@
     metrics figures_;
     decision_log decisions_;
     dispatcher dispatcher_;
+    peer_clocks peer_clocks_;
     std::unique_ptr<mesh> mesh_;
     runner_end_checker runner_ends_;
     std::unique_ptr<control_plane> control_;
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -368,7 +368,8 @@
     if (!attempt_->was_cut() || target == nullptr || !target->accepting) {
         return; // a runner that is leaving ends as planned
     }
-    crash_observation seen{target->runner, attempt_->sent_at(), now, {}, request_id{id_}};
+    crash_observation seen{target->runner,  attempt_->sent_at(),     now, {},
+                           request_id{id_}, attempt_->connected_at()};
     if (crashes.on_cut(fingerprint(), std::move(seen))) {
         context_.check_runner_end(target->runner, target->address);
     }
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -112,6 +112,7 @@
 void runner_attempt::on_sent()
 {
     sent_at_ = steady_now();
+    connected_at_ = connection_->connected_at();
     count_held_send(*sent_at_);
     if (options_.expects_stream) {
         arm_stall_timer(options_.first_event_limit);
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -62,6 +62,8 @@
     [[nodiscard]] bool was_sent() const { return sent_at_.has_value(); }
     /// When the request was handed to the connection; only once it was.
     [[nodiscard]] instant sent_at() const { return *sent_at_; }
+    /// When its connection was made; only once the request was sent.
+    [[nodiscard]] instant connected_at() const { return connected_at_; }
     /// True once the whole answer has come.
     [[nodiscard]] bool is_complete() const { return is_complete_; }
     /// True if the connection ended without a whole answer.
@@ -108,6 +110,7 @@
     handlers handlers_;
     runner_connection* connection_ = nullptr; ///< null before the start and after the end
     std::optional<instant> sent_at_;
+    instant connected_at_;
     std::optional<instant> latest_event_at_; ///< that was passed on
     std::optional<http_head> head_;
     answer_signals signals_; ///< of that head
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -225,7 +225,8 @@
     for (const auto& [runner, life] : report.leaving) {
         on_runner_leaving(runner, life);
     }
-    take_crashes(now, follower, decode_crashes(now, in.suspected()));
+    const auto made_at = clocks_.sent_at(now, follower, in.stamp_us());
+    take_crashes(now, follower, decode_crashes(made_at, in.suspected()));
     const auto confirmed = in.term() == term_ ? in.version() : 0;
     const auto from = followers_.on_report(now, follower, confirmed, in.behind(), view_.version());
     auto out = make_update(now, from);
@@ -264,7 +265,11 @@
 
 std::vector<daemon_id> fleet_leader::take_lost_followers(instant now)
 {
-    return followers_.take_lost(now);
+    auto out = followers_.take_lost(now);
+    for (const auto& each : out) {
+        clocks_.forget(each);
+    }
+    return out;
 }
 
 } // namespace cedarpoint
--- a/src/io/runner_connection.cpp
+++ b/src/io/runner_connection.cpp
@@ -41,6 +41,7 @@
 void runner_connection::on_connected()
 {
     connect_timer_.stop();
+    connected_at_ = steady_now();
     send();
 }
 
--- a/src/io/runner_connection.h
+++ b/src/io/runner_connection.h
@@ -63,6 +63,8 @@
     [[nodiscard]] bool is_busy() const { return busy_; }
     /// False once the peer closed, sent what nobody asked for, or asked to close.
     [[nodiscard]] bool is_reusable() const;
+    /// When it was made; has no meaning before that.
+    [[nodiscard]] instant connected_at() const { return connected_at_; }
     [[nodiscard]] instant idle_since() const { return idle_since_; }
     /// How long the peer said that it keeps an idle connection, if it did.
     [[nodiscard]] std::optional<seconds> keep_alive() const { return keep_alive_; }
@@ -87,6 +89,7 @@
     std::unique_ptr<http_response_parser> parser_;
     std::string pending_;
     std::optional<seconds> keep_alive_;
+    instant connected_at_;
     instant idle_since_;
     std::size_t served_ = 0;
     bool busy_ = false;
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -7,9 +7,13 @@
 namespace cedarpoint {
 namespace {
 
-/// Two ends of one runner that lie closer together than this are the same one, seen by two daemons:
-/// no runner is back sooner.
-constexpr duration shortest_life = seconds{1};
+/// Two daemons' times of one event differ by this much at most, once they are on one clock
+/// (`core/peer_clock.h`); the same for two events that one daemon reads in one turn of its loop.
+constexpr duration clock_error = milliseconds{20};
+
+/// Without the time of the connection: a request that is sent within this time of an end may have
+/// gone into a kept connection to the process that ended.
+constexpr duration stale_send_time = milliseconds{500};
 
 /// Kept for each request; the earliest ones are enough for any decision.
 constexpr std::size_t most_crashes = 8;
@@ -23,12 +27,26 @@
     return out;
 }
 
+/// The runner took a connection of `later` after it had ended in `earlier`.
+bool is_of_later_life(const crash_observation& later, const crash_observation& earlier)
+{
+    return later.connected_at ? *later.connected_at >= earlier.ended_at + clock_error
+                              : later.sent_at >= earlier.ended_at + stale_send_time;
+}
+
+bool is_same_observation(const crash_observation& one, const crash_observation& other)
+{
+    return one.serial != 0 && one.serial == other.serial && one.daemon == other.daemon &&
+           one.runner == other.runner;
+}
+
 } // namespace
 
 bool is_same_end(const crash_observation& one, const crash_observation& other)
 {
     return one.runner == other.runner &&
-           std::chrono::abs(one.ended_at - other.ended_at) < shortest_life;
+           (is_same_observation(one, other) ||
+            (!is_of_later_life(one, other) && !is_of_later_life(other, one)));
 }
 
 void crash_ledger::clear()
--- a/src/quarantine/crash_messages.cpp
+++ b/src/quarantine/crash_messages.cpp
@@ -19,25 +19,29 @@
     return now - milliseconds{static_cast<std::int64_t>(std::min(ms, longest_age_ms))};
 }
 
-crash_observation decode_crash(instant now, const wire::crash_sighting& in)
+crash_observation decode_crash(instant made_at, const wire::crash_sighting& in)
 {
     crash_observation out;
     out.runner = runner_id{in.runner()};
-    out.ended_at = from_age(now, in.ended_ms());
-    out.sent_at = std::min(from_age(now, in.sent_ms()), out.ended_at);
+    out.ended_at = from_age(made_at, in.ended_ms());
+    out.sent_at = std::min(from_age(made_at, in.sent_ms()), out.ended_at);
     out.daemon = daemon_id{in.daemon()};
     out.request = request_id{in.request()};
+    if (in.has_connected_ms()) {
+        out.connected_at = std::min(from_age(made_at, in.connected_ms()), out.ended_at);
+    }
+    out.serial = in.serial();
     return out;
 }
 
-crash_history decode_history(instant now, const wire::suspected_request& in)
+crash_history decode_history(instant made_at, const wire::suspected_request& in)
 {
     crash_history out;
     for (const auto& crash : in.crashes()) {
-        out.crashes.push_back(decode_crash(now, crash));
+        out.crashes.push_back(decode_crash(made_at, crash));
     }
     if (in.answered()) {
-        out.answered_at = from_age(now, in.answered_ms());
+        out.answered_at = from_age(made_at, in.answered_ms());
     }
     return out;
 }
@@ -52,6 +56,10 @@
     out.set_ended_ms(to_age(now, in.ended_at));
     out.set_daemon(in.daemon.str());
     out.set_request(in.request.str());
+    if (in.connected_at) {
+        out.set_connected_ms(to_age(now, *in.connected_at));
+    }
+    out.set_serial(in.serial);
     return out;
 }
 
@@ -70,12 +78,12 @@
     }
 }
 
-crash_histories decode_crashes(instant now, const suspected_requests& in)
+crash_histories decode_crashes(instant made_at, const suspected_requests& in)
 {
     crash_histories out;
     for (const auto& each : in) {
         if (const auto request = request_fingerprint::parse(each.fingerprint())) {
-            out[*request] = decode_history(now, each);
+            out[*request] = decode_history(made_at, each);
         }
     }
     return out;
--- a/src/quarantine/crash_witness.cpp
+++ b/src/quarantine/crash_witness.cpp
@@ -25,6 +25,7 @@
 {
     auto& waiting = unchecked_[in.runner];
     const bool is_first = waiting.empty();
+    in.serial = static_cast<std::uint64_t>(in.ended_at.time_since_epoch().count());
     if (waiting.size() < most_unchecked) {
         waiting.push_back({request, std::move(in)});
     }
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -267,8 +267,8 @@
     if (how != attempt_end::cut || it.leaving) {
         return; // a runner that is leaving ends as planned
     }
-    const bool is_first =
-        crashes_.on_cut(*it.facts.fingerprint, {it.upstream, it.began_at, now, {}, it.facts.id});
+    const bool is_first = crashes_.on_cut(
+        *it.facts.fingerprint, {it.upstream, it.began_at, now, {}, it.facts.id, it.began_at});
     if (is_first) {
         out.emplace_back(check_runner{it.upstream, it.address});
     }
--- a/tests/quarantine/crash_ledger_test.cpp
+++ b/tests/quarantine/crash_ledger_test.cpp
@@ -52,6 +52,42 @@
     EXPECT_EQ(count(cause), 2);
 }
 
+// Guards against the same with reports that are held up: what an end is told by is the connection.
+TEST_F(crash_ledger_test, tells_ends_of_one_runner_apart_by_the_connections_that_they_broke)
+{
+    const auto crash_of = [](int connected_ms, int sent_ms, int ended_ms, const char* daemon) {
+        auto out = crash("a", sent_ms, ended_ms, daemon);
+        out.connected_at = at(connected_ms);
+        return out;
+    };
+    // Three daemons see the first end; one of them wrote into its connection when it was over.
+    ledger.add(cause, crash_of(-900, 0, 50, "d-1"));
+    ledger.add(cause, crash_of(-20, 10, 51, "d-2"));
+    ledger.add(cause, crash_of(-5000, 300, 300, "d-3"));
+    EXPECT_EQ(count(cause), 1);
+
+    // It is back after 100 ms, and ends again at once.
+    ledger.add(cause, crash_of(150, 150, 190, "d-2"));
+    EXPECT_EQ(count(cause), 2);
+    ledger.add(cause, crash_of(300, 310, 350, "d-1"));
+    EXPECT_EQ(count(cause), 3);
+}
+
+// Guards against an end that is reported again, by a message that was held up less, counting twice.
+TEST_F(crash_ledger_test, counts_an_observation_once_however_late_it_is_told_first)
+{
+    auto seen = crash("a", 3000, 3050);
+    seen.connected_at = at(2900);
+    seen.serial = 7;
+    ledger.add(cause, seen);
+    seen = crash("a", 0, 50);
+    seen.connected_at = at(-100);
+    seen.serial = 7;
+    ledger.add(cause, seen);
+    EXPECT_EQ(count(cause), 1);
+    EXPECT_EQ(ledger.find(cause)->crashes.front().ended_at, at(50));
+}
+
 TEST_F(crash_ledger_test, counts_runners_that_end_together_once)
 {
     // A rack is lost: the request was in flight at three of its runners.
