A cut at a runner whose port stays open counts as its end once a later life is heard

Cause: after a cut the daemon tries the runner's address, and only a refused connection made the cut an end. An address that takes connections all along made every end a mere reset. Besides, the cuts of one runner wait for one check under its name: with two lives in the list, one refused connection proved the end of both.

The leader knows by heartbeats when it heard which life of each runner (quarantine/runner_lives), also when another runner took its address. A cut is an end of life L if L was the latest one heard then, was not heard after it, and a later one was within 10 s; all cuts of L that are proved so are one end, since whoever connects while the runner is away is cut as well. An answer to the request drops its cuts. A refused connection proves the end of the latest life in the list alone. In the ledger, requests under which no end is known go first when it is full: sound requests that were cut and answered would push out suspects otherwise.

Unit tests for lives, cuts and the list.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -84,6 +84,12 @@
     void take_rate_limits(instant now, const daemon_id& follower, rate_limit_sightings in);
     void add_quarantines(instant now, std::vector<planner_step>& steps);
     void take_crashes(instant now, const daemon_id& follower, crash_histories in);
+    /// Tells the event handler all that is known of the requests in `news`.
+    void tell_crashes(instant now, const crash_histories& news) const;
+    /// Which lives have ended by what a heartbeat tells. `earlier_owner`: of its address, if that
+    /// was another runner.
+    void note_life(instant now, const announcement& in,
+                   const std::optional<runner_id>& earlier_owner);
     [[nodiscard]] wire::fleet_update make_update(instant now, std::uint64_t from) const;
 
     const platform_adapter& platform_;
--- a/include/cedarpoint/fleet/health_report.h
+++ b/include/cedarpoint/fleet/health_report.h
@@ -41,6 +41,7 @@
     std::map<model_id, model_demand> demand;
     rate_limit_sightings rate_limits;
     crash_histories crashes; ///< of requests under which runners have ended
+    crash_histories cuts;    ///< at runners of which it is not known whether they have ended
     /// Runners that have said in an answer that they leave, in the lives that said so, while the
     /// view still shows them as accepting.
     std::map<runner_id, birth> leaving;
--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -43,7 +43,12 @@
     /// False once another runner has announced itself under the same address.
     [[nodiscard]] bool owns_address(const runner_record& record) const;
     /// True if the address that a heartbeat names belongs to another runner.
-    [[nodiscard]] bool has_other_owner(const announcement& in) const;
+    [[nodiscard]] bool has_other_owner(const announcement& in) const
+    {
+        return find_other_owner(in).has_value();
+    }
+    /// That runner; empty if there is none.
+    [[nodiscard]] std::optional<runner_id> find_other_owner(const announcement& in) const;
     /// Present as far as is known: neither dead nor replaced at its address.
     [[nodiscard]] bool is_present(const runner_record& record) const
     {
--- a/include/cedarpoint/quarantine/crash_ledger.h
+++ b/include/cedarpoint/quarantine/crash_ledger.h
@@ -10,7 +10,8 @@
 namespace cedarpoint {
 
 /// True if both saw the same end of the same runner. What tells two ends apart is a connection that
-/// was made after the first of them: another process took it. So a runner may be back at once.
+/// was made after the first of them: another process took it. So a runner may be back at once. Ends
+/// that are proved by a later life alone are told apart by their lives.
 [[nodiscard]] bool is_same_end(const crash_observation& one, const crash_observation& other);
 
 /// Adds up which requests were in flight when runners ended. Observations of several daemons merge
@@ -25,7 +26,8 @@
 ///  - a crash that a quarantined request explains does not count for others.
 class crash_ledger {
 public:
-    /// `most_requests`: that are kept; those whose latest crash is the oldest go first.
+    /// `most_requests`: that are kept; those without a crash go first, then those whose latest
+    /// crash is the oldest.
     explicit crash_ledger(std::size_t most_requests) : most_requests_{most_requests} {}
 
     void clear();
--- a/include/cedarpoint/quarantine/crash_observation.h
+++ b/include/cedarpoint/quarantine/crash_observation.h
@@ -4,6 +4,7 @@
 
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/core/units.h"
 #include "cedarpoint/quarantine/request_fingerprint.h"
 
 #include <cstdint>
@@ -25,8 +26,20 @@
     std::optional<instant> connected_at;
     /// Tells the observations of one daemon apart, however often it reports them; 0: not told.
     std::uint64_t serial = 0;
+    /// The runner's latest life that the leader had heard of when it ended.
+    birth life;
+    /// Only a later life of the runner shows that it ended: its address took connections all along.
+    bool is_proved_by_life = false;
 };
 
+/// True if both are one observation of one daemon, told twice.
+[[nodiscard]] inline bool is_same_observation(const crash_observation& one,
+                                              const crash_observation& other)
+{
+    return one.serial != 0 && one.serial == other.serial && one.daemon == other.daemon &&
+           one.runner == other.runner;
+}
+
 /// What is known of one request.
 struct crash_history {
     std::vector<crash_observation> crashes;
--- a/include/cedarpoint/quarantine/crash_witness.h
+++ b/include/cedarpoint/quarantine/crash_witness.h
@@ -6,6 +6,7 @@
 #include "cedarpoint/quarantine/crash_observation.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,7 +19,9 @@
 ///
 /// A connection that ends without an answer proves no crash: it may be a reset, a cut, or a spoiled
 /// answer. So the runner's address is tried at once, and only a refused connection counts: the
-/// process is gone. Runners that are leaving end as planned; the caller passes over them.
+/// process is gone. If the address takes the connection, the cut is reported as well, and the
+/// leader holds it for a crash once it hears a later life of the runner. Runners that are leaving
+/// end as planned; the caller passes over them.
 ///
 /// Relies on: the leader learning of all observations. They are reported until the leader of the
 /// present term has answered a report that holds them, so a new leader gets them all.
@@ -29,7 +32,9 @@
     /// A connection to a runner ended without an answer while `request` was in flight there. True
     /// if its address is to be tried, with the result for `on_checked`.
     bool on_cut(const request_fingerprint& request, crash_observation in);
-    /// The address of a runner was tried. Returns what has become an observation by that.
+    /// The address of a runner was tried. Returns what has become an observation by that: of cuts
+    /// of several lives only those of the latest one, which a refused connection shows to have
+    /// ended.
     crash_histories on_checked(instant now, const runner_id& runner, bool refused);
     /// What another daemon knows, where there is no leader to add it up.
     void merge(instant now, const crash_histories& in);
@@ -44,6 +49,8 @@
     {
         return !shared_.empty() || !own_.empty() || !unchecked_.empty();
     }
+    /// False while no answer can clear a request of anything.
+    [[nodiscard]] bool needs_answers() const { return is_watching() || !cuts_.empty(); }
     /// Not to be sent to any runner: by the leader's decision, or while none speaks by what was
     /// seen here alone.
     [[nodiscard]] bool is_quarantined(instant now, const request_fingerprint& request) const;
@@ -54,6 +61,8 @@
 
     /// What the leader of the present term has not confirmed.
     [[nodiscard]] crash_histories unconfirmed() const;
+    /// Cuts that prove nothing here and that the leader of the present term has not confirmed.
+    [[nodiscard]] crash_histories unconfirmed_cuts(instant now);
     /// The leader of `term` has answered the report that was made at `asked_at`.
     void on_confirmed(instant now, std::uint64_t term, instant asked_at);
 
@@ -62,9 +71,20 @@
         request_fingerprint request;
         crash_observation crash;
     };
+    /// The address took a connection after it.
+    struct unproved_cut {
+        request_fingerprint request;
+        crash_observation crash;
+        instant checked_at;
+        bool is_told = false;
+        bool is_confirmed = false; ///< by the leader of the present term
+    };
 
     [[nodiscard]] int count(const request_fingerprint& request) const;
     void note_change(instant now, const request_fingerprint& request);
+    void keep_unproved(instant now, unchecked_cut in);
+    /// Drops the cuts of a request that was answered. True if the leader was told of one.
+    bool drop_cuts(const request_fingerprint& request);
 
     crash_ledger own_;
     crash_counts shared_;
@@ -72,6 +92,7 @@
     std::set<request_fingerprint> own_causes_;  ///< by what was seen here
     std::optional<instant> leader_heard_at_;
     std::map<runner_id, std::vector<unchecked_cut>> unchecked_;
+    std::deque<unproved_cut> cuts_;
     std::map<request_fingerprint, instant> changed_at_; ///< of what is not confirmed
     std::uint64_t term_ = 0;
 };
--- a/include/cedarpoint/quarantine/quarantine_controller.h
+++ b/include/cedarpoint/quarantine/quarantine_controller.h
@@ -4,6 +4,8 @@
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/quarantine/crash_ledger.h"
 #include "cedarpoint/quarantine/crash_observation.h"
+#include "cedarpoint/quarantine/runner_lives.h"
+#include "cedarpoint/quarantine/unproved_cuts.h"
 
 #include <map>
 #include <set>
@@ -26,7 +28,17 @@
     quarantine_controller();
 
     void clear();
-    void on_report(const crash_histories& in);
+    void on_report(crash_histories in);
+    /// Cuts at runners whose addresses took connections afterwards.
+    void on_cuts(instant now, const crash_histories& in) { cuts_.add(now, in); }
+    /// The log holds the runner in this life.
+    void expect(const runner_id& runner, birth life) { lives_.expect(runner, life); }
+    /// A heartbeat of the runner in this life has come. Returns the cuts that this proves to have
+    /// been ends.
+    crash_histories on_heard(instant now, const runner_id& runner, birth life);
+    /// Another runner has begun at its address; the same.
+    crash_histories on_replaced(instant now, const runner_id& runner);
+    void forget(const runner_id& runner) { lives_.forget(runner); }
     /// Requests that are to be quarantined beside those in `quarantined`, by `find_crash_causes`;
     /// each is named again after a while, until it is among them.
     [[nodiscard]] std::vector<quarantine_order>
@@ -44,7 +56,11 @@
     }
 
 private:
+    crash_histories take_proved(instant now);
+
     crash_ledger ledger_;
+    runner_lives lives_;
+    unproved_cuts cuts_;
     std::map<request_fingerprint, instant> ordered_at_;
     std::set<request_fingerprint> causes_; ///< as of the latest report, beside `decided_for_`
     std::set<request_fingerprint> decided_for_;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -281,6 +281,7 @@
     out.runners = context_.targets.take_observations(now);
     out.rate_limits = context_.targets.permits().take_observations(now);
     out.crashes = context_.crashes.unconfirmed();
+    out.cuts = context_.crashes.unconfirmed_cuts(now);
     out.leaving = context_.targets.leaving_targets();
     out.demand = context_.demand;
     for (auto& [model, count] : context_.demand) {
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -63,6 +63,7 @@
     const auto report = hooks_.make_report();
     encode(report, follow);
     encode_crashes(now, report.crashes, *follow.mutable_suspected());
+    encode_crashes(now, report.cuts, *follow.mutable_cuts());
     hooks_.send(to, std::move(out));
 }
 
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -361,7 +361,7 @@
     auto& crashes = context_.crashes;
     const auto now = steady_now();
     const bool is_whole = verdict.outcome != attempt_outcome::not_run && attempt_->is_complete();
-    if (is_whole && crashes.is_watching()) {
+    if (is_whole && crashes.needs_answers()) {
         crashes.on_answer(now, fingerprint());
     }
     const auto* target = context_.targets.find(attempt_->runner());
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -55,6 +55,7 @@
     records_.clear();
     drained_.clear();
     for (auto& runner : runners_in_log(state_)) {
+        quarantine_.expect(runner.id, runner.born);
         registry_.expect(now, std::move(runner));
     }
     planner_.begin_term(now, term);
@@ -85,6 +86,7 @@
     for (const auto& runner : registry_.forget_silent(now, forget_after)) {
         steps.push_back(make_record(fleet_state::remove_runner(runner)));
         rate_limits_.forget(runner);
+        quarantine_.forget(runner);
         drained_.erase(runner);
     }
     add_quarantines(now, steps);
@@ -117,10 +119,12 @@
 bool fleet_leader::announce(instant now, const announcement& in)
 {
     // An entry that names a service of nobody must not take the address of a runner in use.
+    const auto earlier_owner = registry_.find_other_owner(in);
     const bool is_known = !configuration_ || configuration_->find_service(in.service) != nullptr;
-    if ((!is_known && registry_.has_other_owner(in)) || !registry_.announce(now, in)) {
+    if ((!is_known && earlier_owner) || !registry_.announce(now, in)) {
         return false;
     }
+    note_life(now, in, earlier_owner);
     planner_.on_alive(in.id);
     const auto registered = state_.registrations().find(in.id);
     const bool is_new = registered == state_.registrations().end();
@@ -135,6 +139,16 @@
     return true;
 }
 
+void fleet_leader::note_life(instant now, const announcement& in,
+                             const std::optional<runner_id>& earlier_owner)
+{
+    tell_crashes(now, quarantine_.on_heard(now, in.id, in.born));
+    if (const auto* earlier = earlier_owner ? registry_.find(*earlier_owner) : nullptr;
+        earlier != nullptr && earlier->superseded) {
+        tell_crashes(now, quarantine_.on_replaced(now, *earlier_owner));
+    }
+}
+
 void fleet_leader::on_probe_answered(instant now, const runner_id& runner)
 {
     registry_.note_alive(now, runner);
@@ -227,6 +241,7 @@
     }
     const auto made_at = clocks_.sent_at(now, follower, in.stamp_us());
     take_crashes(now, follower, decode_crashes(made_at, in.suspected()));
+    quarantine_.on_cuts(now, seen_by(follower, decode_crashes(made_at, in.cuts())));
     const auto confirmed = in.term() == term_ ? in.version() : 0;
     const auto from = followers_.on_report(now, follower, confirmed, in.behind(), view_.version());
     auto out = make_update(now, from);
@@ -247,7 +262,12 @@
 {
     const auto reported = seen_by(follower, std::move(in));
     quarantine_.on_report(reported);
-    for (const auto& [request, history] : reported) {
+    tell_crashes(now, reported);
+}
+
+void fleet_leader::tell_crashes(instant now, const crash_histories& news) const
+{
+    for (const auto& [request, history] : news) {
         if (const auto* known = quarantine_.find(request); on_crashes && known != nullptr) {
             on_crashes(now, request, *known);
         }
--- a/src/fleet/runner_registry.cpp
+++ b/src/fleet/runner_registry.cpp
@@ -19,10 +19,11 @@
     records_[id] = {std::move(assumed), now, true, false, false, {}};
 }
 
-bool runner_registry::has_other_owner(const announcement& in) const
+std::optional<runner_id> runner_registry::find_other_owner(const announcement& in) const
 {
     const auto owner = owners_.find(in.address);
-    return owner != owners_.end() && owner->second != in.id;
+    const bool is_other = owner != owners_.end() && owner->second != in.id;
+    return is_other ? std::optional{owner->second} : std::nullopt;
 }
 
 bool runner_registry::may_own(instant now, const announcement& in, bool news) const
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -27,6 +27,13 @@
     return out;
 }
 
+/// Answers to requests under which no end is known go first: many requests are cut and answered.
+bool goes_before(const crash_history& one, const crash_history& other)
+{
+    return std::pair{!one.crashes.empty(), latest_change(one)} <
+           std::pair{!other.crashes.empty(), latest_change(other)};
+}
+
 /// The runner took a connection of `later` after it had ended in `earlier`.
 bool is_of_later_life(const crash_observation& later, const crash_observation& earlier)
 {
@@ -34,19 +41,19 @@
                               : later.sent_at >= earlier.ended_at + stale_send_time;
 }
 
-bool is_same_observation(const crash_observation& one, const crash_observation& other)
-{
-    return one.serial != 0 && one.serial == other.serial && one.daemon == other.daemon &&
-           one.runner == other.runner;
-}
-
 } // namespace
 
 bool is_same_end(const crash_observation& one, const crash_observation& other)
 {
-    return one.runner == other.runner &&
-           (is_same_observation(one, other) ||
-            (!is_of_later_life(one, other) && !is_of_later_life(other, one)));
+    if (one.runner != other.runner) {
+        return false;
+    }
+    if (one.is_proved_by_life || other.is_proved_by_life) {
+        // Connections that were made while the runner was away are cut as well.
+        return one.life == other.life;
+    }
+    return is_same_observation(one, other) ||
+           (!is_of_later_life(one, other) && !is_of_later_life(other, one));
 }
 
 void crash_ledger::clear()
@@ -97,9 +104,8 @@
         return;
     }
     histories_.erase(std::min_element(
-        histories_.begin(), histories_.end(), [](const auto& one, const auto& other) {
-            return latest_change(one.second) < latest_change(other.second);
-        }));
+        histories_.begin(), histories_.end(),
+        [](const auto& one, const auto& other) { return goes_before(one.second, other.second); }));
 }
 
 const crash_history* crash_ledger::find(const request_fingerprint& request) const
--- a/src/quarantine/crash_witness.cpp
+++ b/src/quarantine/crash_witness.cpp
@@ -17,6 +17,13 @@
 /// Without an answer of the leader for this long, a daemon decides by what it saw itself.
 constexpr duration leader_patience = seconds{1};
 
+/// Cuts at runners whose addresses go on taking connections: what a reset of all connections
+/// breaks.
+constexpr std::size_t most_unproved = 256;
+
+/// A later life of a runner proves nothing of a cut that lies further back.
+constexpr duration longest_unproved = seconds{10};
+
 } // namespace
 
 crash_witness::crash_witness() : own_{most_requests} {}
@@ -36,10 +43,19 @@
 {
     crash_histories out;
     const auto found = unchecked_.extract(runner);
-    if (found.empty() || !refused) {
+    if (found.empty()) {
         return out;
     }
+    const auto& latest = *std::max_element(found.mapped().begin(), found.mapped().end(),
+                                           [](const auto& one, const auto& other) {
+                                               return one.crash.ended_at < other.crash.ended_at;
+                                           });
+    const auto last_end = latest.crash;
     for (auto& each : found.mapped()) {
+        if (!refused || !is_same_end(each.crash, last_end)) {
+            keep_unproved(now, std::move(each));
+            continue;
+        }
         own_.add(each.request, each.crash);
         note_change(now, each.request);
         out[each.request].crashes.push_back(std::move(each.crash));
@@ -47,6 +63,38 @@
     return out;
 }
 
+void crash_witness::keep_unproved(instant now, unchecked_cut in)
+{
+    cuts_.push_back({in.request, std::move(in.crash), now});
+    if (cuts_.size() > most_unproved) {
+        cuts_.pop_front();
+    }
+}
+
+bool crash_witness::drop_cuts(const request_fingerprint& request)
+{
+    bool was_told = false;
+    std::erase_if(cuts_, [&](const auto& each) {
+        was_told = was_told || (each.request == request && each.is_told);
+        return each.request == request;
+    });
+    return was_told;
+}
+
+crash_histories crash_witness::unconfirmed_cuts(instant now)
+{
+    std::erase_if(cuts_,
+                  [&](const auto& each) { return now - each.crash.ended_at > longest_unproved; });
+    crash_histories out;
+    for (auto& each : cuts_) {
+        if (!each.is_confirmed) {
+            each.is_told = true;
+            out[each.request].crashes.push_back(each.crash);
+        }
+    }
+    return out;
+}
+
 void crash_witness::merge(instant now, const crash_histories& in)
 {
     for (const auto& [request, history] : in) {
@@ -57,7 +105,8 @@
 
 void crash_witness::on_answer(instant now, const request_fingerprint& request)
 {
-    if (own_.find(request) == nullptr && !shared_.contains(request)) {
+    const bool was_told = drop_cuts(request);
+    if (!was_told && own_.find(request) == nullptr && !shared_.contains(request)) {
         return;
     }
     own_.on_answer(now, request);
@@ -130,7 +179,12 @@
 void crash_witness::on_confirmed(instant now, std::uint64_t term, instant asked_at)
 {
     leader_heard_at_ = asked_at; // an answer may have waited while the machine was suspended
-    if (std::exchange(term_, term) != term) {
+    const bool is_new_term = std::exchange(term_, term) != term;
+    for (auto& each : cuts_) {
+        each.is_confirmed =
+            !is_new_term && (each.is_confirmed || (each.is_told && each.checked_at < asked_at));
+    }
+    if (is_new_term) {
         for (const auto& [request, history] : own_.histories()) {
             changed_at_[request] = now; // a new leader knows nothing of it
         }
--- a/src/quarantine/quarantine_controller.cpp
+++ b/src/quarantine/quarantine_controller.cpp
@@ -21,19 +21,48 @@
 void quarantine_controller::clear()
 {
     ledger_.clear();
+    lives_.clear();
+    cuts_.clear();
     ordered_at_.clear();
     causes_.clear();
     has_news_ = false;
 }
 
-void quarantine_controller::on_report(const crash_histories& in)
+void quarantine_controller::on_report(crash_histories in)
 {
-    for (const auto& [request, history] : in) {
+    for (auto& [request, history] : in) {
+        for (auto& crash : history.crashes) {
+            crash.life = lives_.life_at(crash.runner, crash.ended_at).value_or(birth{});
+        }
+        if (history.answered_at) {
+            cuts_.on_answer(*history.answered_at, request);
+        }
         ledger_.merge(request, history);
         has_news_ = true;
     }
 }
 
+crash_histories quarantine_controller::on_heard(instant now, const runner_id& runner, birth life)
+{
+    return lives_.on_heard(now, runner, life) ? take_proved(now) : crash_histories{};
+}
+
+crash_histories quarantine_controller::on_replaced(instant now, const runner_id& runner)
+{
+    lives_.on_replaced(now, runner);
+    return take_proved(now);
+}
+
+crash_histories quarantine_controller::take_proved(instant now)
+{
+    auto out = cuts_.take_proved(now, lives_);
+    for (const auto& [request, history] : out) {
+        ledger_.merge(request, history);
+        has_news_ = true;
+    }
+    return out;
+}
+
 std::vector<quarantine_order>
 quarantine_controller::decide(instant now, const std::set<request_fingerprint>& quarantined)
 {
--- /dev/null
+++ b/src/quarantine/unproved_cuts.cpp
@@ -0,0 +1,64 @@
+#include "cedarpoint/quarantine/unproved_cuts.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+namespace cedarpoint {
+namespace {
+
+/// What is in flight at a few runners, over all entry daemons.
+constexpr std::size_t most_cuts = 1024;
+
+/// Longer than a runner takes to come back and be heard; see `runner_lives`.
+constexpr duration longest_wait = seconds{12};
+
+} // namespace
+
+void unproved_cuts::add(instant now, const crash_histories& in)
+{
+    drop_old(now);
+    for (const auto& [request, history] : in) {
+        for (const auto& each : history.crashes) {
+            const bool is_held = std::any_of(cuts_.begin(), cuts_.end(), [&](const auto& known) {
+                return known.request == request && is_same_observation(known.seen, each);
+            });
+            if (!is_held && now - each.ended_at <= longest_wait && cuts_.size() < most_cuts) {
+                cuts_.push_back({request, each});
+            }
+        }
+    }
+}
+
+void unproved_cuts::on_answer(instant at, const request_fingerprint& request)
+{
+    std::erase_if(cuts_, [&](const auto& each) {
+        return each.request == request && each.seen.ended_at <= at;
+    });
+}
+
+crash_histories unproved_cuts::take_proved(instant now, const runner_lives& lives)
+{
+    drop_old(now);
+    crash_histories out;
+    std::vector<cut> waiting;
+    for (auto& each : cuts_) {
+        const auto life = lives.life_ended_by(each.seen.runner, each.seen.ended_at);
+        if (!life) {
+            waiting.push_back(std::move(each));
+            continue;
+        }
+        each.seen.life = *life;
+        each.seen.is_proved_by_life = true;
+        out[each.request].crashes.push_back(std::move(each.seen));
+    }
+    cuts_ = std::move(waiting);
+    return out;
+}
+
+void unproved_cuts::drop_old(instant now)
+{
+    std::erase_if(cuts_, [&](const auto& each) { return now - each.seen.ended_at > longest_wait; });
+}
+
+} // namespace cedarpoint
--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -31,8 +31,19 @@
     begin_life();
 }
 
+void platform_runner::keep_port()
+{
+    listener_ = std::make_unique<http_listener>(
+        runner_limits(),
+        [](const http_request&, const std::shared_ptr<http_reply>& reply) { reply->abort(); });
+    reason why;
+    EXPECT_TRUE(listener_->start(address_, why)) << why.str();
+}
+
 void platform_runner::begin_life()
 {
+    is_away_ = false;
+    listener_.reset();
     listener_ = std::make_unique<http_listener>(
         runner_limits(),
         [this](const http_request& request, const std::shared_ptr<http_reply>& reply) {
@@ -46,12 +57,16 @@
 
 void platform_runner::crash()
 {
-    if (listener_ == nullptr) {
+    if (is_away_) {
         return;
     }
+    is_away_ = true;
     ends.push_back(steady_now());
     timer_.stop();
     listener_.reset();
+    if (port_is_kept) {
+        keep_port();
+    }
     group_.clear();
     state_.clear();
     sequence_ = 0;
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -52,6 +52,8 @@
     milliseconds time_to_end{40}; ///< such a request runs before the runner ends
     milliseconds time_away{2500}; ///< until it is back as a new life under its id
     std::vector<instant> ends;    ///< of its lives
+    /// Its supervisor keeps the listening socket: what connects while it is away is cut.
+    bool port_is_kept = false;
     /// Ends at once, as a process that crashes, and comes back after `time_away`.
     void crash();
     struct arrival {
@@ -72,6 +74,8 @@
                                       const std::shared_ptr<http_reply>& reply);
     void announce();
     void begin_life();
+    /// The address takes connections, and ends each one that brings a request.
+    void keep_port();
     [[nodiscard]] std::string announcement_text();
 
     std::string id_;
@@ -79,7 +83,8 @@
     std::vector<endpoint> controls_;
     std::size_t control_ = 0;
     std::unique_ptr<http_listener> listener_; ///< null while the runner is away
-    endpoint address_{"127.0.0.1", 0};        ///< the same in each life
+    bool is_away_ = false;
+    endpoint address_{"127.0.0.1", 0}; ///< the same in each life
     runner_pool pool_;
     QTimer timer_;
     bool announcing_ = false;
--- a/tests/quarantine/crash_witness_test.cpp
+++ b/tests/quarantine/crash_witness_test.cpp
@@ -57,6 +57,55 @@
     EXPECT_TRUE(witness.on_cut(crashing, seen)) << "the next end of it is checked anew";
 }
 
+// Guards against two lives of a runner that is soon back being judged by one check.
+TEST_F(crash_witness_test, takes_a_refused_connection_for_the_end_of_the_latest_life_alone)
+{
+    crash_observation seen{runner_id{"a"}, at(0), at(50), {}, request_id{"r"}, at(0)};
+    EXPECT_TRUE(witness.on_cut(sound, seen));
+    // It is back after 30 ms, and ends again before the first check is done.
+    seen = {runner_id{"a"}, at(90), at(130), {}, request_id{"r"}, at(90)};
+    EXPECT_FALSE(witness.on_cut(crashing, seen));
+    const auto ended = witness.on_checked(at(150), runner_id{"a"}, true);
+    EXPECT_EQ(ended.size(), 1U);
+    EXPECT_TRUE(ended.contains(crashing));
+    const auto cuts = witness.unconfirmed_cuts(at(160));
+    EXPECT_EQ(cuts.size(), 1U);
+    EXPECT_TRUE(cuts.contains(sound));
+}
+
+TEST_F(crash_witness_test, reports_a_cut_that_proves_nothing_until_the_leader_has_it)
+{
+    witness.on_confirmed(at(0), 1, at(0));
+    cut(crashing, "a", 0, 50);
+    EXPECT_TRUE(witness.unconfirmed_cuts(at(60)).empty()) << "it is being checked";
+    check("a", 70, false);
+    EXPECT_EQ(witness.unconfirmed_cuts(at(100)).size(), 1U);
+    witness.on_confirmed(at(150), 1, at(100));
+    EXPECT_TRUE(witness.unconfirmed_cuts(at(200)).empty());
+
+    // The next leader knows nothing of it.
+    witness.on_confirmed(at(300), 2, at(250));
+    EXPECT_EQ(witness.unconfirmed_cuts(at(350)).size(), 1U);
+    EXPECT_TRUE(witness.unconfirmed_cuts(at(30'000)).empty()) << "too old to be proved";
+}
+
+TEST_F(crash_witness_test, forgets_the_cuts_of_a_request_that_is_answered)
+{
+    cut(sound, "a", 0, 50);
+    check("a", 70, false);
+    EXPECT_TRUE(witness.needs_answers());
+    EXPECT_FALSE(witness.is_watching());
+    witness.on_answer(at(90), sound);
+    EXPECT_TRUE(witness.unconfirmed_cuts(at(100)).empty());
+    EXPECT_TRUE(witness.unconfirmed().empty()) << "the leader did not hear of it";
+
+    cut(sound, "b", 200, 250);
+    check("b", 270, false);
+    EXPECT_EQ(witness.unconfirmed_cuts(at(300)).size(), 1U);
+    witness.on_answer(at(400), sound);
+    EXPECT_EQ(witness.unconfirmed().at(sound).answered_at, at(400)) << "the leader heard of it";
+}
+
 TEST_F(crash_witness_test, stops_the_retries_of_a_try_under_which_two_runners_ended)
 {
     crash(crashing, "a", 0, 50);
--- a/tests/quarantine/crashing_request_test.cpp
+++ b/tests/quarantine/crashing_request_test.cpp
@@ -8,6 +8,7 @@
 #include "support/open_loop_callers.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -137,10 +138,11 @@
     [[nodiscard]] static int net_of_this_test()
     {
         const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
-        if (name.starts_with("sends_it")) {
-            return GetParam().net;
-        }
-        return GetParam().net + (name.starts_with("keeps") ? 1 : 2);
+        constexpr std::array<std::string_view, 5> tests{"sends_it", "keeps", "tells_it",
+                                                        "counts_ends", "refuses_no"};
+        const auto own = std::find_if(tests.begin(), tests.end(),
+                                      [&](auto each) { return name.starts_with(each); });
+        return GetParam().net + static_cast<int>(own - tests.begin());
     }
 
     int net = net_of_this_test();
@@ -195,6 +197,42 @@
     expect_no_quarantine(*sound);
 }
 
+// Guards against ends of runners whose addresses take connections all along: a supervisor keeps the
+// listening socket, and only the next life's heartbeat tells of the end.
+TEST_P(a_fleet_with_a_crashing_request, counts_ends_of_runners_whose_port_stays_open)
+{
+    for (const auto& runner : runners) {
+        runner->port_is_kept = true;
+        runner->time_away = milliseconds{300};
+    }
+    const auto sound = ask_sound(30);
+    const auto crashing = ask(7, "crashing", "/safe/x", repeatable);
+    pass_time(seconds{12});
+    expect_promise(repeatable);
+    expect_no_quarantine(*sound);
+    EXPECT_GT(sound->served_share(steady_now() - seconds{2}, steady_now()), 0.95);
+}
+
+// The same runners cut many connections, and end for another reason: that is not the callers'
+// fault.
+TEST_P(a_fleet_with_a_crashing_request, refuses_no_popular_request_at_runners_whose_port_stays_open)
+{
+    for (const auto& runner : runners) {
+        runner->port_is_kept = true;
+        runner->time_away = milliseconds{300};
+    }
+    const auto popular = ask(60, "popular", "/safe/x", "popular");
+    for (int round = 0; round < 20; ++round) {
+        for (std::size_t which = 0; which < runners.size(); which += 3) {
+            runners[(which + static_cast<std::size_t>(round)) % runners.size()]->crash();
+        }
+        pass_time(milliseconds{500});
+    }
+    pass_time(seconds{2});
+    expect_no_quarantine(*popular);
+    EXPECT_GT(popular->served_share(steady_now() - seconds{2}, steady_now()), 0.95);
+}
+
 TEST_P(a_fleet_with_a_crashing_request, keeps_serving_a_popular_request_while_runners_end)
 {
     // Something else ends the runners; the popular request is in flight at each of them.
@@ -230,7 +268,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(sizes, a_fleet_with_a_crashing_request,
-                         testing::Values(site_shape{8, 236}, site_shape{30, 240}),
+                         testing::Values(site_shape{8, 232}, site_shape{30, 237}),
                          [](const auto& each) {
                              return fmt::format("{}_entry_daemons", each.param.entry_daemons);
                          });
--- /dev/null
+++ b/tests/quarantine/runner_lives_test.cpp
@@ -0,0 +1,163 @@
+// Which cuts of connections were ends of runners, by the lives that are heard afterwards.
+
+#include "cedarpoint/quarantine/quarantine_controller.h"
+#include "cedarpoint/quarantine/runner_lives.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+const runner_id runner{"a"};
+const request_fingerprint cut_request{1, 1};
+constexpr birth first{1000};
+constexpr birth second{2000};
+constexpr birth third{3000};
+
+instant at(int ms)
+{
+    return instant{} + seconds{1000} + milliseconds{ms};
+}
+
+TEST(lives_of_a_runner, prove_that_a_cut_was_an_end_once_a_later_one_is_heard)
+{
+    runner_lives lives;
+    EXPECT_TRUE(lives.on_heard(at(0), runner, first));
+    EXPECT_FALSE(lives.on_heard(at(1000), runner, first));
+    EXPECT_EQ(lives.life_ended_by(runner, at(1500)), std::nullopt) << "nothing was heard since";
+    EXPECT_TRUE(lives.on_heard(at(2000), runner, second));
+    EXPECT_EQ(lives.life_ended_by(runner, at(1500)), first);
+
+    // It was heard after this cut, which so was a reset.
+    EXPECT_EQ(lives.life_ended_by(runner, at(500)), std::nullopt);
+    // And this one is of the present life.
+    EXPECT_EQ(lives.life_ended_by(runner, at(2500)), std::nullopt);
+    EXPECT_EQ(lives.life_at(runner, at(2500)), second);
+    EXPECT_EQ(lives.life_at(runner, at(1500)), first);
+    EXPECT_EQ(lives.life_at(runner, at(-1)), std::nullopt);
+}
+
+TEST(lives_of_a_runner, take_a_heartbeat_that_comes_late_for_no_new_life)
+{
+    runner_lives lives;
+    lives.on_heard(at(0), runner, second);
+    EXPECT_FALSE(lives.on_heard(at(100), runner, first));
+    EXPECT_EQ(lives.life_at(runner, at(200)), second);
+}
+
+TEST(lives_of_a_runner, prove_nothing_if_the_next_one_is_heard_long_after)
+{
+    runner_lives lives;
+    lives.on_heard(at(0), runner, first);
+    lives.on_heard(at(60'000), runner, second);
+    EXPECT_EQ(lives.life_ended_by(runner, at(1000)), std::nullopt);
+}
+
+TEST(lives_of_a_runner, end_when_another_runner_begins_at_its_address)
+{
+    runner_lives lives;
+    lives.on_heard(at(0), runner, birth{});
+    lives.on_replaced(at(700), runner);
+    EXPECT_EQ(lives.life_ended_by(runner, at(500)), birth{});
+    EXPECT_EQ(lives.life_ended_by(runner, at(800)), std::nullopt);
+}
+
+TEST(lives_of_a_runner, are_known_to_a_new_leader_by_the_log)
+{
+    runner_lives lives;
+    lives.expect(runner, first);
+    EXPECT_FALSE(lives.on_heard(at(100), runner, first)) << "it lives on";
+    EXPECT_TRUE(lives.on_heard(at(900), runner, second));
+    EXPECT_EQ(lives.life_ended_by(runner, at(500)), first);
+}
+
+class cuts_that_wait_for_proof : public testing::Test {
+protected:
+    cuts_that_wait_for_proof() { controller.on_heard(at(0), runner, first); }
+
+    static crash_histories cut(int connected_ms, int ended_ms, const char* daemon = "d-1")
+    {
+        crash_observation seen{runner, at(ended_ms - 10), at(ended_ms), daemon_id{daemon},
+                               request_id{"r"}};
+        seen.connected_at = at(connected_ms);
+        seen.serial = static_cast<std::uint64_t>(ended_ms);
+        crash_histories out;
+        out[cut_request].crashes.push_back(seen);
+        return out;
+    }
+
+    [[nodiscard]] int count() const
+    {
+        const auto counts = controller.counts({});
+        const auto found = counts.find(cut_request);
+        return found == counts.end() ? 0 : found->second;
+    }
+
+    quarantine_controller controller;
+};
+
+TEST_F(cuts_that_wait_for_proof, count_as_one_end_of_each_life)
+{
+    controller.on_cuts(at(120), cut(10, 100));
+    // Retries connect while it is away, and are cut as well; other daemons see the same.
+    controller.on_cuts(at(220), cut(150, 200));
+    controller.on_cuts(at(320), cut(250, 300, "d-2"));
+    EXPECT_EQ(count(), 0);
+    EXPECT_EQ(controller.on_heard(at(600), runner, second).size(), 1U);
+    EXPECT_EQ(count(), 1);
+
+    controller.on_cuts(at(720), cut(650, 700, "d-2"));
+    controller.on_heard(at(1200), runner, third);
+    EXPECT_EQ(count(), 2);
+}
+
+TEST_F(cuts_that_wait_for_proof, are_the_same_end_as_one_that_another_daemon_saw_refused)
+{
+    auto refused = cut(10, 100);
+    controller.on_report(refused);
+    controller.on_cuts(at(400), cut(150, 200, "d-2"));
+    controller.on_heard(at(600), runner, second);
+    EXPECT_EQ(count(), 1);
+}
+
+TEST_F(cuts_that_wait_for_proof, are_nothing_once_the_request_was_answered)
+{
+    controller.on_cuts(at(120), cut(10, 100));
+    crash_histories answer;
+    answer[cut_request].answered_at = at(300);
+    controller.on_report(answer);
+    controller.on_heard(at(600), runner, second);
+    EXPECT_EQ(count(), 0);
+}
+
+// Guards sound requests whose connections the network resets.
+TEST_F(cuts_that_wait_for_proof, prove_nothing_while_the_runner_lives_on)
+{
+    for (int n = 0; n < 20; ++n) {
+        controller.on_cuts(at(n * 100 + 60), cut(n * 100, n * 100 + 40));
+        controller.on_heard(at(n * 100 + 99), runner, first);
+    }
+    controller.on_heard(at(5000), runner, second);
+    EXPECT_EQ(count(), 0);
+}
+
+TEST_F(cuts_that_wait_for_proof, are_reported_again_to_no_effect)
+{
+    controller.on_cuts(at(120), cut(10, 100));
+    controller.on_heard(at(600), runner, second);
+    controller.on_cuts(at(620), cut(10, 100));
+    controller.on_heard(at(700), runner, second);
+    EXPECT_EQ(count(), 1);
+}
+
+TEST_F(cuts_that_wait_for_proof, are_bounded)
+{
+    for (int n = 0; n < 5000; ++n) {
+        controller.on_cuts(at(n), cut(n, n + 1));
+    }
+    controller.on_heard(at(6000), runner, second);
+    EXPECT_LE(count(), 2);
+}
+
+} // namespace
+} // namespace cedarpoint
