Requests that waited in their sockets are not run for callers that have gone

What callers saw: after half of the entry daemons were suspended for 4 s, some 300 of 4,800 requests reached a runner up to 4 s after their deadline. Their callers had closed long since and repeated them; an unsafe one ran for nobody.

Cause: a daemon that wakes (or whose event loop is late) reads the head and counts the deadline from then. Qt tells of the bytes first and of the end of the stream behind them in a later turn, when the request has been written to a kept connection of its runner.

Change: when a request has been read whole, the connection is asked whether the caller's end of the stream stands behind it, and how long ago its latest bytes came (io/socket_state: a peek, and the kernel's own figure). A request whose caller has closed is dropped before anything is sent, with a `request` line, outcome caller_gone.

A half closed connection counts as closed, as it did a turn later before.

--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -77,6 +77,9 @@
 void caller_gateway::on_request(http_request request, std::shared_ptr<http_reply> reply)
 {
     figures_.count_request();
+    if (!reply->is_open()) {
+        return; // the caller had gone before the request was read
+    }
     const request_id id{request_prefix_ + "-" + std::to_string(++last_request_)};
     const auto path = request.target.substr(0, request.target.find('?'));
     if (path == "/healthz" || path == "/readyz") {
@@ -98,7 +101,7 @@
         return;
     }
     refusal error;
-    auto facts = read_facts(steady_now(), request, id, error);
+    auto facts = read_facts(steady_now() - request.waited, request, id, error);
     if (!facts) {
         refuse_now(*reply, error, id.str());
         return;
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -66,7 +66,8 @@
     : context_{context}, request_{std::move(request)}, reply_{std::move(reply)}, on_end_{std::move(
                                                                                      on_end)},
       routes_{context.routes}, id_{request_.fields.get(context.platform.headers().request_id)},
-      arrived_{steady_now()}, cursor_{request_.fields.get(context.platform.headers().resume_after)}
+      arrived_{steady_now() - request_.waited}, cursor_{request_.fields.get(
+                                                    context.platform.headers().resume_after)}
 {
     deadline_timer_.setSingleShot(true);
     deadline_timer_.setTimerType(Qt::PreciseTimer);
@@ -87,6 +88,10 @@
 void relay::start()
 {
     const auto self = shared_from_this();
+    if (!reply_->is_open()) {
+        finish("caller_gone", "before the request was read");
+        return;
+    }
     reply_->on_gone = [this] { on_caller_gone(); };
     if (!is_admitted()) {
         return;
@@ -95,11 +100,12 @@
         answer(own_answer::quarantined, "");
         return;
     }
-    start_deadline_timer(arrived_);
+    const auto now = steady_now();
+    start_deadline_timer(now);
     if (!admission_.model.empty()) {
         ++context_.demand[admission_.model].started;
     }
-    context_.budget.on_first_attempt(arrived_);
+    context_.budget.on_first_attempt(now);
     try_next();
 }
 
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "io/http_connection.h"
 
 #include "io/header_rules.h"
+#include "io/socket_state.h"
 
 #include <fmt/format.h>
 
@@ -103,6 +104,13 @@
     continued_ = false;
     phase_ = phase::answering;
     timer_.stop(); // the answer may take long; only a caller that doesn't read is timed
+    const auto state = read_socket_state(static_cast<int>(socket_.socketDescriptor()));
+    request.waited = state.since_data;
+    if (state.peer_has_closed) {
+        owner_.handler_(std::move(request), std::make_shared<http_reply>(nullptr));
+        socket_.abort();
+        return;
+    }
     reply_ = std::make_shared<http_reply>(this);
     owner_.handler_(std::move(request), reply_);
 }
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -16,7 +16,8 @@
 
 class http_connection;
 
-/// The answer to one request. Outlives its connection: calls then do nothing.
+/// The answer to one request. Outlives its connection: calls then do nothing. It has none from the
+/// beginning if the caller had closed it before the request was read.
 class http_reply {
 public:
     explicit http_reply(http_connection* connection) : connection_{connection} {}
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "cedarpoint/core/time.h"
+
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +38,7 @@
     std::string target;
     http_fields fields;
     std::string body;
+    duration waited{}; ///< since its latest bytes came, when it was read
 };
 
 /// The beginning of an answer.
--- /dev/null
+++ b/src/io/socket_state.cpp
@@ -0,0 +1,39 @@
+#include "io/socket_state.h"
+
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstddef>
+
+namespace cedarpoint {
+namespace {
+
+/// No caller waits longer for one answer: a higher figure is no age of a request.
+constexpr duration longest_wait = std::chrono::hours{1};
+
+duration read_since_data(int descriptor)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const bool is_told =
+        ::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+        size >= offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv;
+    const duration out = milliseconds{is_told ? info.tcpi_last_data_recv : 0};
+    return out <= longest_wait ? out : duration{};
+}
+
+} // namespace
+
+socket_state read_socket_state(int descriptor)
+{
+    socket_state out;
+    char next = 0;
+    const auto count = ::recv(descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    out.peer_has_closed = count == 0 || (count < 0 && errno == ECONNRESET);
+    out.since_data = read_since_data(descriptor);
+    return out;
+}
+
+} // namespace cedarpoint
--- a/tests/suspension/suspended_fleet_test.cpp
+++ b/tests/suspension/suspended_fleet_test.cpp
@@ -7,10 +7,13 @@
 #include "support/fleet_processes.h"
 #include "support/open_loop_callers.h"
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <string_view>
 
 namespace cedarpoint {
 namespace {
@@ -63,6 +66,16 @@
         }
     }
 
+    /// Requests that reached a runner.
+    [[nodiscard]] std::size_t arrivals() const
+    {
+        std::size_t out = 0;
+        for (const auto& runner : runners) {
+            out += runner->arrivals.size();
+        }
+        return out;
+    }
+
     /// The version that a control daemon says is the newest; 0 if it says none.
     static int version_at(const endpoint& control)
     {
@@ -78,13 +91,11 @@
     {
         const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
         constexpr int first_net = 244;
-        if (name.starts_with("answers")) {
-            return first_net;
-        }
-        if (name.starts_with("reads")) {
-            return first_net + 1;
-        }
-        return first_net + (name.starts_with("serves") ? 2 : 3);
+        constexpr std::array<std::string_view, 6> tests{"answers", "reads", "serves",
+                                                        "ends",    "sends", "counts"};
+        const auto own = std::find_if(tests.begin(), tests.end(),
+                                      [&](auto each) { return name.starts_with(each); });
+        return first_net + static_cast<int>(own - tests.begin());
     }
 
     int net = net_of_this_test();
@@ -141,6 +152,60 @@
     EXPECT_EQ(version_at(fleet.controls()[static_cast<std::size_t>(*fleet.leader())]), 3);
 }
 
+// Guards against requests that waited in their sockets being run for callers that have gone.
+TEST_F(a_suspended_fleet, sends_nothing_for_callers_that_closed_at_their_deadline)
+{
+    constexpr int caller_count = 40;
+    // Half of the callers keep their connections, as after an earlier request.
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int n = 0; n < caller_count / 2; ++n) {
+        callers.push_back(std::make_unique<raw_caller>(fleet.entries()[0]));
+        callers.back()->send("GET /safe/x HTTP/1.1\r\nHost: h.example\r\n"
+                             "X-Cedarpoint-Request-Id: before\r\n\r\n");
+        ASSERT_TRUE(callers.back()->wait_for("plain"));
+    }
+    const auto arrivals_before = arrivals();
+    fleet.at(first_entry).signal(SIGSTOP);
+    for (int n = caller_count / 2; n < caller_count; ++n) {
+        callers.push_back(std::make_unique<raw_caller>(fleet.entries()[0]));
+    }
+    for (const auto& each : callers) {
+        each->send("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Cedarpoint-Request-Id: late\r\n"
+                   "X-Cedarpoint-Deadline-Ms: 500\r\n\r\n");
+    }
+    pass_time(milliseconds{600});
+    callers.clear();
+    pass_time(seconds{2});
+    fleet.at(first_entry).signal(SIGCONT);
+    pass_time(seconds{1});
+    EXPECT_EQ(arrivals(), arrivals_before);
+    EXPECT_EQ(ask(fleet.entries()[0]), 200);
+}
+
+TEST_F(a_suspended_fleet, counts_a_deadline_from_when_the_request_came)
+{
+    raw_caller expired{fleet.entries()[0]};
+    raw_caller waiting{fleet.entries()[0]};
+    pass_time(milliseconds{200});
+    fleet.at(first_entry).signal(SIGSTOP);
+    expired.send("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Cedarpoint-Request-Id: expired\r\n"
+                 "X-Cedarpoint-Deadline-Ms: 1000\r\n\r\n");
+    waiting.send("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Cedarpoint-Request-Id: waiting\r\n"
+                 "X-Cedarpoint-Deadline-Ms: 3500\r\n\r\n");
+    pass_time(milliseconds{1500});
+    for (const auto& runner : runners) {
+        runner->answer_time = seconds{30};
+    }
+    const auto before = arrivals();
+    const auto woken = steady_now();
+    fleet.at(first_entry).signal(SIGCONT);
+    ASSERT_TRUE(expired.wait_for("HTTP/1.1 503")) << "it has not run";
+    EXPECT_LT(steady_now() - woken, milliseconds{300});
+    ASSERT_TRUE(waiting.wait_for("HTTP/1.1 504"));
+    EXPECT_LT(steady_now() - woken, milliseconds{2300});
+    EXPECT_EQ(arrivals(), before + 1);
+}
+
 TEST_F(a_suspended_fleet, ends_a_planned_stop_in_time_if_it_was_suspended_in_its_midst)
 {
     auto& entry = fleet.at(first_entry);
