Control daemons on slow disks elect a leader; elections are told in the log

Evidence: nothing in the logs told the hypotheses apart, so sight first: a `no_leader` line a second with role, term, what each peer was asked and has answered, and whether there was a connection to it. With syncs of 600 ms (a library that tests preload) a fleet never has a leader: 60 terms in 60 s, votes granted each time and refused as late, all three daemons answering entry daemons meanwhile.

Cause: a candidate waits for two writes, its own and the voter's, while its timer of 0.5 to 1 s runs; then it begins anew and drops the vote that comes. A leader that was elected all the same stepped down after its first write, since nobody had answered it for an election timeout.

Change: a member measures its writes; where one of the last two minutes took a quarter of an election timeout or more, its election timer, and the silence after which a leader steps down, grow by two such writes, to eight election timeouts at most. Leases and the refusal of votes go by the election timeout as before, so nothing that is promised by them changes.

--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "cedarpoint/consensus/election_status.h"
 #include "cedarpoint/core/ids.h"
+#include "cedarpoint/core/recent_maximum.h"
 #include "cedarpoint/core/time.h"
 #include "control.pb.h"
 
@@ -16,9 +18,6 @@
 
 namespace cedarpoint {
 
-/// A voter or learner of one log; the id of its daemon, with or without a disk.
-using member_id = id<struct member_tag>;
-
 /// What a member without any stored state may assume about earlier votes and entries.
 enum class start_mode {
     unknown, ///< new, or its disk was lost: it helps to begin a log only if all voters take part
@@ -86,6 +85,8 @@
               raft_options options, std::uint64_t seed);
 
     void tick(instant now);
+    /// A write of this member's state took so long; its elections wait for slower disks.
+    void note_write(instant now, duration took);
     void receive(instant now, const member_id& from, const wire::raft_message& message);
     /// Appends a command; its index, or empty if this is not the leader.
     std::optional<std::uint64_t> propose(instant now, std::string command);
@@ -113,6 +114,7 @@
     /// valid until this plus the grant's lifetime.
     [[nodiscard]] std::optional<instant> granted_at(instant now) const;
     [[nodiscard]] const wire::membership& members() const { return members_; }
+    [[nodiscard]] bool is_member(const member_id& it) const;
     [[nodiscard]] bool is_voter(const member_id& it) const;
     /// Leader: the last index known to be on the member; 0 if nothing is known.
     [[nodiscard]] std::uint64_t match_of(const member_id& it) const;
@@ -121,6 +123,7 @@
     [[nodiscard]] duration silence_of(instant now, const member_id& it) const;
     /// Leader: when the last answered append was sent; empty if none was answered in this term.
     [[nodiscard]] std::optional<instant> heard_from(const member_id& it) const;
+    [[nodiscard]] election_status elections(instant now) const;
     [[nodiscard]] const wire::log_snapshot& snapshot() const { return snapshot_; }
     /// Everything durable that is not in the snapshot.
     [[nodiscard]] wire::storage_batch rest() const;
@@ -140,6 +143,9 @@
     void start_election(instant now);
     void become_leader(instant now);
     void arm_election(instant now);
+    /// The election timeout, and longer while the disk is slow: a vote waits for two writes, and a
+    /// leader is silent during one. Leases go by the election timeout itself.
+    [[nodiscard]] duration patience() const;
     void count_vote(instant now, const member_id& from);
 
     void on_append(instant now, const member_id& from, const wire::raft_message& in);
@@ -161,9 +167,14 @@
     void advance_commit(std::uint64_t to);
     void advance_leader_commit();
     void save_hard_state();
+    [[nodiscard]] election_contact& contact_of(const member_id& it);
     void refresh_members();
-    [[nodiscard]] bool may_vote(instant now) const;
-    [[nodiscard]] bool may_vote_for(instant now, const wire::raft_message& in) const;
+    /// `none` if it may vote for anybody now; whatever the candidate.
+    [[nodiscard]] vote_refusal why_no_vote(instant now) const;
+    /// The same for this candidate, whatever its term.
+    [[nodiscard]] vote_refusal why_no_vote_for(instant now, const wire::raft_message& in) const;
+    [[nodiscard]] vote_refusal judge_vote(instant now, const member_id& from,
+                                          const wire::raft_message& in) const;
     [[nodiscard]] std::size_t election_quorum() const;
     void note_whole(instant now, const wire::raft_message& in);
     [[nodiscard]] bool is_up_to_date(const wire::raft_message& in) const;
@@ -173,7 +184,7 @@
     /// A random part of a third of the election timeout, to separate daemons that start together.
     duration short_delay();
     [[nodiscard]] instant lease_basis(instant now) const;
-    /// True for a leader whose appends a quorum has answered within an election timeout.
+    /// True for a leader whose appends a quorum has answered within its patience.
     [[nodiscard]] bool is_upheld(instant now) const;
     [[nodiscard]] const wire::log_entry& entry_at(std::uint64_t index) const;
 
@@ -193,7 +204,10 @@
     std::uint64_t commit_ = 0;
     std::uint64_t term_start_ = 0; ///< leader: index of the first entry of its term
     std::set<member_id> votes_;
+    std::map<member_id, election_contact> contacts_; ///< members only
+    election_contact stranger_;                      ///< of all others
     std::map<member_id, progress> progress_;
+    recent_maximum slowest_write_;
     instant election_at_;
     instant heartbeat_at_;
     instant lead_since_;
--- a/include/cedarpoint/consensus/replicated_log.h
+++ b/include/cedarpoint/consensus/replicated_log.h
@@ -48,6 +48,8 @@
         wire::membership bootstrap;
         raft_options raft;
         std::uint64_t seed = 1;
+        /// Read before and after each write to the disk; empty: writes count as taking no time.
+        std::function<instant()> clock;
         /// With a disk: a snapshot is taken once the log file is larger than this (4 MiB).
         std::uint64_t snapshot_bytes = 4 << 20;
         /// Without a disk: a snapshot is taken once more entries than this came after the last one.
@@ -90,6 +92,8 @@
     /// False while the output that is held back can't be written.
     bool write_held_back(instant now);
     bool persist(const raft_output& out);
+    /// The same, and tells the raft node how long the disk took.
+    bool persist_timed(const raft_output& out);
     bool rewrite(const wire::log_snapshot& snapshot);
     [[nodiscard]] bool is_stopped() const { return failure_ || held_back_; }
     void apply(const wire::log_entry& entry);
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -14,6 +14,12 @@
 constexpr int restart_parts = 3;
 /// A follower forgets its leader after this many election timeouts without an append.
 constexpr int leader_silence_timeouts = 2;
+/// A disk that takes less than this part of an election timeout for a write is not slow.
+constexpr int quick_write_parts = 4;
+/// Between asking for a vote and having it: the candidate's write and the voter's.
+constexpr int writes_of_a_vote = 2;
+/// Bounds what a slow disk adds to the time without a leader, in election timeouts.
+constexpr int longest_patience_timeouts = 8;
 
 } // namespace
 
@@ -143,6 +149,12 @@
 
 // --- members ------------------------------------------------------------------------------------
 
+bool raft_node::is_member(const member_id& it) const
+{
+    const auto& all = members_.members();
+    return std::any_of(all.begin(), all.end(), [&](const auto& e) { return e.id() == it.str(); });
+}
+
 bool raft_node::is_voter(const member_id& it) const
 {
     const auto& all = members_.members();
@@ -210,8 +222,20 @@
 
 void raft_node::arm_election(instant now)
 {
-    std::uniform_int_distribution<std::int64_t> spread(0, options_.election_timeout.count());
-    election_at_ = now + options_.election_timeout + duration{spread(random_)};
+    std::uniform_int_distribution<std::int64_t> spread(0, patience().count());
+    election_at_ = now + patience() + duration{spread(random_)};
+}
+
+void raft_node::note_write(instant now, duration took)
+{
+    slowest_write_.add(now,
+                       took < options_.election_timeout / quick_write_parts ? duration{} : took);
+}
+
+duration raft_node::patience() const
+{
+    return std::min(options_.election_timeout + writes_of_a_vote * slowest_write_.value(),
+                    longest_patience_timeouts * options_.election_timeout);
 }
 
 duration raft_node::short_delay()
@@ -233,8 +257,7 @@
         }
         return;
     }
-    if (leader_heard_ &&
-        now - *leader_heard_ >= leader_silence_timeouts * options_.election_timeout) {
+    if (leader_heard_ && now - *leader_heard_ >= leader_silence_timeouts * patience()) {
         leader_ = {};
     }
     if (now >= election_at_) {
@@ -267,7 +290,7 @@
 
 bool raft_node::is_upheld(instant now) const
 {
-    return role_ == role::leader && now - lease_basis(now) < options_.election_timeout;
+    return role_ == role::leader && now - lease_basis(now) < patience();
 }
 
 bool raft_node::holds_lease(instant now) const
@@ -286,16 +309,6 @@
     return commit_ >= granted_commit_ ? granted_ : std::nullopt;
 }
 
-bool raft_node::may_vote_for(instant now, const msg& in) const
-{
-    if (!may_vote(now) || !is_up_to_date(in)) {
-        return false;
-    }
-    // A voter without stored state may only vote to begin a log that no voter has stored.
-    return hard_.whole() ||
-           (options_.start != start_mode::later && in.last_index() == 0 && last_index() == 0);
-}
-
 std::size_t raft_node::election_quorum() const
 {
     if (last_index() > 0 || options_.start == start_mode::first) {
@@ -315,10 +328,4 @@
     }
 }
 
-bool raft_node::may_vote(instant now) const
-{
-    const bool follows = leader_heard_ && now - *leader_heard_ < options_.election_timeout;
-    return role_ != role::leader && !follows && now >= no_vote_until_;
-}
-
 } // namespace cedarpoint
--- a/src/consensus/raft_node_elections.cpp
+++ b/src/consensus/raft_node_elections.cpp
@@ -3,6 +3,8 @@
 #include "consensus/raft_node_priv.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 
 namespace cedarpoint {
 
@@ -83,6 +85,7 @@
     out.set_last_term(last_term());
     for (const auto& it : members_.members()) {
         if (it.voter() && it.id() != self_.str()) {
+            ++contacts_[member_id{it.id()}].votes_asked;
             send(member_id{it.id()}, out);
         }
     }
@@ -93,24 +96,70 @@
     return std::pair{in.last_term(), in.last_index()} >= std::pair{last_term(), last_index()};
 }
 
+election_contact& raft_node::contact_of(const member_id& it)
+{
+    return is_member(it) ? contacts_[it] : stranger_;
+}
+
+vote_refusal raft_node::why_no_vote(instant now) const
+{
+    const bool follows = leader_heard_ && now - *leader_heard_ < options_.election_timeout;
+    if (role_ == role::leader || follows) {
+        return vote_refusal::follows_leader;
+    }
+    return now < no_vote_until_ ? vote_refusal::lease_may_run : vote_refusal::none;
+}
+
+vote_refusal raft_node::why_no_vote_for(instant now, const msg& in) const
+{
+    if (const auto why = why_no_vote(now); why != vote_refusal::none) {
+        return why;
+    }
+    if (!is_up_to_date(in)) {
+        return vote_refusal::candidate_behind;
+    }
+    // A voter without stored state may only vote to begin a log that no voter has stored.
+    const bool begins_log =
+        options_.start != start_mode::later && in.last_index() == 0 && last_index() == 0;
+    return hard_.whole() || begins_log ? vote_refusal::none : vote_refusal::not_whole;
+}
+
+vote_refusal raft_node::judge_vote(instant now, const member_id& from, const msg& in) const
+{
+    if (in.term() < hard_.term()) {
+        return vote_refusal::old_term;
+    }
+    const bool free = hard_.vote().empty() || hard_.vote() == from.str();
+    if (!free || role_ != role::follower) {
+        return vote_refusal::voted_already;
+    }
+    return why_no_vote_for(now, in);
+}
+
 void raft_node::on_pre_vote(instant now, const member_id& from, const msg& in)
 {
+    const auto why = in.term() > hard_.term() ? why_no_vote_for(now, in) : vote_refusal::old_term;
+    auto& contact = contact_of(from);
+    ++contact.votes_taken;
+    contact.latest_answer = why;
     auto out = make(msg::pre_vote_reply, hard_.term());
-    out.set_ok(in.term() > hard_.term() && may_vote_for(now, in));
+    out.set_ok(why == vote_refusal::none);
     send(from, std::move(out));
 }
 
 void raft_node::on_vote(instant now, const member_id& from, const msg& in)
 {
-    if (!may_vote(now)) {
+    auto& contact = contact_of(from);
+    ++contact.votes_taken;
+    contact.latest_answer = why_no_vote(now);
+    if (contact.latest_answer != vote_refusal::none) {
         return; // it follows a leader, or a lease from before its restart may still run
     }
     if (in.term() > hard_.term()) {
         become_follower(now, in.term(), {});
     }
-    const bool free = hard_.vote().empty() || hard_.vote() == from.str();
-    const bool grant =
-        in.term() == hard_.term() && free && role_ == role::follower && may_vote_for(now, in);
+    contact.latest_answer = judge_vote(now, from, in);
+    const bool grant = contact.latest_answer == vote_refusal::none;
     if (grant) {
         hard_.set_vote(from.str());
         hard_.set_whole(true);
@@ -128,6 +177,8 @@
         become_follower(now, in.term(), {});
         return;
     }
+    auto& contact = contact_of(from);
+    ++(in.ok() ? contact.votes_granted : contact.votes_refused);
     const auto asked = in.kind() == msg::vote_reply ? role::candidate : role::pre_candidate;
     // A granted pre-vote carries the voter's own term, which may be older than ours.
     const bool current = in.kind() == msg::pre_vote_reply || in.term() == hard_.term();
@@ -136,4 +187,49 @@
     }
 }
 
+election_status raft_node::elections(instant now) const
+{
+    constexpr std::array<std::string_view, 4> roles{"follower", "pre_candidate", "candidate",
+                                                    "leader"};
+    election_status out;
+    out.role = roles.at(static_cast<std::size_t>(role_));
+    out.term = hard_.term();
+    out.last_term = last_term();
+    out.last_index = last_index();
+    out.whole = hard_.whole();
+    out.voter = is_voter(self_);
+    out.until_election = election_at_ - now;
+    out.until_vote = std::max(no_vote_until_ - now, duration{});
+    for (const auto& each : members_.members()) {
+        const member_id member{each.id()};
+        if (member != self_) {
+            const auto found = contacts_.find(member);
+            out.peers.push_back({member, each.voter(),
+                                 found == contacts_.end() ? election_contact{} : found->second});
+        }
+    }
+    return out;
+}
+
+std::string_view name_of(vote_refusal in)
+{
+    switch (in) {
+    case vote_refusal::none:
+        return "granted";
+    case vote_refusal::follows_leader:
+        return "follows a leader";
+    case vote_refusal::lease_may_run:
+        return "a lease may run";
+    case vote_refusal::candidate_behind:
+        return "the candidate is behind";
+    case vote_refusal::not_whole:
+        return "not whole";
+    case vote_refusal::old_term:
+        return "old term";
+    case vote_refusal::voted_already:
+        return "voted already";
+    }
+    return "";
+}
+
 } // namespace cedarpoint
--- a/src/consensus/raft_node_replication.cpp
+++ b/src/consensus/raft_node_replication.cpp
@@ -68,6 +68,7 @@
     if (role_ == role::leader && !is_upheld(now)) {
         become_follower(now, hard_.term(), {});
     }
+    contact_of(from).heard = now;
     switch (in.kind()) {
     case msg::append:
         on_append(now, from, in);
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -109,7 +109,7 @@
 
 bool replicated_log::carry_out(const raft_output& out)
 {
-    if (!persist(out)) {
+    if (!persist_timed(out)) {
         held_back_ = out;
         return false;
     }
@@ -138,6 +138,19 @@
     return written;
 }
 
+bool replicated_log::persist_timed(const raft_output& out)
+{
+    const bool writes = store_ != nullptr && (out.install || out.has_batch);
+    if (!options_.clock || !writes) {
+        return persist(out);
+    }
+    const auto began = options_.clock();
+    const bool done = persist(out);
+    const auto ended = options_.clock();
+    raft_.note_write(ended, ended - began);
+    return done;
+}
+
 bool replicated_log::persist(const raft_output& out)
 {
     if (out.install) {
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -86,6 +86,13 @@
 void control_daemon::note_leader()
 {
     const daemon_id leader{log_->raft().leader().str()};
+    if (leader.empty()) {
+        const auto now = steady_now();
+        elections_.note(now, log_->raft().elections(now));
+    }
+    else {
+        elections_.on_leader();
+    }
     if (leader == known_leader_) {
         return;
     }
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -5,6 +5,7 @@
 #include "cedarpoint/fleet/fleet_leader.h"
 #include "control_daemon/control_api.h"
 #include "control_daemon/control_metrics.h"
+#include "control_daemon/election_log.h"
 #include "control_daemon/log_membership.h"
 #include "control_daemon/provisional_views.h"
 #include "control_daemon/runner_orders.h"
@@ -91,6 +92,7 @@
     QTimer timer_;
     std::uint64_t led_term_ = 0; ///< the term that this process leads or led last
     disk_watch disk_;
+    election_log elections_;
     daemon_id known_leader_;
     instant next_refresh_;
     instant next_summary_;
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -157,6 +157,7 @@
     out.raft.heartbeat = raft_heartbeat;
     out.raft.start = own_.first_start ? start_mode::first : start_mode::later;
     out.seed = std::random_device{}();
+    out.clock = steady_now;
     if (own_.first_start) {
         for (const auto& seed : seed_daemons(own_)) {
             auto* member = out.bootstrap.add_members();
@@ -173,7 +174,7 @@
         wire::envelope out;
         out.mutable_raft()->set_log(log_name);
         *out.mutable_raft()->mutable_message() = message;
-        send(daemon_id{to.str()}, std::move(out));
+        elections_.on_message(to, send(daemon_id{to.str()}, std::move(out)));
     };
     const auto folder = own_.data_folder + "/" + log_name;
     log_ = replicated_log::open(steady_now(), make_log_options(), &files_, folder, state_,
--- a/src/control_daemon/log_membership.cpp
+++ b/src/control_daemon/log_membership.cpp
@@ -76,13 +76,6 @@
     }
 }
 
-bool log_membership::is_member(const member_id& member) const
-{
-    const auto& members = log_.raft().members().members();
-    return std::any_of(members.begin(), members.end(),
-                       [&](const auto& each) { return each.id() == member.str(); });
-}
-
 void log_membership::on_join(instant now, bool leads, const wire::envelope& in)
 {
     const member_id member{in.join().member()};
@@ -91,7 +84,7 @@
         return;
     }
     // A member's id is its address.
-    if (!is_member(member) && endpoint::parse(member.str())) {
+    if (!log_.raft().is_member(member) && endpoint::parse(member.str())) {
         change(now, member, true, false);
     }
 }
--- a/src/control_daemon/log_membership.h
+++ b/src/control_daemon/log_membership.h
@@ -38,7 +38,6 @@
     void change(instant now, const member_id& member, bool present, bool voter);
     void ask_to_join();
     void pass_on(const wire::envelope& in);
-    [[nodiscard]] bool is_member(const member_id& member) const;
 
     options options_;
     replicated_log& log_;
--- /dev/null
+++ b/tests/soak/control_restart_test.cpp
@@ -0,0 +1,87 @@
+// All control daemons are killed at once and start again, many times in a row, behind proxies and
+// beside entry daemons that ask them. By hand:
+//     RESTARTS=200 build/cedarpoint_tests --gtest_filter='*control_daemons_that_restart*'
+
+#include "daemon/site.h"
+#include "fleet/fleet_site.h"
+#include "io/clock.h"
+#include "soak/loopback_proxy.h"
+#include "support/environment.h"
+#include "support/fleet_processes.h"
+
+#include <csignal>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <random>
+#include <string_view>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::fleet_processes;
+using testing_support::loopback_proxy;
+using testing_support::number_from_environment;
+using testing_support::pass_time;
+using testing_support::wait_until;
+
+/// From the start of all control daemons to a leader.
+constexpr duration longest_recovery = seconds{12};
+
+const std::string document = R"({"version":1,
+    "routes":[{"name":"r","host":"h.example","pathPrefix":"/a/","kind":"safe","timeoutMs":2000,
+               "service":"shop"}],
+    "services":[{"name":"shop"}]})";
+
+struct fleet_kind {
+    const char* name;
+    const char* preload; ///< a library that is loaded into each daemon
+    int net;             ///< tests run side by side, so that each needs addresses of its own
+};
+
+class control_daemons_that_restart : public testing::TestWithParam<fleet_kind> {
+protected:
+    void SetUp() override
+    {
+        for (int which = 0; which < fleet_processes::control_count; ++which) {
+            proxies.push_back(std::make_unique<loopback_proxy>(fleet.mesh_address(which),
+                                                               fleet.bind_address(which)));
+        }
+        fleet.start_all();
+        ASSERT_TRUE(wait_until([&] { return fleet.put(document); }));
+    }
+
+    fleet_processes fleet{
+        {GetParam().net, 2, fmt::format("restarts-{}", GetParam().name), true, GetParam().preload}};
+    std::vector<std::unique_ptr<loopback_proxy>> proxies;
+};
+
+// Guards against a fleet without a leader after all of its control daemons were lost at once.
+TEST_P(control_daemons_that_restart, have_a_leader_soon_each_time)
+{
+    std::mt19937_64 random{number_from_environment("RESTART_SEED", 1)};
+    for (std::uint64_t round = 0; round < number_from_environment("RESTARTS", 4); ++round) {
+        for (int which = 0; which < fleet_processes::control_count; ++which) {
+            fleet.at(which).signal(SIGKILL);
+            pass_time(milliseconds{random() % 3 * (random() % 60)});
+        }
+        for (int which = 0; which < fleet_processes::control_count; ++which) {
+            fleet.start(which, false);
+            pass_time(milliseconds{random() % 3 * (random() % 200)});
+        }
+        const auto began = steady_now();
+        ASSERT_TRUE(wait_until([&] { return fleet.leader().has_value(); })) << "round " << round;
+        ASSERT_LT(steady_now() - began, longest_recovery) << "round " << round;
+        // The next kill comes at any moment of what follows an election.
+        pass_time(milliseconds{random() % 2 * (random() % 1500)});
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds, control_daemons_that_restart,
+    testing::Values(fleet_kind{"steady", "", 229},
+                    fleet_kind{"suspended_clock", BINARY_DIR "/libsuspended_clock.so", 230},
+                    fleet_kind{"slow_disk", BINARY_DIR "/libslow_disk.so", 231}),
+    [](const auto& each) { return each.param.name; });
+
+} // namespace
+} // namespace cedarpoint
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -9,6 +9,7 @@
 #include "fleet/fleet_site.h"
 #include "io/clock.h"
 #include "soak/loopback_proxy.h"
+#include "support/environment.h"
 #include "support/fleet_processes.h"
 #include "support/pausing_runner.h"
 
@@ -26,6 +27,7 @@
 using testing_support::call;
 using testing_support::fleet_processes;
 using testing_support::loopback_proxy;
+using testing_support::number_from_environment;
 using testing_support::pass_time;
 using testing_support::pausing_runner;
 using testing_support::platform_runner;
@@ -47,12 +49,6 @@
     150, // once: no leader for 60 s after all control daemons were killed; see docs/RULES-KEPT.md
 };
 
-std::uint64_t number_from_environment(const char* name, std::uint64_t fallback)
-{
-    const char* text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 std::vector<std::uint64_t> seeds()
 {
     auto out = kept_seeds;
