Daemons with a list of peers measure their writes as well; tests of slow disks

The same fault elsewhere: the logs of `serve` are the same class, and had no clock to measure their disk by. With it their elections and offices grow with slow writes too.

--- a/include/cedarpoint/control/control_plane.h
+++ b/include/cedarpoint/control/control_plane.h
@@ -56,6 +56,8 @@
         raft_options raft;
         control_options control;
         std::uint64_t seed = 1; ///< of election timeouts and call ids; differs at each start
+        /// See `replicated_log::options`.
+        std::function<instant()> clock;
     };
 
     /// `files` null: no disk, nothing outlives the process. Null with `why` if a log's folder can't
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -108,6 +108,7 @@
     it.bootstrap = std::move(members);
     it.raft = options_.raft;
     it.seed = options_.seed ^ hash_of(name);
+    it.clock = options_.clock;
     const auto send_raft = [this, name](const member_id& to, const wire::raft_message& message) {
         wire::envelope out;
         out.mutable_raft()->set_log(name);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -140,6 +140,7 @@
     control_plane::options options;
     options.own = own_;
     options.seed = random_seed();
+    options.clock = steady_now;
     file_system* files = own_.data_folder.empty() ? nullptr : &files_;
     runners_ =
         std::make_unique<runner_client>([this](const runner_id& id, const runner_report& it) {
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -231,6 +231,42 @@
     EXPECT_TRUE(at.it->holds_lease(at.now));
 }
 
+// Guards against elections that begin anew while a vote waits for a slow disk.
+TEST(a_slow_disk, lengthens_elections_and_the_office_of_a_leader_but_no_lease)
+{
+    leader_with_an_old_entry at;
+    at.it->note_write(at.now, milliseconds{600});
+    at.reply(b, msg::append_reply, 4, true, 3);
+    EXPECT_FALSE(at.it->holds_lease(at.now + milliseconds{900}));
+    at.it->tick(at.now + milliseconds{2100});
+    EXPECT_TRUE(at.it->is_leader()) << "two writes longer than without";
+    at.it->tick(at.now + milliseconds{2200});
+    EXPECT_FALSE(at.it->is_leader());
+
+    // It asks for votes, and waits for them.
+    at.now += milliseconds{2200};
+    while (at.it->at() != raft_node::role::pre_candidate) {
+        at.step();
+    }
+    at.reply(b, msg::pre_vote_reply, 4, true, 0);
+    ASSERT_EQ(at.it->at(), raft_node::role::candidate);
+    at.now += milliseconds{2000};
+    at.it->tick(at.now);
+    at.reply(b, msg::vote_reply, 5, true, 0);
+    EXPECT_TRUE(at.it->is_leader());
+}
+
+TEST(a_slow_disk, is_forgotten_after_two_minutes)
+{
+    leader_with_an_old_entry at;
+    at.it->note_write(at.now, milliseconds{600});
+    at.it->note_write(at.now + seconds{61}, milliseconds{10});
+    at.it->note_write(at.now + seconds{122}, milliseconds{10});
+    at.reply(b, msg::append_reply, 4, true, 3);
+    at.it->tick(at.now + milliseconds{1000});
+    EXPECT_FALSE(at.it->is_leader());
+}
+
 TEST(a_leader, that_hears_nobody_loses_its_lease_then_its_office)
 {
     leader_with_an_old_entry at;
