A request in many copies is told from those beside it by all ends that it was at

Cause: ends count if they follow each other, so a request whose copies are in flight at several runners counts slowly; of each request the earliest eight ends were kept, so its count stood still at four, one below where a tie ends; and its rival was compared by the same count, in which a request that was at four ends equals one that was at all of them.

Change: three that follow each other are still needed; requests are told apart by how many ends they were at in all. 32 ends are kept, and one that is in no longest sequence goes first.

--- a/include/cedarpoint/quarantine/crash_ledger.h
+++ b/include/cedarpoint/quarantine/crash_ledger.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <set>
+#include <vector>
 
 namespace cedarpoint {
 
@@ -44,11 +45,18 @@
     /// explains don't count, unless the request is among them.
     [[nodiscard]] int count(const request_fingerprint& request,
                             const std::set<request_fingerprint>& causes) const;
+    /// The same, also those that did not end one after the other: copies of one request may be in
+    /// flight at several runners.
+    [[nodiscard]] int count_all(const request_fingerprint& request,
+                                const std::set<request_fingerprint>& causes) const;
     [[nodiscard]] const crash_histories& histories() const { return histories_; }
 
 private:
     [[nodiscard]] bool is_explained(const crash_observation& crash,
                                     const std::set<request_fingerprint>& causes) const;
+    [[nodiscard]] std::vector<const crash_observation*>
+    find_unexplained(const request_fingerprint& request,
+                     const std::set<request_fingerprint>& causes) const;
     void drop_oldest();
 
     crash_histories histories_;
--- a/src/quarantine/crash_cause.cpp
+++ b/src/quarantine/crash_cause.cpp
@@ -27,14 +27,15 @@
 }
 
 /// Another request that explains some of the same ends and has been at as many.
-bool has_rival(const crash_ledger& ledger, const request_fingerprint& request, int crashes,
+bool has_rival(const crash_ledger& ledger, const request_fingerprint& request,
                const std::set<request_fingerprint>& known)
 {
     const auto& own = *ledger.find(request);
+    const int crashes = ledger.count_all(request, known);
     const auto& all = ledger.histories();
     return std::any_of(all.begin(), all.end(), [&](const auto& other) {
         return other.first != request && !known.contains(other.first) &&
-               ledger.count(other.first, known) >= crashes && share_a_crash(own, other.second);
+               ledger.count_all(other.first, known) >= crashes && share_a_crash(own, other.second);
     });
 }
 
@@ -48,9 +49,8 @@
             continue;
         }
         const int crashes = ledger.count(request, known);
-        const bool is_due =
-            crashes >= crashes_to_quarantine &&
-            (crashes >= crashes_to_end_a_tie || !has_rival(ledger, request, crashes, known));
+        const bool is_due = crashes >= crashes_to_quarantine &&
+                            (crashes >= crashes_to_end_a_tie || !has_rival(ledger, request, known));
         if (const auto time = time_in_flight(history); is_due && (!out || time < shortest)) {
             out = request;
             shortest = time;
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -1,8 +1,9 @@
 #include "cedarpoint/quarantine/crash_ledger.h"
 
 #include <algorithm>
-#include <optional>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace cedarpoint {
 namespace {
@@ -15,8 +16,8 @@
 /// gone into a kept connection to the process that ended.
 constexpr duration stale_send_time = milliseconds{500};
 
-/// Kept for each request; the earliest ones are enough for any decision.
-constexpr std::size_t most_crashes = 8;
+/// Kept for each request. Those that follow each other decide; the others tell requests apart.
+constexpr std::size_t most_crashes = 32;
 
 instant latest_change(const crash_history& in)
 {
@@ -27,6 +28,40 @@
     return out;
 }
 
+using crash_pointers = std::vector<const crash_observation*>;
+
+/// The most that follow each other: the request was sent to each runner after the one before had
+/// ended.
+crash_pointers find_sequence(crash_pointers crashes)
+{
+    std::sort(crashes.begin(), crashes.end(),
+              [](const auto* one, const auto* other) { return one->ended_at < other->ended_at; });
+    crash_pointers out;
+    for (const auto* each : crashes) {
+        if (out.empty() || each->sent_at >= out.back()->ended_at) {
+            out.push_back(each);
+        }
+    }
+    return out;
+}
+
+/// Keeps a bounded number, and of them the longest sequence.
+void drop_surplus(std::vector<crash_observation>& crashes)
+{
+    if (crashes.size() <= most_crashes) {
+        return;
+    }
+    crash_pointers all;
+    for (const auto& each : crashes) {
+        all.push_back(&each);
+    }
+    const auto sequence = find_sequence(all);
+    const auto spare = std::find_if(crashes.begin(), crashes.end(), [&](const auto& each) {
+        return std::find(sequence.begin(), sequence.end(), &each) == sequence.end();
+    });
+    crashes.erase(spare == crashes.end() ? std::prev(crashes.end()) : spare);
+}
+
 /// Answers to requests under which no end is known go first: many requests are cut and answered.
 bool goes_before(const crash_history& one, const crash_history& other)
 {
@@ -80,9 +115,8 @@
     const auto known = std::find_if(own.crashes.begin(), own.crashes.end(),
                                     [&](const auto& each) { return is_same_end(each, in); });
     if (known == own.crashes.end()) {
-        if (own.crashes.size() < most_crashes) {
-            own.crashes.push_back(std::move(in));
-        }
+        own.crashes.push_back(std::move(in));
+        drop_surplus(own.crashes);
     }
     else if (known->daemon == in.daemon) {
         *known = std::move(in); // the crashes of one report are in order among themselves
@@ -125,30 +159,31 @@
     });
 }
 
-int crash_ledger::count(const request_fingerprint& request,
-                        const std::set<request_fingerprint>& causes) const
+std::vector<const crash_observation*>
+crash_ledger::find_unexplained(const request_fingerprint& request,
+                               const std::set<request_fingerprint>& causes) const
 {
-    const auto* own = find(request);
-    if (own == nullptr) {
-        return 0;
-    }
-    std::vector<const crash_observation*> crashes;
-    for (const auto& each : own->crashes) {
-        if (causes.contains(request) || !is_explained(each, causes)) {
-            crashes.push_back(&each);
-        }
-    }
-    std::sort(crashes.begin(), crashes.end(),
-              [](const auto* one, const auto* other) { return one->ended_at < other->ended_at; });
-    int out = 0;
-    std::optional<instant> latest_end;
-    for (const auto* each : crashes) {
-        if (!latest_end || each->sent_at >= *latest_end) {
-            ++out;
-            latest_end = each->ended_at;
+    crash_pointers out;
+    if (const auto* own = find(request); own != nullptr) {
+        for (const auto& each : own->crashes) {
+            if (causes.contains(request) || !is_explained(each, causes)) {
+                out.push_back(&each);
+            }
         }
     }
     return out;
 }
 
+int crash_ledger::count(const request_fingerprint& request,
+                        const std::set<request_fingerprint>& causes) const
+{
+    return static_cast<int>(find_sequence(find_unexplained(request, causes)).size());
+}
+
+int crash_ledger::count_all(const request_fingerprint& request,
+                            const std::set<request_fingerprint>& causes) const
+{
+    return static_cast<int>(find_unexplained(request, causes).size());
+}
+
 } // namespace cedarpoint
--- a/tests/quarantine/quarantine_controller_test.cpp
+++ b/tests/quarantine/quarantine_controller_test.cpp
@@ -61,6 +61,33 @@
     EXPECT_EQ(controller.counts(quarantined).at(crashing), crashes_to_quarantine);
 }
 
+// Guards against a request that comes in several copies at once never being told from one beside
+// it: few of its ends follow each other, and only some of them were kept.
+TEST_F(quarantine_controller_test, tells_a_request_in_many_copies_from_one_that_was_at_fewer_ends)
+{
+    crash("a", 381, {{crashing, 369}, {sound, 100}});
+    crash("b", 841, {{crashing, 459}, {sound, 100}});
+    crash("c", 1167, {{crashing, 375}});
+    EXPECT_EQ(decide(1170), requests{}) << "two of them one after the other";
+    crash("d", 1410, {{crashing, 366}, {sound, 100}});
+    EXPECT_EQ(decide(1420), requests{crashing});
+}
+
+TEST_F(quarantine_controller_test, decides_in_the_end_whatever_number_of_ends_overlap)
+{
+    // Another request is at each end that is kept first, and then is not seen any more.
+    for (int n = 0; n < 40; ++n) {
+        const auto runner = "r" + std::to_string(n);
+        crash(runner.c_str(), 1000 + n * 10, {{crashing, 900}, {sound, 900}});
+    }
+    EXPECT_EQ(decide(1500), requests{});
+    for (int n = 0; n < 4; ++n) {
+        const auto runner = "s" + std::to_string(n);
+        crash(runner.c_str(), 3000 + n * 1000, {{crashing, 500}});
+    }
+    EXPECT_EQ(decide(6100), requests{crashing});
+}
+
 TEST_F(quarantine_controller_test, names_the_crashes_that_show_why)
 {
     crash("a", 50, {{crashing, 50}});
