--- a/include/cedarpoint/quarantine/quarantine_controller.h
+++ b/include/cedarpoint/quarantine/quarantine_controller.h
@@ -28,7 +28,7 @@
     quarantine_controller();
 
     void clear();
-    void on_report(crash_histories in);
+    void on_report(const crash_histories& in);
     /// Cuts at runners whose addresses took connections afterwards.
     void on_cuts(instant now, const crash_histories& in) { cuts_.add(now, in); }
     /// The log holds the runner in this life.
--- a/include/cedarpoint/quarantine/unproved_cuts.h
+++ b/include/cedarpoint/quarantine/unproved_cuts.h
@@ -27,6 +27,8 @@
         request_fingerprint request;
         crash_observation seen;
     };
+    [[nodiscard]] bool holds(const request_fingerprint& request,
+                             const crash_observation& seen) const;
     void drop_old(instant now);
 
     std::vector<cut> cuts_;
--- a/src/quarantine/quarantine_controller.cpp
+++ b/src/quarantine/quarantine_controller.cpp
@@ -28,9 +28,10 @@
     has_news_ = false;
 }
 
-void quarantine_controller::on_report(crash_histories in)
+void quarantine_controller::on_report(const crash_histories& in)
 {
-    for (auto& [request, history] : in) {
+    for (const auto& [request, reported] : in) {
+        auto history = reported;
         for (auto& crash : history.crashes) {
             crash.life = lives_.life_at(crash.runner, crash.ended_at).value_or(birth{});
         }
--- a/src/quarantine/unproved_cuts.cpp
+++ b/src/quarantine/unproved_cuts.cpp
@@ -20,16 +20,21 @@
     drop_old(now);
     for (const auto& [request, history] : in) {
         for (const auto& each : history.crashes) {
-            const bool is_held = std::any_of(cuts_.begin(), cuts_.end(), [&](const auto& known) {
-                return known.request == request && is_same_observation(known.seen, each);
-            });
-            if (!is_held && now - each.ended_at <= longest_wait && cuts_.size() < most_cuts) {
+            const bool is_due = now - each.ended_at <= longest_wait && cuts_.size() < most_cuts;
+            if (is_due && !holds(request, each)) {
                 cuts_.push_back({request, each});
             }
         }
     }
 }
 
+bool unproved_cuts::holds(const request_fingerprint& request, const crash_observation& seen) const
+{
+    return std::any_of(cuts_.begin(), cuts_.end(), [&](const auto& each) {
+        return each.request == request && is_same_observation(each.seen, seen);
+    });
+}
+
 void unproved_cuts::on_answer(instant at, const request_fingerprint& request)
 {
     std::erase_if(cuts_, [&](const auto& each) {
