Cuts that are reported after the runner's next life was heard count as well

What callers would see: a runner that is back at once and heard at once would hide its end, since the entry daemon's report comes up to 200 ms later and only a new life looked for cuts to prove. Found in reading the change. Evidence: count_also_if_they_are_reported_after_the_next_life, new (the function returned nothing before). Change: a report of cuts looks as well.

--- a/include/cedarpoint/quarantine/quarantine_controller.h
+++ b/include/cedarpoint/quarantine/quarantine_controller.h
@@ -29,12 +29,12 @@
 
     void clear();
     void on_report(const crash_histories& in);
-    /// Cuts at runners whose addresses took connections afterwards.
-    void on_cuts(instant now, const crash_histories& in) { cuts_.add(now, in); }
+    /// Cuts at runners whose addresses took connections afterwards. Returns those that are known to
+    /// have been ends: a later life may have been heard before.
+    crash_histories on_cuts(instant now, const crash_histories& in);
     /// The log holds the runner in this life.
     void expect(const runner_id& runner, birth life) { lives_.expect(runner, life); }
-    /// A heartbeat of the runner in this life has come. Returns the cuts that this proves to have
-    /// been ends.
+    /// A heartbeat of the runner in this life has come. Returns the cuts that this proves.
     crash_histories on_heard(instant now, const runner_id& runner, birth life);
     /// Another runner has begun at its address; the same.
     crash_histories on_replaced(instant now, const runner_id& runner);
--- a/src/quarantine/quarantine_controller.cpp
+++ b/src/quarantine/quarantine_controller.cpp
@@ -43,6 +43,12 @@
     }
 }
 
+crash_histories quarantine_controller::on_cuts(instant now, const crash_histories& in)
+{
+    cuts_.add(now, in);
+    return take_proved(now);
+}
+
 crash_histories quarantine_controller::on_heard(instant now, const runner_id& runner, birth life)
 {
     return lives_.on_heard(now, runner, life) ? take_proved(now) : crash_histories{};
--- a/tests/quarantine/runner_lives_test.cpp
+++ b/tests/quarantine/runner_lives_test.cpp
@@ -111,6 +111,13 @@
     EXPECT_EQ(count(), 2);
 }
 
+TEST_F(cuts_that_wait_for_proof, count_also_if_they_are_reported_after_the_next_life)
+{
+    controller.on_heard(at(150), runner, second); // it was back at once
+    EXPECT_EQ(controller.on_cuts(at(300), cut(10, 100)).size(), 1U);
+    EXPECT_EQ(count(), 1);
+}
+
 TEST_F(cuts_that_wait_for_proof, are_the_same_end_as_one_that_another_daemon_saw_refused)
 {
     auto refused = cut(10, 100);
