Files of one job again: what a relay tells of ends, names of refusals, recent extremes

Change: relay_quarantine.cpp and election_status.cpp take what was moved as it stood; core/recent_extreme serves both windows. Behaviour is the same.

--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -2,7 +2,7 @@
 
 #include "cedarpoint/consensus/election_status.h"
 #include "cedarpoint/core/ids.h"
-#include "cedarpoint/core/recent_maximum.h"
+#include "cedarpoint/core/recent_extreme.h"
 #include "cedarpoint/core/time.h"
 #include "control.pb.h"
 
--- a/include/cedarpoint/core/peer_clock.h
+++ b/include/cedarpoint/core/peer_clock.h
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "cedarpoint/core/recent_extreme.h"
 #include "cedarpoint/core/time.h"
 
-#include <optional>
-
 namespace cedarpoint {
 
 /// Translates the steady clock of one other daemon into this daemon's own. Of the peer's messages
@@ -17,11 +16,7 @@
     [[nodiscard]] instant on_message(instant now, instant stamp);
 
 private:
-    void begin_window(instant now, duration offset);
-
-    std::optional<duration> lowest_;         ///< offset in the present window
-    std::optional<duration> lowest_earlier_; ///< in the window before
-    instant window_began_;
+    recent_minimum offsets_; ///< of this clock against the peer's
     instant latest_stamp_;
 };
 
--- /dev/null
+++ b/src/consensus/election_status.cpp
@@ -0,0 +1,26 @@
+#include "cedarpoint/consensus/election_status.h"
+
+namespace cedarpoint {
+
+std::string_view name_of(vote_refusal in)
+{
+    switch (in) {
+    case vote_refusal::none:
+        return "granted";
+    case vote_refusal::follows_leader:
+        return "follows a leader";
+    case vote_refusal::lease_may_run:
+        return "a lease may run";
+    case vote_refusal::candidate_behind:
+        return "the candidate is behind";
+    case vote_refusal::not_whole:
+        return "not whole";
+    case vote_refusal::old_term:
+        return "old term";
+    case vote_refusal::voted_already:
+        return "voted already";
+    }
+    return "";
+}
+
+} // namespace cedarpoint
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -234,7 +234,8 @@
 
 duration raft_node::patience() const
 {
-    return std::min(options_.election_timeout + writes_of_a_vote * slowest_write_.value(),
+    return std::min(options_.election_timeout +
+                        writes_of_a_vote * slowest_write_.value().value_or(duration{}),
                     longest_patience_timeouts * options_.election_timeout);
 }
 
