A daemon whose address is still in use tries again for 5 s before it gives up

Evidence: the `no_leader` lines of the one that was left name both others as without connection; the logs of these end with can_not_start, "Address already in use", some 100 ms after the kill: the processes that were killed still held their listening sockets.

Cause: a start that meets an address in use ended at once. Change: it is tried again for 5 s, in both forms; the line address_in_use says so. Other faults end the start as before.

Test: start_once_they_are_free holds three addresses for a second.

--- /dev/null
+++ b/src/cli/daemon_start.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "cedarpoint/core/reason.h"
+#include "cedarpoint/core/time.h"
+#include "io/clock.h"
+#include "io/listen_step.h"
+#include "io/log_line.h"
+
+#include <memory>
+#include <thread>
+
+namespace cedarpoint {
+
+/// Starts a daemon. A predecessor that was killed may hold its addresses for some moments, so that
+/// the start is tried again for a while if one is in use. Empty with `why` if it does not succeed.
+template <class Daemon, class Settings>
+[[nodiscard]] std::unique_ptr<Daemon> start_daemon(const Settings& own, reason& why)
+{
+    constexpr duration longest_wait = seconds{5};
+    constexpr milliseconds interval{100};
+    const auto last_try = steady_now() + longest_wait;
+    auto out = Daemon::start(own, why);
+    if (out == nullptr && why.step == listen_in_use_step) {
+        log_line("address_in_use").with("peer", why.peer).write();
+    }
+    while (out == nullptr && why.step == listen_in_use_step && steady_now() < last_try) {
+        std::this_thread::sleep_for(interval);
+        why = {};
+        out = Daemon::start(own, why);
+    }
+    return out;
+}
+
+} // namespace cedarpoint
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -1,5 +1,6 @@
 #include "cedarpoint/config/fleet_settings.h"
 #include "cli/commands.h"
+#include "cli/daemon_start.h"
 #include "cli/exit_code.h"
 #include "cli/process_signals.h"
 #include "cli/settings_file.h"
@@ -37,7 +38,7 @@
     std::unique_ptr<control_daemon> control;
     std::unique_ptr<entry_daemon> entry;
     if (own->role == fleet_role::control) {
-        control = control_daemon::start(std::move(*own), why);
+        control = start_daemon<control_daemon>(*own, why);
         if (control == nullptr) {
             return report_failed_start(why);
         }
@@ -45,7 +46,7 @@
         signals.on_stop = [&] { control->stop(); };
     }
     else {
-        entry = entry_daemon::start(std::move(*own), why);
+        entry = start_daemon<entry_daemon>(*own, why);
         if (entry == nullptr) {
             return report_failed_start(why);
         }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,5 +1,6 @@
 #include "cedarpoint/config/settings.h"
 #include "cli/commands.h"
+#include "cli/daemon_start.h"
 #include "cli/exit_code.h"
 #include "cli/process_signals.h"
 #include "cli/settings_file.h"
@@ -29,7 +30,7 @@
     choose_event_loop();
     QCoreApplication app{argc, argv};
     reason why;
-    const auto it = daemon::start(std::move(*own), why);
+    const auto it = start_daemon<daemon>(*own, why);
     if (it == nullptr) {
         return report_failed_start(why);
     }
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "io/http_connection.h"
 
 #include "io/header_rules.h"
+#include "io/listen_step.h"
 #include "io/socket_state.h"
 
 #include <fmt/format.h>
@@ -319,7 +320,8 @@
 bool http_listener::start(const endpoint& at, reason& why)
 {
     if (!listen(QHostAddress{QString::fromStdString(at.ip)}, at.port)) {
-        why = {"listen", at.str(), errorString().toStdString()};
+        const bool in_use = serverError() == QAbstractSocket::AddressInUseError;
+        why = {in_use ? listen_in_use_step : listen_step, at.str(), errorString().toStdString()};
         return false;
     }
     return true;
--- a/src/io/mesh.cpp
+++ b/src/io/mesh.cpp
@@ -1,6 +1,9 @@
 #include "io/mesh.h"
 
+#include "io/listen_step.h"
+
 #include <array>
+#include <cerrno>
 #include <cstring>
 #include <vector>
 
@@ -26,6 +29,11 @@
 constexpr const char* zap_domain = "cedarpoint";
 constexpr std::size_t key_bytes = 32;
 
+const char* step_of(const zmq::error_t& in)
+{
+    return in.num() == EADDRINUSE ? listen_in_use_step : listen_step;
+}
+
 std::string tcp(const endpoint& it)
 {
     return "tcp://" + it.str();
@@ -81,7 +89,7 @@
         }
     }
     catch (const zmq::error_t& e) {
-        why = {"listen", own.daemons->str(), e.what()};
+        why = {step_of(e), own.daemons->str(), e.what()};
         return false;
     }
     watch_inbox();
@@ -95,7 +103,7 @@
         open_inbox(at);
     }
     catch (const zmq::error_t& e) {
-        why = {"listen", at.str(), e.what()};
+        why = {step_of(e), at.str(), e.what()};
         return false;
     }
     watch_inbox();
--- /dev/null
+++ b/tests/daemon/occupied_address_test.cpp
@@ -0,0 +1,46 @@
+// Guards against daemons that end at once because a predecessor that was killed still holds one of
+// their addresses: three control daemons that were killed together came back as one.
+
+#include "daemon/site.h"
+#include "fleet/fleet_site.h"
+#include "support/fleet_processes.h"
+
+#include <QTcpServer>
+
+#include <gtest/gtest.h>
+#include <memory>
+#include <vector>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::fleet_processes;
+using testing_support::pass_time;
+
+constexpr int net = 228; ///< of the loopback range: tests run side by side
+
+const std::string document = R"({"version":1,
+    "routes":[{"name":"r","host":"h.example","pathPrefix":"/a/","kind":"safe","timeoutMs":2000,
+               "service":"shop"}],
+    "services":[{"name":"shop"}]})";
+
+TEST(daemons_whose_addresses_are_in_use, start_once_they_are_free)
+{
+    fleet_processes fleet{{net, 1, "occupied", false}};
+    std::vector<std::unique_ptr<QTcpServer>> holders;
+    for (const auto& at : {fleet.mesh_address(0), fleet.controls()[1], fleet.entries()[0]}) {
+        holders.push_back(std::make_unique<QTcpServer>());
+        ASSERT_TRUE(holders.back()->listen(QHostAddress{QString::fromStdString(at.ip)}, at.port));
+    }
+    fleet.start_all();
+    pass_time(seconds{1});
+    holders.clear();
+    EXPECT_TRUE(fleet.put(document));
+    pass_time(milliseconds{500});
+    for (int which = 0; which < fleet.count(); ++which) {
+        EXPECT_TRUE(fleet.at(which).is_running()) << which;
+    }
+}
+
+} // namespace
+} // namespace cedarpoint
