Reported cuts are not counted yet: a sound request was quarantined

What callers would see: a popular request refused.

Cause: a connection that is made while a runner is away, and cut by whoever keeps its port, counted as that runner's end under the request. A request that is cut at one runner is sent into the next that ended with it at once.

Change: the leader does not count reported cuts.

--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -241,8 +241,8 @@
     }
     const auto made_at = clocks_.sent_at(now, follower, in.stamp_us());
     take_crashes(now, follower, decode_crashes(made_at, in.suspected()));
-    const auto cuts = seen_by(follower, decode_crashes(made_at, in.cuts()));
-    tell_crashes(now, quarantine_.on_cuts(now, cuts));
+    // Not counted yet: `cuts` also holds connections that were made while the runner was away, and
+    // a sound request that is sent into those of several runners would be taken for their cause.
     const auto confirmed = in.term() == term_ ? in.version() : 0;
     const auto from = followers_.on_report(now, follower, confirmed, in.behind(), view_.version());
     auto out = make_update(now, from);
