Comment: reported cuts are not counted

Cause: the witness's comment still said that the leader holds a cut for a crash once a later life is heard; since it does not. Change: the comment alone. Measured: format and tree checks clean; nothing was built or run again.

--- a/include/cedarpoint/quarantine/crash_witness.h
+++ b/include/cedarpoint/quarantine/crash_witness.h
@@ -19,9 +19,9 @@
 ///
 /// A connection that ends without an answer proves no crash: it may be a reset, a cut, or a spoiled
 /// answer. So the runner's address is tried at once, and only a refused connection counts: the
-/// process is gone. If the address takes the connection, the cut is reported as well, and the
-/// leader holds it for a crash once it hears a later life of the runner. Runners that are leaving
-/// end as planned; the caller passes over them.
+/// process is gone. If the address takes the connection, the cut is reported apart from crashes;
+/// the leader does not count it. Runners that are leaving end as planned; the caller passes over
+/// them.
 ///
 /// Relies on: the leader learning of all observations. They are reported until the leader of the
 /// present term has answered a report that holds them, so a new leader gets them all.
