Entry daemons log when they reach no runner, since when, and on which evidence

Cause: the logs couldn't tell a runner that is down from a daemon that is cut off: each failed connection was charged to its runner, and nothing spoke of the daemon.

Change: path_monitor judges the paths from a daemon to runners by its own connections: failing paths, and a cut from all runners when none has given a sign of life for 300 ms while a connection failed or two runners owed a byte. Failing paths are probed each second, during a cut one runner each 250 ms. Lines dependency_lost and dependency_regained with kind="all runners", metrics cedarpoint_failing_runner_paths and cedarpoint_cut_off_from_runners. No decision on requests depends on it yet. The check of runners that closed a connection uses the same prober.

--- a/include/cedarpoint/fleet/target_set.h
+++ b/include/cedarpoint/fleet/target_set.h
@@ -4,6 +4,7 @@
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/fleet/fleet_target.h"
 #include "cedarpoint/fleet/health_report.h"
+#include "cedarpoint/fleet/path_monitor.h"
 #include "cedarpoint/fleet/view_content.h"
 #include "cedarpoint/rate_limits/send_permits.h"
 #include "cedarpoint/runner_signals/send_holds.h"
@@ -56,6 +57,8 @@
     [[nodiscard]] const fleet_target* find(const runner_id& runner) const;
 
     void on_sent(instant now, const runner_id& runner);
+    /// Records that a new connection to the runner was established.
+    void on_connected(instant now, const runner_id& runner);
     void on_byte(instant now, const runner_id& runner);
     void on_done(const runner_id& runner);
     /// Records the time between two events of a stream, or between a request and its plain answer.
@@ -67,6 +70,11 @@
     /// Records a failed connection attempt; `refused`: the address answered with a reset.
     void on_unreachable(instant now, const runner_id& runner, bool refused);
 
+    /// Looks for runners that owe an answer and have been silent for long. To be called regularly.
+    void check_silence(instant now);
+
+    /// The paths from this daemon to the accepting targets.
+    [[nodiscard]] path_monitor& paths() { return paths_; }
     /// Permits to send requests to runners that have named a rate limit.
     [[nodiscard]] send_permits& permits() { return permits_; }
     /// Runners that have asked for a pause or said that they leave.
@@ -92,6 +100,7 @@
     std::map<runner_id, fleet_target> targets_;
     std::map<service_model, std::vector<runner_id>> by_service_model_;
     std::map<runner_id, target_stats> stats_;
+    path_monitor paths_;
     send_permits permits_;
     send_holds holds_;
 };
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -59,6 +59,9 @@
                                                                        bool refused) {
           on_runner_end_checked(runner, refused);
       }},
+      path_prober_{[this](const runner_id& runner, connect_probe::result how) {
+          on_path_probed(runner, how);
+      }},
       mesh_{[this](const wire::envelope& in) { follower_.receive(steady_now(), in); }},
       suspensions_{steady_now(), timer_now()}
 {
@@ -186,7 +189,9 @@
     const auto now = steady_now();
     finished_requests_.clear();
     runner_ends_.clean_up();
+    path_prober_.clean_up();
     check_suspension(now);
+    check_paths(now);
     mesh_.drain();
     follower_.tick(now);
     mesh_.drain();
@@ -218,6 +223,46 @@
     }
 }
 
+void entry_daemon::check_paths(instant now)
+{
+    auto& targets = context_.targets;
+    targets.check_silence(now);
+    auto& paths = targets.paths();
+    for (const auto& runner : paths.take_due_probes(now)) {
+        if (const auto* target = targets.find(runner)) {
+            path_prober_.probe(runner, target->address);
+        }
+    }
+    context_.metrics.set_paths(static_cast<double>(paths.count_failing()), paths.cut().has_value());
+    if (paths.cut() && !cut_off_since_) {
+        cut_off_since_ = paths.cut()->since;
+        log_line("dependency_lost")
+            .with("kind", "all runners")
+            .with("evidence", name_of(paths.cut()->evidence))
+            .with("since_ms", to_ms(now - *cut_off_since_))
+            .with("failing", paths.count_failing())
+            .write();
+    }
+    else if (!paths.cut() && cut_off_since_) {
+        log_line("dependency_regained")
+            .with("kind", "all runners")
+            .with("after_ms", to_ms(now - *std::exchange(cut_off_since_, {})))
+            .write();
+    }
+}
+
+void entry_daemon::on_path_probed(const runner_id& runner, connect_probe::result how)
+{
+    const auto now = steady_now();
+    auto& paths = context_.targets.paths();
+    if (how == connect_probe::result::connected) {
+        paths.on_reached(now, runner);
+    }
+    else {
+        paths.on_connect_failed(now, runner);
+    }
+}
+
 void entry_daemon::on_view(view_copy::outcome outcome)
 {
     context_.entry_daemons = follower_.followers();
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -8,12 +8,14 @@
 #include "io/http_listener.h"
 #include "io/mesh.h"
 #include "io/runner_end_checker.h"
+#include "io/runner_prober.h"
 #include "io/suspension_watch.h"
 
 #include <QTimer>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -42,6 +44,9 @@
     void check_stop(instant now);
     /// If the machine was suspended, makes all requests check their deadlines again.
     void check_suspension(instant now);
+    /// Probes the runners whose paths fail, and logs when this daemon is cut off from all of them.
+    void check_paths(instant now);
+    void on_path_probed(const runner_id& runner, connect_probe::result how);
     void on_view(view_copy::outcome outcome);
     void install_configuration(const wire::accepted_configuration& accepted);
     [[nodiscard]] fleet_follower::hooks make_follower_hooks();
@@ -57,6 +62,8 @@
     fleet_follower follower_;
     reachability_checker reachability_;
     runner_end_checker runner_ends_;
+    runner_prober path_prober_;
+    std::optional<instant> cut_off_since_; ///< from all runners, as logged
     mesh mesh_;
     std::set<std::shared_ptr<relay>> requests_;
     /// Kept until none of their member functions is on the call stack.
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -52,7 +52,11 @@
       runner_ends_{registry_
                        .add_counters("cedarpoint_runner_ends_total",
                                      "Runners that ended with requests of this daemon in flight")
-                       .Add({})}
+                       .Add({})},
+      failing_paths_{registry_.add_gauge("cedarpoint_failing_runner_paths",
+                                         "Runners to which connections of this daemon fail")},
+      cut_off_{registry_.add_gauge("cedarpoint_cut_off_from_runners",
+                                   "1 while this daemon reaches no runner")}
 {
 }
 
@@ -89,6 +93,12 @@
     pause_.Observe(to_metric_seconds(between_events));
 }
 
+void entry_metrics::set_paths(double failing, bool cut_off)
+{
+    failing_paths_.Set(failing);
+    cut_off_.Set(cut_off ? 1 : 0);
+}
+
 void entry_metrics::set_view(double version, duration age)
 {
     view_version_.Set(version);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -35,6 +35,8 @@
     void set_leaving_runners(double count) { leaving_runners_.Set(count); }
     /// Counts a request that was sent although its runner is paused or leaving.
     void count_held_send() { held_sends_.Increment(); }
+    /// `failing`: runners to which connections fail; `cut_off`: this daemon reaches none at all.
+    void set_paths(double failing, bool cut_off);
     /// Counts an answer with a runner's signal (rate limit, pause or leave) that can't be parsed.
     void count_unreadable_signal() { unreadable_signals_.Increment(); }
 
@@ -59,6 +61,8 @@
     prometheus::Gauge& suspected_requests_;
     prometheus::Gauge& quarantined_requests_;
     prometheus::Counter& runner_ends_;
+    prometheus::Gauge& failing_paths_;
+    prometheus::Gauge& cut_off_;
     // Counters by label. Cached because a family searches its labels at each call, which costs time
     // for every request.
     std::map<std::string, prometheus::Counter*> known_ends_;
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -115,6 +115,9 @@
 {
     sent_at_ = steady_now();
     connected_at_ = connection_->connected_at();
+    if (connection_->is_fresh()) {
+        context_.targets.on_connected(*sent_at_, runner_);
+    }
     count_held_send(*sent_at_);
     if (options_.expects_stream) {
         arm_stall_timer(options_.first_event_timeout);
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -44,6 +44,7 @@
     targets_.clear();
     by_service_model_.clear();
     std::map<runner_id, incarnation> incarnations;
+    std::set<runner_id> accepting;
     std::map<runner_id, const view_group*> heads;
     for (const auto& [name, group] : view.groups) {
         if (!group.members.empty()) {
@@ -55,9 +56,13 @@
         auto target = make_target(facts, head == heads.end() ? nullptr : head->second);
         by_service_model_[{target.service, target.model}].push_back(runner);
         incarnations[runner] = target.its_incarnation;
+        if (target.accepting) {
+            accepting.insert(runner);
+        }
         targets_.emplace(runner, std::move(target));
     }
     holds_.on_incarnations(now, std::move(incarnations));
+    paths_.set_runners(accepting);
     std::erase_if(stats_, [&](const auto& each) {
         return each.second.in_flight == 0 && !targets_.contains(each.first);
     });
@@ -151,8 +156,14 @@
     }
 }
 
+void target_set::on_connected(instant now, const runner_id& runner)
+{
+    paths_.on_reached(now, runner);
+}
+
 void target_set::on_byte(instant now, const runner_id& runner)
 {
+    paths_.on_reached(now, runner);
     auto& stats = stats_[runner];
     stats.waiting_since = now;
     stats.latest_byte = now;
@@ -192,9 +203,19 @@
     auto& stats = stats_[runner];
     ++stats.failed_connects;
     stats.refused = stats.refused || refused;
+    paths_.on_connect_failed(now, runner);
     on_failure(now, runner);
 }
 
+void target_set::check_silence(instant now)
+{
+    const auto silent = std::count_if(stats_.begin(), stats_.end(), [&](const auto& each) {
+        return each.second.in_flight > 0 &&
+               now - each.second.waiting_since >= path_monitor::cut_off_silence;
+    });
+    paths_.on_silence(now, static_cast<std::size_t>(silent));
+}
+
 std::map<runner_id, runner_observation> target_set::take_observations(instant now)
 {
     std::map<runner_id, runner_observation> out;
--- a/src/io/runner_end_checker.cpp
+++ b/src/io/runner_end_checker.cpp
@@ -1,7 +1,5 @@
 #include "io/runner_end_checker.h"
 
-#include <utility>
-
 namespace cedarpoint {
 namespace {
 
@@ -11,19 +9,16 @@
 
 } // namespace
 
-void runner_end_checker::check(const runner_id& runner, const endpoint& address)
+runner_end_checker::runner_end_checker(const result_handler& on_result)
+    : prober_{[on_result](const runner_id& runner, connect_probe::result how) {
+          on_result(runner, how == connect_probe::result::refused);
+      }}
 {
-    const auto on_end = [this, runner](connect_probe::result how) {
-        on_result_(runner, how == connect_probe::result::refused);
-    };
-    auto& probe = probes_[runner];
-    probe = std::make_unique<connect_probe>(address, on_end);
-    probe->start(listener_close_delay);
 }
 
-void runner_end_checker::clean_up()
+void runner_end_checker::check(const runner_id& runner, const endpoint& address)
 {
-    std::erase_if(probes_, [](const auto& each) { return each.second->is_done(); });
+    prober_.probe(runner, address, listener_close_delay);
 }
 
 } // namespace cedarpoint
