Red test: entry daemons cut off from runners refuse their callers

Each entry daemon runs with a preloaded library that redirects its connections to runners to proxies of its own, so that a test can cut the paths of single daemons: open connections stall, are reset or live on, new ones hang or are refused. Five of eight daemons, a failure domain or one daemon are cut off, twice in a run; callers on kept and new connections send streams, requests that may be repeated and requests that may run once.

--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -34,6 +34,7 @@
     [[nodiscard]] int served() const { return served_; }
     [[nodiscard]] bool is_open() const { return state_ == "open"; }
     [[nodiscard]] const std::string& id() const { return id_; }
+    [[nodiscard]] const endpoint& address() const { return address_; }
     void drain();
     [[nodiscard]] bool drain_acknowledged() const { return drain_acknowledged_; }
     int fail_next = 0;                 ///< number of plain requests to answer with 500
--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/soak/loopback_proxy.cpp
@@ -17,7 +17,7 @@
 };
 
 loopback_proxy::loopback_proxy(const endpoint& source, endpoint target)
-    : target_address_{std::move(target)}
+    : source_address_{source}, target_address_{std::move(target)}
 {
     server_.listen(QHostAddress{QString::fromStdString(source.ip)}, source.port);
     QObject::connect(&server_, &QTcpServer::newConnection, [this] { accept(); });
@@ -105,6 +105,39 @@
     }
 }
 
+void loopback_proxy::set_accepting(accepting_t accepting)
+{
+    if (accepting == std::exchange(accepting_, accepting)) {
+        return;
+    }
+    queue_fillers_.clear();
+    if (accepting == accepting_t::refuses) {
+        server_.close();
+        return;
+    }
+    if (!server_.isListening()) {
+        server_.listen(QHostAddress{QString::fromStdString(source_address_.ip)},
+                       source_address_.port);
+    }
+    if (accepting == accepting_t::hangs) {
+        fill_backlog();
+    }
+    else {
+        ::listen(static_cast<int>(server_.socketDescriptor()), server_.listenBacklogSize());
+        server_.resumeAccepting();
+    }
+}
+
+void loopback_proxy::fill_backlog()
+{
+    server_.pauseAccepting();
+    ::listen(static_cast<int>(server_.socketDescriptor()), 0);
+    // A queue of length 0 takes one connection.
+    queue_fillers_.push_back(std::make_unique<QTcpSocket>());
+    queue_fillers_.back()->connectToHost(server_.serverAddress(), server_.serverPort());
+    queue_fillers_.back()->waitForConnected();
+}
+
 void loopback_proxy::reset_connections()
 {
     for (const auto& it : std::exchange(connections_, {})) {
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -4,6 +4,7 @@
 #include <QProcessEnvironment>
 
 #include <csignal>
+#include <map>
 #include <string>
 
 namespace cedarpoint::testing_support {
@@ -11,15 +12,17 @@
 /// A fleet daemon that runs as a process of the real program. The destructor kills it.
 class daemon_process {
 public:
-    /// `preload`: a library for LD_PRELOAD; empty: none.
+    /// Environment variables that are added to those of the test.
+    using variables = std::map<std::string, std::string>;
+
     daemon_process(const std::string& settings_file, const std::string& log_file,
-                   const std::string& preload = {})
+                   const variables& added = {})
     {
-        if (!preload.empty()) {
-            auto environment = QProcessEnvironment::systemEnvironment();
-            environment.insert("LD_PRELOAD", QString::fromStdString(preload));
-            process_.setProcessEnvironment(environment);
+        auto environment = QProcessEnvironment::systemEnvironment();
+        for (const auto& [name, value] : added) {
+            environment.insert(QString::fromStdString(name), QString::fromStdString(value));
         }
+        process_.setProcessEnvironment(environment);
         process_.setProcessChannelMode(QProcess::MergedChannels);
         process_.setStandardOutputFile(QString::fromStdString(log_file), QIODevice::Append);
         process_.start(BINARY_DIR "/cedarpoint",
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -60,6 +60,30 @@
     return fmt::format("127.{}.3.{}", options_.net, index - control_count + 1);
 }
 
+std::string fleet_processes::runner_proxy_ip(int entry) const
+{
+    return fmt::format("127.{}.4.{}", options_.net, entry + 1);
+}
+
+std::string fleet_processes::failure_domain_of(int index) const
+{
+    return options_.failure_domains == 1 ? "z"
+                                         : fmt::format("z{}", index % options_.failure_domains);
+}
+
+daemon_process::variables fleet_processes::variables_of(int index) const
+{
+    daemon_process::variables out;
+    if (!options_.preload.empty()) {
+        out["LD_PRELOAD"] = options_.preload;
+    }
+    if (options_.behind_runner_proxies && index >= control_count) {
+        out["LD_PRELOAD"] = BINARY_DIR "/libredirect_runners.so";
+        out["REDIRECT_RUNNERS_TO"] = runner_proxy_ip(index - control_count);
+    }
+    return out;
+}
+
 std::vector<endpoint> fleet_processes::entries() const
 {
     std::vector<endpoint> out;
@@ -71,7 +95,8 @@
 
 void fleet_processes::start(int index, bool first_start)
 {
-    nlohmann::json settings_json{{"name", fmt::format("d-{}", index)}, {"failure_domain", "z"}};
+    nlohmann::json settings_json{{"name", fmt::format("d-{}", index)},
+                                 {"failure_domain", failure_domain_of(index)}};
     for (const auto& address : controls_) {
         settings_json["seeds"].push_back(address.str());
     }
@@ -99,7 +124,7 @@
     const auto settings_file = fmt::format("{}/d-{}.json", folder_.path().toStdString(), index);
     std::ofstream{settings_file} << settings_json.dump();
     daemons_[static_cast<std::size_t>(index)] =
-        std::make_unique<daemon_process>(settings_file, log_file_of(index), options_.preload);
+        std::make_unique<daemon_process>(settings_file, log_file_of(index), variables_of(index));
 }
 
 void fleet_processes::start_all()
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -28,6 +28,10 @@
         std::string preload; ///< a library for LD_PRELOAD of each daemon; empty: none
         /// `ratio` of the retry budget; 0: the default.
         double retry_ratio = 0;
+        /// Entry daemons are spread over this many failure domains.
+        int failure_domains = 1;
+        /// Entry daemons connect to runners at `runner_proxy_ip` instead of 127.0.0.1.
+        bool behind_runner_proxies = false;
     };
 
     explicit fleet_processes(options options);
@@ -48,6 +52,9 @@
     /// The advertised mesh address of a control daemon, and the one that it binds behind proxies.
     [[nodiscard]] endpoint mesh_address(int control) const;
     [[nodiscard]] endpoint bind_address(int control) const;
+    /// Returns the address at which an entry daemon, numbered as in `entries`, reaches runners if
+    /// it runs behind runner proxies.
+    [[nodiscard]] std::string runner_proxy_ip(int entry) const;
     /// Returns the number of the leading control daemon; nothing if none leads.
     [[nodiscard]] std::optional<int> leader() const;
     /// Sends a configuration to the control daemons in turn until one accepts it. Returns whether
@@ -63,6 +70,8 @@
 
 private:
     [[nodiscard]] std::string ip_of_entry(int index) const;
+    [[nodiscard]] std::string failure_domain_of(int index) const;
+    [[nodiscard]] daemon_process::variables variables_of(int index) const;
     [[nodiscard]] std::string log_file_of(int index) const;
 
     options options_;
--- a/tests/support/open_loop_callers.cpp
+++ b/tests/support/open_loop_callers.cpp
@@ -48,24 +48,31 @@
 void open_loop_callers::send(std::size_t entry)
 {
     const auto it = make_request_(sent_);
+    const auto answer = std::make_shared<result>();
+    answer->entry = entry;
+    answer->id = fmt::format("{}-{}{}", entry, name_, sent_);
+    answer->target = it.target;
+    answer->sent = steady_now();
     exchange_request out;
     out.bytes = fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\n"
-                            "X-Cedarpoint-Request-Id: {}-{}{}\r\n"
+                            "X-Cedarpoint-Request-Id: {}\r\n{}"
                             "X-Cedarpoint-Deadline-Ms: 2000\r\nContent-Length: {}\r\n\r\n{}",
-                            it.method, it.target, entry, name_, sent_, it.body.size(), it.body);
-    auto* connection = pool_.take(entries_[entry]);
-    const auto start = steady_now();
-    const auto answer = std::make_shared<result>();
+                            it.method, it.target, answer->id,
+                            it.model.empty() ? "" : "X-Cedarpoint-Model: " + it.model + "\r\n",
+                            it.body.size(), it.body);
+    auto& pool = it.on_new_connection ? new_connections_ : pool_;
+    auto* connection = it.on_new_connection ? pool.take(entries_[entry], milliseconds{0})
+                                            : pool.take(entries_[entry]);
     exchange_handlers handlers;
     handlers.on_head = [answer](const http_head& head) {
         answer->status = head.status;
         answer->retry_after = parse_decimal(head.fields.get("Retry-After")).value_or(0);
     };
     handlers.on_body = [answer](const std::string& bytes) { answer->text += bytes; };
-    handlers.on_end = [this, connection, answer, start](exchange_end end, const reason&) {
-        pool_.release(connection);
+    handlers.on_end = [this, &pool, connection, answer](exchange_end end, const reason&) {
+        pool.release(connection);
         answer->ended = steady_now();
-        answer->took = answer->ended - start;
+        answer->took = answer->ended - answer->sent;
         answer->status = end == exchange_end::complete ? answer->status : 0;
         results.push_back(*answer);
     };
--- a/tests/support/open_loop_callers.h
+++ b/tests/support/open_loop_callers.h
@@ -21,8 +21,14 @@
         std::string method = "GET";
         std::string target;
         std::string body;
+        std::string model;              ///< empty: the request names none
+        bool on_new_connection = false; ///< otherwise on a kept one, if there is one
     };
     struct result {
+        std::size_t entry = 0; ///< the entry daemon that was asked
+        std::string id;
+        std::string target;
+        instant sent;
         instant ended;
         int status = 0; ///< HTTP status; 0: no complete answer
         duration took{};
@@ -50,6 +56,7 @@
     instant start_;
     std::vector<std::size_t> schedule_; ///< indices of entry daemons, each repeated by its share
     runner_pool pool_;
+    runner_pool new_connections_;
     QTimer timer_;
     std::size_t sent_ = 0;
 };
