A daemon that reaches no runner sends requests through another entry daemon

What callers saw: at entry daemons cut off from all runners 26 of 211 first tries were served, at the others 667 of 670.

Cause: an entry daemon had one way to a runner, its own connection. Nothing judged the path from a daemon to a runner apart from the runner, and no daemon could use another one's path.

Change: each entry daemon may listen at `forwards` for requests that others send through it and reports that address and whether it is cut off; the leader lists these daemons in the view, whose copy serves without a leader too. A request goes through a peer if the daemon is cut off, if its best target's path fails, or after two connections of its own that failed; own failure domain first. The peer gets the caller's request with its key and admits it by itself, sends it to one runner at most, never on to a third daemon, and says how its answer came about, so that attempts, retry budget and demand are counted once, by the daemon that the caller asked, and loads, rate limits, pauses and ends of runners once, by the daemon that sends. Callers' closes, streams and backpressure pass through as on any connection. What an attempt observes goes to a recorder, one for runners and one for peers. The leader takes no silence of a daemon that is cut off for a fault of a runner while another daemon is not. A daemon of the version before lists no address and is sent nothing.

--- a/include/cedarpoint/config/fleet_settings.h
+++ b/include/cedarpoint/config/fleet_settings.h
@@ -27,6 +27,9 @@
     endpoint address;                ///< advertised to other daemons; all daemons use the same port
     std::optional<endpoint> bind;    ///< local address to listen on, if not `address`
     std::optional<endpoint> callers; ///< entry: listener for callers' requests
+    /// Entry: listener for requests that other entry daemons send through this one. Without it, it
+    /// accepts none.
+    std::optional<endpoint> forwards;
     std::optional<endpoint> ready;   ///< entry: listener for the load balancer's readiness checks
     std::optional<endpoint> control; ///< control: listener for calls of operators and runners
     std::optional<endpoint> metrics;
--- a/include/cedarpoint/fleet/health_report.h
+++ b/include/cedarpoint/fleet/health_report.h
@@ -3,11 +3,13 @@
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/core/units.h"
+#include "cedarpoint/fleet/entry_peers.h"
 #include "cedarpoint/quarantine/crash_observation.h"
 #include "cedarpoint/rate_limits/permit_messages.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace cedarpoint {
 
@@ -47,6 +49,9 @@
     /// Runners that have said in an answer that they leave, each with the start time of the process
     /// that said so. Reported for as long as the view shows them as accepting.
     std::map<runner_id, incarnation> leaving;
+    bool cut_off = false; ///< the daemon reaches no runner
+    /// The daemon as a peer of other entry daemons; empty if it accepts no requests of them.
+    std::optional<entry_peer> as_peer;
 };
 
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/health_reports.h
+++ b/include/cedarpoint/fleet/health_reports.h
@@ -9,6 +9,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace cedarpoint {
 
@@ -41,6 +43,8 @@
     /// Returns the number of entry daemons that share the fleet's limits: those with a recent
     /// report.
     [[nodiscard]] std::size_t count_followers(instant now) const;
+    /// Returns the entry daemons with a recent report that accept requests of others.
+    [[nodiscard]] std::vector<entry_peer> entry_daemons(instant now) const;
     /// Returns true once an entry daemon has reported a request for a model.
     [[nodiscard]] bool has_traffic() const { return requests_seen_ > 0; }
     /// Returns the rejected requests for a model per second, averaged over about a second.
@@ -56,9 +60,14 @@
             bool reachable = false;
         };
         std::map<runner_id, check> checks;
+        bool cut_off = false;
+        std::optional<entry_peer> as_peer;
     };
 
     [[nodiscard]] static bool is_current(instant now, const entry& in);
+    /// Returns true if the failed connections and the silence that this daemon sees say something
+    /// of the runners. They don't if it is cut off from all runners and another daemon is not.
+    [[nodiscard]] bool is_witness(instant now, const entry& in) const;
 
     std::map<daemon_id, entry> entries_;
     latency_tracker latencies_;
--- a/include/cedarpoint/fleet/view_content.h
+++ b/include/cedarpoint/fleet/view_content.h
@@ -3,6 +3,7 @@
 #include "cedarpoint/core/endpoint.h"
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/units.h"
+#include "cedarpoint/fleet/entry_peers.h"
 #include "cedarpoint/quarantine/crash_observation.h"
 
 #include <map>
@@ -33,13 +34,14 @@
     bool accepting = true;          ///< false while the group retires
 };
 
-/// The runners and groups of a view, and the requests that crash runners.
+/// The runners, groups and entry daemons of a view, and the requests that crash runners.
 struct view_content {
     std::map<runner_id, view_runner> runners; ///< plain runners and heads of groups
     std::map<group_id, view_group> groups;
     /// Number of runners that crashed while running each request. 0: an operator has lifted the
     /// request's quarantine.
     crash_counts crashes;
+    std::vector<entry_peer> entry_daemons; ///< those that send requests on for others
 };
 
 } // namespace cedarpoint
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -74,6 +74,7 @@
     it.address = read_endpoint(in, "address", true).value_or(endpoint{});
     it.bind = read_endpoint(in, "bind", false);
     it.callers = read_endpoint(in, "callers", !is_control);
+    it.forwards = read_endpoint(in, "forwards", false);
     it.ready = read_endpoint(in, "ready", !is_control);
     it.control = read_endpoint(in, "control", is_control);
     it.metrics = read_endpoint(in, "metrics", false);
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cedarpoint/fleet/entry_peers.h"
 #include "cedarpoint/fleet/health_report.h"
 #include "cedarpoint/fleet/platform_adapter.h"
 #include "cedarpoint/fleet/route_table.h"
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <string>
 
 namespace cedarpoint {
 
@@ -21,7 +23,9 @@
 struct entry_context {
     const platform_adapter& platform;
     std::shared_ptr<const route_table> routes; ///< null before the first configuration
+    std::string name;                          ///< of this daemon, for logs
     target_set targets;
+    entry_peers peers;
     windowed_retry_budget budget;
     runner_pool pool;
     entry_metrics metrics;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -44,7 +44,10 @@
     : settings_{std::move(daemon_settings)},
       context_{.platform = installed_platform(),
                .routes = nullptr,
+               .name = settings_.name,
                .targets = target_set{settings_.failure_domain, random_seed()},
+               .peers =
+                   entry_peers{settings_.forwards.value_or(endpoint{}), settings_.failure_domain},
                .budget = windowed_retry_budget{settings_.budget, steady_now()},
                .pool = {},
                .metrics = {},
@@ -129,11 +132,13 @@
 
 bool entry_daemon::open_listeners(reason& why)
 {
-    callers_listener_ = std::make_unique<http_listener>(
-        limits_of_callers(),
-        [this](http_request request, const std::shared_ptr<http_reply>& reply) {
-            on_request(std::move(request), reply);
-        });
+    callers_listener_ = make_listener(request_source::caller);
+    if (settings_.forwards) {
+        forwards_listener_ = make_listener(request_source::entry_daemon);
+        if (!forwards_listener_->start(*settings_.forwards, why)) {
+            return false;
+        }
+    }
     ready_listener_ = make_ready_listener([this] { return is_ready(); });
     if (!callers_listener_->start(*settings_.callers, why) ||
         !ready_listener_->start(*settings_.ready, why)) {
@@ -146,6 +151,23 @@
     return metrics_listener_->start(*settings_.metrics, why);
 }
 
+std::unique_ptr<http_listener> entry_daemon::make_listener(request_source source)
+{
+    return std::make_unique<http_listener>(
+        limits_of_callers(),
+        [this, source](http_request request, const std::shared_ptr<http_reply>& reply) {
+            on_request(source, std::move(request), reply);
+        });
+}
+
+void entry_daemon::stop_listeners()
+{
+    callers_listener_->stop();
+    if (forwards_listener_ != nullptr) {
+        forwards_listener_->stop();
+    }
+}
+
 bool entry_daemon::is_ready() const
 {
     return !context_.stopping && context_.routes != nullptr;
@@ -166,7 +188,7 @@
     const auto passed = now - stop_began_;
     if (!closing_ && passed >= balancer_removal_time) {
         closing_ = true;
-        callers_listener_->stop();
+        stop_listeners();
     }
     const bool idle = closing_ && requests_.empty() && callers_listener_->connections() == 0;
     return idle || passed >= settings_.stop_bound - stop_margin;
@@ -242,12 +264,14 @@
             .with("since_ms", to_ms(now - *cut_off_since_))
             .with("failing", paths.count_failing())
             .write();
+        follower_.report_soon(); // so that no other daemon sends requests through this one
     }
     else if (!paths.cut() && cut_off_since_) {
         log_line("dependency_regained")
             .with("kind", "all runners")
             .with("after_ms", to_ms(now - *std::exchange(cut_off_since_, {})))
             .write();
+        follower_.report_soon();
     }
 }
 
@@ -279,6 +303,7 @@
     }
     auto content = decode(view.items());
     context_.targets.update(steady_now(), content);
+    context_.peers.update(steady_now(), content.entry_daemons);
     context_.crashes.set_leader_counts(steady_now(), std::move(content.crashes));
     for (const auto& each : std::vector(requests_.begin(), requests_.end())) {
         each->on_targets_changed();
@@ -330,6 +355,10 @@
     out.crashes = context_.crashes.unconfirmed();
     out.cuts = context_.crashes.unconfirmed_cuts(now);
     out.leaving = context_.targets.leaving_targets();
+    out.cut_off = context_.targets.paths().cut().has_value();
+    if (settings_.forwards && !context_.stopping) {
+        out.as_peer = {*settings_.forwards, settings_.failure_domain, out.cut_off};
+    }
     out.demand = context_.demand;
     for (auto& [model, count] : context_.demand) {
         count = {};
@@ -351,9 +380,10 @@
 
 // --- requests -----------------------------------------------------------------------------------
 
-void entry_daemon::on_request(http_request request, const std::shared_ptr<http_reply>& reply)
+void entry_daemon::on_request(request_source source, http_request request,
+                              const std::shared_ptr<http_reply>& reply)
 {
-    const auto next = std::make_shared<relay>(context_, std::move(request), reply,
+    const auto next = std::make_shared<relay>(context_, source, std::move(request), reply,
                                               [this](const std::shared_ptr<relay>& ended) {
                                                   requests_.erase(ended);
                                                   finished_requests_.push_back(ended);
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -55,7 +55,10 @@
     void on_runner_end_checked(const runner_id& runner, bool refused);
     bool open_listeners(reason& why);
     [[nodiscard]] bool is_stop_due(instant now);
-    void on_request(http_request request, const std::shared_ptr<http_reply>& reply);
+    void on_request(request_source source, http_request request,
+                    const std::shared_ptr<http_reply>& reply);
+    [[nodiscard]] std::unique_ptr<http_listener> make_listener(request_source source);
+    void stop_listeners();
 
     fleet_settings settings_;
     entry_context context_;
@@ -69,6 +72,7 @@
     /// Kept until none of their member functions is on the call stack.
     std::vector<std::shared_ptr<relay>> finished_requests_;
     std::unique_ptr<http_listener> callers_listener_;
+    std::unique_ptr<http_listener> forwards_listener_; ///< null: accepts no peers' requests
     std::unique_ptr<http_listener> ready_listener_;
     std::unique_ptr<http_listener> metrics_listener_;
     QTimer timer_;
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -15,6 +15,11 @@
                                    "Requests by final answer and its cause")},
       attempts_{
           registry_.add_counters("cedarpoint_attempts_total", "Attempts at runners by outcome")},
+      forwarded_{registry_.add_counters("cedarpoint_forwarded_attempts_total",
+                                        "Attempts through other entry daemons by outcome")},
+      peer_requests_{
+          registry_.add_counters("cedarpoint_peer_requests_total",
+                                 "Requests of other entry daemons by final answer and its cause")},
       first_byte_{registry_.add_histogram("cedarpoint_first_byte_seconds",
                                           "From arrival to the first event or the whole answer",
                                           latency_bounds)},
@@ -78,6 +83,16 @@
     counter->Increment();
 }
 
+void entry_metrics::count_forwarded(const std::string& outcome)
+{
+    forwarded_.Add({{"outcome", outcome}}).Increment();
+}
+
+void entry_metrics::count_peer_request(const std::string& outcome, const std::string& cause)
+{
+    peer_requests_.Add({{"outcome", outcome}, {"cause", cause}}).Increment();
+}
+
 void entry_metrics::observe_first_byte(duration since_arrival)
 {
     first_byte_.Observe(to_metric_seconds(since_arrival));
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -17,6 +17,10 @@
     /// small set of texts that hold no ids or addresses.
     void count_end(const std::string& outcome, const std::string& cause);
     void count_attempt(const std::string& outcome);
+    /// Counts an attempt of a caller's request through another entry daemon.
+    void count_forwarded(const std::string& outcome);
+    /// Counts a request that another entry daemon has sent through this one.
+    void count_peer_request(const std::string& outcome, const std::string& cause);
     void observe_first_byte(duration since_arrival);
     void observe_request_time(duration since_arrival);
     void observe_pause(duration between_events);
@@ -46,6 +50,8 @@
     metrics_registry registry_;
     prometheus::Family<prometheus::Counter>& ends_;
     prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& forwarded_;
+    prometheus::Family<prometheus::Counter>& peer_requests_;
     prometheus::Histogram& first_byte_;
     prometheus::Histogram& request_time_;
     prometheus::Histogram& pause_;
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -23,6 +23,9 @@
 /// The same limit for a request that can be retried.
 constexpr milliseconds max_idle_if_repeatable{4000};
 
+/// Connections of one request that may fail before it goes through another entry daemon.
+constexpr int max_unreachable_attempts = 2;
+
 /// Bounds the memory of a stream: reading from the runner pauses when more than this many bytes are
 /// buffered for the caller, and resumes when less than half are.
 constexpr std::size_t max_stream_buffer_bytes = 256 << 10;
@@ -61,13 +64,13 @@
 
 } // namespace
 
-relay::relay(entry_context& context, http_request request, std::shared_ptr<http_reply> reply,
-             end_handler on_end)
-    : context_{context}, request_{std::move(request)}, reply_{std::move(reply)}, on_end_{std::move(
-                                                                                     on_end)},
-      routes_{context.routes}, id_{request_.fields.get(context.platform.headers().request_id)},
-      arrived_{steady_now() - request_.waited}, cursor_{request_.fields.get(
-                                                    context.platform.headers().resume_after)}
+relay::relay(entry_context& context, request_source source, http_request request,
+             std::shared_ptr<http_reply> reply, end_handler on_end)
+    : context_{context}, source_{source}, request_{std::move(request)}, reply_{std::move(reply)},
+      on_end_{std::move(on_end)}, routes_{context.routes},
+      id_{request_.fields.get(context.platform.headers().request_id)}, arrived_{steady_now() -
+                                                                                request_.waited},
+      cursor_{request_.fields.get(context.platform.headers().resume_after)}
 {
     deadline_timer_.setSingleShot(true);
     deadline_timer_.setTimerType(Qt::PreciseTimer);
@@ -102,11 +105,21 @@
     }
     const auto now = steady_now();
     start_deadline_timer(now);
+    if (is_for_peer()) {
+        tried_ = read_tried(request_);
+    }
+    else {
+        count_first_attempt(now);
+    }
+    try_next_target();
+}
+
+void relay::count_first_attempt(instant now)
+{
     if (!admission_.model.empty()) {
         ++context_.demand[admission_.model].started;
     }
     context_.budget.on_first_attempt(now);
-    try_next_target();
 }
 
 void relay::start_deadline_timer(instant now)
@@ -151,7 +164,8 @@
     }
     facts_.repeat = admission_.route->repeat;
     facts_.resumable = admission_.route->resumable;
-    facts_.max_attempts = std::max(admission_.route->max_attempts, 1);
+    // The entry daemon that sent the request decides on retries.
+    facts_.max_attempts = is_for_peer() ? 1 : std::max(admission_.route->max_attempts, 1);
     return true;
 }
 
@@ -160,12 +174,10 @@
 void relay::try_next_target()
 {
     const auto now = steady_now();
-    const auto choice = context_.targets.choose(now, admission_.service, admission_.model, tried_);
-    if (choice.target == nullptr) {
-        if (choice.outcome == target_choice::outcome_t::paused) {
-            pause_ends_ = choice.pause_ends;
-        }
-        fail_request(no_target_reason(choice.outcome));
+    std::string why_none;
+    const auto next = choose_next(now, why_none);
+    if (!next) {
+        fail_request(why_none);
         return;
     }
     if (!has_time_to_send(now)) {
@@ -176,14 +188,51 @@
         fail_request("the retry budget is spent");
         return;
     }
-    send_to(*choice.target);
+    send_to(*next);
+}
+
+std::optional<runner_attempt::destination> relay::choose_next(instant now, std::string& why_none)
+{
+    auto& paths = context_.targets.paths();
+    if (paths.cut() || unreachable_ >= max_unreachable_attempts) {
+        if (const auto* peer = choose_peer(now)) {
+            return runner_attempt::destination{peer->address, {}, {}, true};
+        }
+    }
+    const auto choice = context_.targets.choose(now, admission_.service, admission_.model, tried_);
+    const bool is_reached = choice.target != nullptr && paths.can_reach(choice.target->runner);
+    const bool may_be_reached_elsewhere =
+        choice.target != nullptr ||
+        (unreachable_ > 0 && choice.outcome == target_choice::outcome_t::none_available);
+    if (!is_reached && may_be_reached_elsewhere) {
+        if (const auto* peer = choose_peer(now)) {
+            return runner_attempt::destination{peer->address, {}, {}, true};
+        }
+    }
+    if (choice.target == nullptr) {
+        pause_ends_ =
+            choice.outcome == target_choice::outcome_t::paused ? choice.pause_ends : pause_ends_;
+        why_none = no_target_reason(choice.outcome);
+        return {};
+    }
+    if (!is_reached && (is_for_peer() || !tried_peers_.empty())) {
+        why_none = "no target is reached";
+        return {};
+    }
+    return runner_attempt::destination{choice.target->address, choice.target->runner,
+                                       choice.target->group, false};
 }
 
-void relay::send_to(const fleet_target& target)
+void relay::send_to(const runner_attempt::destination& to)
 {
-    tried_.insert(target.runner);
-    const auto next =
-        std::make_shared<runner_attempt>(context_, target, make_options(target), make_handlers());
+    if (to.is_entry_daemon) {
+        tried_peers_.insert(to.address);
+    }
+    else {
+        tried_.insert(to.runner);
+    }
+    const auto next = std::make_shared<runner_attempt>(context_, to, make_recorder(to),
+                                                       make_options(to), make_handlers());
     attempt_ = next;
     next->start();
 }
@@ -204,11 +253,16 @@
     return serialize(request_, added, context_.platform.headers());
 }
 
-runner_attempt::options relay::make_options(const fleet_target& target) const
+runner_attempt::options relay::make_options(const runner_attempt::destination& to) const
 {
     const auto& route = *admission_.route;
     runner_attempt::options out;
-    out.make_request = [this, runner = target.runner] { return make_request(runner); };
+    if (to.is_entry_daemon) {
+        out.make_request = [this] { return make_forwarded_request(); };
+    }
+    else {
+        out.make_request = [this, runner = to.runner] { return make_request(runner); };
+    }
     out.id = id_;
     out.head_only = request_.method == "HEAD";
     out.expects_stream = is_stream();
@@ -225,7 +279,12 @@
     // keeps it until none of its member functions runs.
     runner_attempt::handlers out;
     out.may_send = [this] { return has_time_to_send(steady_now()); };
-    out.on_sending = [this] { ++facts_.sent; };
+    out.on_sending = [this] {
+        ++facts_.sent;
+        if (!attempt_->to().is_entry_daemon) {
+            sent_to_.insert(attempt_->runner());
+        }
+    };
     out.on_event = [this](std::string_view event) { return forward_event(event); };
     out.on_events_forwarded = [this] { apply_backpressure(); };
     out.on_stalled = [this] { on_stalled(); };
@@ -245,10 +304,10 @@
     const auto now = steady_now();
     if (!stream_begun_) {
         stream_begun_ = true;
-        reply_->begin(without_hop_by_hop(attempt_->head()));
-        context_.metrics.observe_first_byte(now - arrived_);
+        reply_->begin(make_answer_head(attempt_->head()));
+        observe_first_byte(now);
     }
-    else {
+    else if (!is_for_peer()) {
         context_.metrics.observe_pause(now - latest_event_at_);
     }
     latest_event_at_ = now;
@@ -281,11 +340,10 @@
         return;
     }
     const auto now = steady_now();
-    const auto choice = context_.targets.choose(now, admission_.service, admission_.model, tried_);
-    if (choice.target == nullptr) {
+    if (std::string why_none; !choose_next(now, why_none)) {
         return;
     }
-    context_.targets.on_failure(now, attempt_->runner());
+    attempt_->recorder().on_effect(now, target_effect::failure);
     fail_over("the stream stalled");
 }
 
@@ -322,13 +380,19 @@
     if (verdict.outcome != attempt_outcome::not_run) {
         facts_.may_have_run = true;
     }
+    unreachable_ += attempt_->was_unreachable() ? 1 : 0;
+    if (attempt_->to().is_entry_daemon) {
+        record_forwarded_end(verdict);
+    }
     const bool failed = verdict.outcome == attempt_outcome::client_error ||
                         verdict.outcome == attempt_outcome::server_error;
     if (failed) {
         failed_answer_head_ = attempt_->head();
         failed_answer_body_ = attempt_->body();
     }
-    record_attempt_end(verdict);
+    if (!attempt_->to().is_entry_daemon) {
+        record_attempt_end(verdict);
+    }
     handle_verdict(verdict);
 }
 
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -5,6 +5,7 @@
 #include "cedarpoint/quarantine/request_fingerprint.h"
 #include "entry/entry_context.h"
 #include "entry/event_cursor.h"
+#include "entry/forwarded_request.h"
 #include "entry/local_reply.h"
 #include "entry/runner_attempt.h"
 #include "io/http_listener.h"
@@ -20,18 +21,26 @@
 
 namespace cedarpoint {
 
+/// Who sent a request to this daemon.
+enum class request_source {
+    caller,
+    entry_daemon ///< sends a caller's request on because it reaches no runner itself
+};
+
 /// Handles one caller's request from its arrival to its final answer: admits it, sends it to a
 /// runner, forwards the answer, and after a failure retries at another runner or fails it. The
 /// decisions are made by `fleet/request_admission.h`, `fleet/target_ranking.h`,
 /// `fleet/answer_verdict.h`, `fleet/retry_policy.h`, `fleet/stall_rule.h` and
 /// `fleet/windowed_retry_budget.h`; this class calls them, enforces the deadline, and writes the
-/// answer.
+/// answer. A request that this daemon can't send to a runner itself goes through another entry
+/// daemon, where another object of this class sends it to one runner and returns how that ended;
+/// retries are decided here.
 class relay final : public std::enable_shared_from_this<relay> {
 public:
     using end_handler = std::function<void(const std::shared_ptr<relay>&)>;
 
-    relay(entry_context& context, http_request request, std::shared_ptr<http_reply> reply,
-          end_handler on_end);
+    relay(entry_context& context, request_source source, http_request request,
+          std::shared_ptr<http_reply> reply, end_handler on_end);
     ~relay();
     relay(const relay&) = delete;
     relay& operator=(const relay&) = delete;
@@ -45,15 +54,33 @@
     void on_resumed(instant now);
 
 private:
+    void count_first_attempt(instant now);
     void start_deadline_timer(instant now);
     [[nodiscard]] bool has_time_to_send(instant now) const;
     [[nodiscard]] std::string make_request(const runner_id& runner) const;
     /// Returns false if the request was not admitted; the refusal has been answered then.
     [[nodiscard]] bool admit_request();
-    /// Sends the request to the best target that was not tried yet, or fails it if there is none.
+    /// Sends the request to the best target that was not tried yet, through another entry daemon if
+    /// this one doesn't reach it, or fails it if there is none.
     void try_next_target();
-    void send_to(const fleet_target& target);
-    [[nodiscard]] runner_attempt::options make_options(const fleet_target& target) const;
+    /// Returns the destination of the next attempt, or sets `why_none`.
+    [[nodiscard]] std::optional<runner_attempt::destination> choose_next(instant now,
+                                                                         std::string& why_none);
+    /// Returns another entry daemon to send the request through; null if there is none, or if the
+    /// request has come from one.
+    [[nodiscard]] const entry_peer* choose_peer(instant now);
+    void send_to(const runner_attempt::destination& to);
+    [[nodiscard]] std::unique_ptr<attempt_recorder>
+    make_recorder(const runner_attempt::destination& to);
+    [[nodiscard]] std::string make_forwarded_request() const;
+    /// Records what the other entry daemon's answer says of an attempt through it.
+    void record_forwarded_end(const attempt_verdict& verdict);
+    [[nodiscard]] bool is_for_peer() const { return source_ == request_source::entry_daemon; }
+    /// Returns the head of a runner's answer for the one who sent the request.
+    [[nodiscard]] http_head make_answer_head(const http_head& head) const;
+    /// Returns how an answer of this daemon itself came about, for the sending entry daemon.
+    [[nodiscard]] forward_result own_result() const;
+    [[nodiscard]] runner_attempt::options make_options(const runner_attempt::destination& to) const;
     [[nodiscard]] runner_attempt::handlers make_handlers();
     [[nodiscard]] bool forward_event(std::string_view event);
     void apply_backpressure();
@@ -72,6 +99,7 @@
     /// Delivers a successful answer; after a failure, retries or fails the request.
     void handle_verdict(const attempt_verdict& verdict);
 
+    void observe_first_byte(instant now);
     void deliver_answer();
     /// Ends the request without a successful answer: as `choose_final_answer` decides, aborts the
     /// stream, forwards the runner's failure, or answers with an error of this daemon.
@@ -84,10 +112,13 @@
     void on_caller_gone();
     void on_deadline();
     void finish(const char* outcome, std::string_view cause);
+    /// Returns the entry daemon that the latest attempt went through; empty if it went to a runner.
+    [[nodiscard]] std::string peer_address() const;
     void log_attempt(const attempt_verdict& verdict) const;
     [[nodiscard]] bool is_stream() const;
 
     entry_context& context_;
+    request_source source_;
     http_request request_;
     std::shared_ptr<http_reply> reply_;
     end_handler on_end_;
@@ -98,6 +129,9 @@
     retry_facts facts_;
     std::optional<request_fingerprint> fingerprint_; ///< computed at its first use
     std::set<runner_id> tried_;
+    std::set<runner_id> sent_to_; ///< those of `tried_` to which the request was written
+    std::set<endpoint> tried_peers_;
+    int unreachable_ = 0; ///< attempts of this request whose connection was not established
     std::optional<instant> pause_ends_;       ///< set only if all targets are paused
     std::shared_ptr<runner_attempt> attempt_; ///< the latest; null before the first
     event_cursor cursor_;
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -22,17 +22,26 @@
 
 } // namespace
 
+void relay::observe_first_byte(instant now)
+{
+    if (!is_for_peer()) { // otherwise the daemon that sent the request observes it
+        context_.metrics.observe_first_byte(now - arrived_);
+    }
+}
+
 void relay::deliver_answer()
 {
-    const auto since_arrival = steady_now() - arrived_;
+    const auto now = steady_now();
     if (stream_begun_) {
         reply_->finish();
     }
     else {
-        reply_->send(without_hop_by_hop(attempt_->head()), attempt_->body());
-        context_.metrics.observe_first_byte(since_arrival);
+        reply_->send(make_answer_head(attempt_->head()), attempt_->body());
+        observe_first_byte(now);
+    }
+    if (!is_for_peer()) {
+        context_.metrics.observe_request_time(now - arrived_);
     }
-    context_.metrics.observe_request_time(since_arrival);
     finish("served", "");
 }
 
@@ -52,7 +61,7 @@
         pass_failure(why);
         return;
     case final_answer::not_run:
-        if (!admission_.model.empty()) {
+        if (!admission_.model.empty() && !is_for_peer()) {
             ++context_.demand[admission_.model].rejected;
         }
         answer(local_reply::not_run, why);
@@ -65,7 +74,7 @@
 
 void relay::pass_failure(const std::string& why)
 {
-    auto head = without_hop_by_hop(*failed_answer_head_);
+    auto head = make_answer_head(*failed_answer_head_);
     if (head.status == http_status::service_unavailable && head.fields.has(retry_after_field)) {
         // The runner's pause applies only to this daemon; other entry daemons may serve the caller
         // sooner.
@@ -91,6 +100,9 @@
     if (auto value = retry_after(spec); !value.empty()) {
         head.fields.add(retry_after_field, std::move(value));
     }
+    if (is_for_peer()) {
+        add_forward_fields(head, own_result(), {});
+    }
     reply_->send(std::move(head), fmt::format("{{\"error\":\"{}\"}}", spec.wire_text));
     const bool refused = spec.status == http_status::service_unavailable ||
                          spec.status == http_status::too_many_requests;
@@ -142,14 +154,22 @@
     reply_->on_caller_disconnected = nullptr;
     reply_->on_drained = nullptr;
     // The text after a colon names a peer. As a label value it would create a time series for each.
-    context_.metrics.count_end(outcome, std::string{cause.substr(0, cause.find(':'))});
-    log_line{"request"}
+    const std::string cause_label{cause.substr(0, cause.find(':'))};
+    if (is_for_peer()) {
+        context_.metrics.count_peer_request(outcome, cause_label);
+    }
+    else {
+        context_.metrics.count_end(outcome, cause_label);
+    }
+    log_line{is_for_peer() ? "peer_request" : "request"}
         .with("id", id_)
         .with("outcome", outcome)
         .with("cause", cause)
         .with("route", admission_.route != nullptr ? admission_.route->name : "")
         .with("runner", attempt_ != nullptr ? attempt_->runner().str() : "")
         .with("group", attempt_ != nullptr ? attempt_->group().str() : "")
+        .with("through", peer_address())
+        .with("for", is_for_peer() ? read_sender(request_) : "")
         .with("sent", facts_.sent)
         .with("ms", to_ms(steady_now() - arrived_))
         .with("config", routes_ != nullptr ? routes_->version() : 0)
@@ -158,6 +178,12 @@
     on_end_(shared_from_this());
 }
 
+std::string relay::peer_address() const
+{
+    return attempt_ != nullptr && attempt_->to().is_entry_daemon ? attempt_->to().address.str()
+                                                                 : std::string{};
+}
+
 void relay::log_attempt(const attempt_verdict& verdict) const
 {
     log_line{"attempt"}
@@ -165,6 +191,7 @@
         .with("outcome", name_of(verdict.outcome))
         .with("runner", attempt_->runner().str())
         .with("group", attempt_->group().str())
+        .with("through", peer_address())
         .with("why", verdict.why)
         .write();
 }
--- /dev/null
+++ b/src/entry/relay_forwarding.cpp
@@ -0,0 +1,82 @@
+// Requests that go through another entry daemon, at the daemon that sends them and at the one that
+// sends them on.
+
+#include "entry/peer_recorder.h"
+#include "entry/relay.h"
+#include "entry/runner_recorder.h"
+#include "io/clock.h"
+#include "io/header_rules.h"
+
+namespace cedarpoint {
+namespace {
+
+/// Entry daemons that one request is sent through. More would take time without much hope: all of
+/// them read the same list of runners.
+constexpr std::size_t max_peers_per_request = 2;
+
+} // namespace
+
+const entry_peer* relay::choose_peer(instant now)
+{
+    // A request takes one hop, so that daemons that are wrong about each other make no loop.
+    if (is_for_peer() || tried_peers_.size() >= max_peers_per_request) {
+        return nullptr;
+    }
+    return context_.peers.choose(now, tried_peers_);
+}
+
+std::unique_ptr<attempt_recorder> relay::make_recorder(const runner_attempt::destination& to)
+{
+    if (to.is_entry_daemon) {
+        return std::make_unique<peer_recorder>(context_.peers, to.address);
+    }
+    return std::make_unique<runner_recorder>(context_, *context_.targets.find(to.runner), id_);
+}
+
+std::string relay::make_forwarded_request() const
+{
+    forwarded_request added;
+    added.time_left = std::chrono::duration_cast<milliseconds>(admission_.deadline - steady_now());
+    added.resume_after = cursor_.last_id();
+    added.tried = sent_to_;
+    added.sender = context_.name;
+    return serialize(request_, added, context_.platform.headers());
+}
+
+void relay::record_forwarded_end(const attempt_verdict& verdict)
+{
+    if (attempt_->is_complete()) {
+        const auto result = read_forward_result(attempt_->head());
+        if (result == forward_result::not_sent || result == forward_result::unreachable) {
+            --facts_.sent; // no runner has got it
+        }
+    }
+    if (!attempt_->runner().empty()) {
+        tried_.insert(attempt_->runner());
+        sent_to_.insert(attempt_->runner());
+    }
+    context_.metrics.count_forwarded(std::string{name_of(verdict.outcome)});
+}
+
+http_head relay::make_answer_head(const http_head& head) const
+{
+    auto out = without_hop_by_hop(head);
+    if (is_for_peer()) {
+        add_forward_fields(out, forward_result::from_runner, attempt_->runner());
+    }
+    else if (!tried_peers_.empty()) {
+        out = without_forward_fields(out);
+    }
+    return out;
+}
+
+forward_result relay::own_result() const
+{
+    if (facts_.sent > 0) {
+        return forward_result::sent;
+    }
+    const bool is_cut_off = unreachable_ > 0 || context_.targets.paths().cut();
+    return is_cut_off ? forward_result::unreachable : forward_result::not_sent;
+}
+
+} // namespace cedarpoint
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -1,20 +1,19 @@
 #include "entry/runner_attempt.h"
 
 #include "cedarpoint/core/http_status.h"
+#include "entry/forwarded_request.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
-#include "io/runner_signal_log.h"
 
 #include <utility>
 
 namespace cedarpoint {
 
-runner_attempt::runner_attempt(entry_context& context, const fleet_target& target, options options,
+runner_attempt::runner_attempt(entry_context& context, destination to,
+                               std::unique_ptr<attempt_recorder> recorder, options options,
                                handlers handlers)
-    : context_{context}, address_{target.address}, runner_{target.runner},
-      incarnation_{target.its_incarnation}, group_{target.group},
-      is_group_head_{!target.model.empty()}, options_{std::move(options)}, handlers_{
-                                                                               std::move(handlers)}
+    : context_{context}, to_{std::move(to)}, recorder_{std::move(recorder)},
+      options_{std::move(options)}, handlers_{std::move(handlers)}
 {
     stall_timer_.setSingleShot(true);
     stall_timer_.setTimerType(Qt::PreciseTimer);
@@ -34,11 +33,8 @@
     request.head_only = options_.head_only;
     request.id_header = context_.platform.headers().request_id;
     request.id = options_.id;
-    connection_ = context_.pool.take(address_, options_.longest_idle);
-    if (context_.targets.permits().is_limited(runner_)) {
-        context_.metrics.count_rate_limited_send();
-    }
-    context_.targets.on_sent(steady_now(), runner_);
+    connection_ = context_.pool.take(to_.address, options_.longest_idle);
+    recorder_->on_begin(steady_now());
     connection_->start(std::move(request), make_exchange_handlers());
 }
 
@@ -90,7 +86,8 @@
 
 bool runner_attempt::confirm_send()
 {
-    const auto why = reason_not_to_send(steady_now());
+    const auto why = handlers_.may_send() ? recorder_->reason_not_to_send(steady_now())
+                                          : "too little time is left";
     if (why.empty()) {
         return true;
     }
@@ -99,26 +96,11 @@
     return false;
 }
 
-std::string_view runner_attempt::reason_not_to_send(instant now)
-{
-    if (!handlers_.may_send()) {
-        return "too little time is left";
-    }
-    // While this request waited for its connection, an answer to another request may have asked for
-    // a pause or announced that the runner leaves.
-    return context_.targets.holds().find(now, runner_) == send_hold::none
-               ? ""
-               : "the runner has asked to be sent nothing";
-}
-
 void runner_attempt::on_sending()
 {
     sent_at_ = steady_now();
     connected_at_ = connection_->connected_at();
-    if (connection_->is_fresh()) {
-        context_.targets.on_connected(*sent_at_, runner_);
-    }
-    count_held_send(*sent_at_);
+    recorder_->on_sending(*sent_at_, connection_->is_fresh());
     if (options_.expects_stream) {
         arm_stall_timer(options_.first_event_timeout);
     }
@@ -135,60 +117,19 @@
 void runner_attempt::on_head(const http_head& head)
 {
     const auto now = steady_now();
-    context_.targets.on_byte(now, runner_);
     head_ = head;
-    record_signals(now);
+    recorder_->on_byte(now);
+    recorder_->on_head(now, head, is_authentic(head));
+    if (to_.is_entry_daemon) {
+        to_.runner = read_forward_runner(head);
+    }
     streaming_ = options_.expects_stream && head.status == http_status::ok &&
                  is_event_stream(head) && is_authentic(head);
 }
 
-void runner_attempt::record_signals(instant now)
-{
-    const auto& names = context_.platform.headers();
-    const auto& fields = head_->fields;
-    signals_ =
-        read_answer_signals({head_->status, fields.values(names.rate_limit),
-                             fields.values(retry_after_field), fields.values(names.leaving)});
-    if (signals_.is_from_other_runner) {
-        return;
-    }
-    auto& holds = context_.targets.holds();
-    if (signals_.asks_for_pause()) {
-        holds.on_pause(now, runner_, incarnation_, signals_.pause.time);
-    }
-    new_signals news;
-    news.rate_limit = record_rate_limit(now);
-    news.leave =
-        signals_.leave == leave_reading::leaving && holds.on_leaving(now, runner_, incarnation_);
-    log_signals(runner_, signals_, news, options_.id);
-    if (news.rate_limit || news.leave) {
-        // Other daemons go on sending there until the leader publishes the change.
-        context_.request_report_soon();
-    }
-    if (signals_.has_unreadable()) {
-        context_.metrics.count_unreadable_signal();
-    }
-}
-
-bool runner_attempt::record_rate_limit(instant now)
-{
-    const bool is_named = signals_.rate_limit.kind != rate_limit_reading::kind_t::absent;
-    if (!is_named && !is_authentic(*head_)) {
-        return false; // only an answer that is certainly from the runner itself ends a limit
-    }
-    return context_.targets.permits().on_answer(now, runner_, signals_.rate_limit, *sent_at_);
-}
-
-void runner_attempt::count_held_send(instant now)
-{
-    if (context_.targets.holds().find(now, runner_) != send_hold::none) {
-        context_.metrics.count_held_send();
-    }
-}
-
 void runner_attempt::on_body(const std::string& bytes)
 {
-    context_.targets.on_byte(steady_now(), runner_);
+    recorder_->on_byte(steady_now());
     if (!streaming_) {
         body_ += bytes;
         return;
@@ -210,7 +151,7 @@
     }
     const auto now = steady_now();
     if (latest_event_at_) {
-        context_.targets.on_wait(runner_, now - *latest_event_at_);
+        recorder_->on_event_gap(now - *latest_event_at_);
     }
     latest_event_at_ = now;
     arm_stall_timer(options_.event_gap_timeout);
@@ -234,7 +175,8 @@
     switch (how) {
     case exchange_end::refused:
     case exchange_end::unsent:
-        context_.targets.on_unreachable(steady_now(), runner_, how == exchange_end::refused);
+        was_unreachable_ = true;
+        recorder_->on_unreachable(steady_now(), how == exchange_end::refused);
         return {attempt_outcome::not_run, target_effect::none, why.str()};
     case exchange_end::cut:
         was_cut_ = true;
@@ -243,7 +185,28 @@
         is_complete_ = true;
         break;
     }
-    return judge_complete();
+    return to_.is_entry_daemon ? judge_complete_forward() : judge_complete();
+}
+
+attempt_verdict runner_attempt::judge_complete_forward() const
+{
+    switch (read_forward_result(*head_)) {
+    case forward_result::from_runner:
+        return judge_complete();
+    case forward_result::not_sent:
+        return {attempt_outcome::not_run, target_effect::none,
+                "the other entry daemon has sent it to no runner"};
+    case forward_result::unreachable:
+        return {attempt_outcome::not_run, target_effect::none,
+                "the other entry daemon reaches no runner"};
+    default:
+        // A status that promises that the request has not run is also true for the caller.
+        return promises_not_run(head_->status)
+                   ? attempt_verdict{attempt_outcome::not_run, target_effect::none,
+                                     "the other entry daemon's runner has not run it"}
+                   : attempt_verdict{attempt_outcome::may_have_run, target_effect::none,
+                                     "the other entry daemon got no answer"};
+    }
 }
 
 attempt_verdict runner_attempt::judge_complete() const
@@ -256,29 +219,23 @@
     facts.reports_not_executed = head_->fields.has(context_.platform.headers().not_executed);
     facts.is_authentic = is_authentic(*head_);
     facts.caller_has_events = options_.continues_stream;
-    facts.asks_for_pause = signals_.asks_for_pause();
+    facts.asks_for_pause = recorder_->asks_for_pause();
     return judge_answer(facts);
 }
 
 void runner_attempt::record_effect(const attempt_verdict& verdict)
 {
     const auto now = steady_now();
-    if (verdict.effect == target_effect::failure) {
-        context_.targets.on_failure(now, runner_);
-    }
-    if (verdict.effect == target_effect::success) {
-        context_.targets.on_success(runner_);
-        // Response time of a plain runner. Heads of groups are measured by the pauses of streams.
-        if (!streaming_ && !is_group_head_) {
-            context_.targets.on_wait(runner_, now - *sent_at_);
-        }
+    recorder_->on_effect(now, verdict.effect);
+    if (verdict.effect == target_effect::success && !streaming_) {
+        recorder_->on_answer_time(now - *sent_at_);
     }
 }
 
 void runner_attempt::release()
 {
     stall_timer_.stop();
-    context_.targets.on_done(runner_);
+    recorder_->on_done();
     context_.pool.release(std::exchange(connection_, nullptr));
 }
 
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -3,8 +3,7 @@
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
 #include "cedarpoint/fleet/answer_verdict.h"
-#include "cedarpoint/fleet/fleet_target.h"
-#include "cedarpoint/runner_signals/answer_signals.h"
+#include "entry/attempt_recorder.h"
 #include "entry/entry_context.h"
 #include "io/runner_connection.h"
 #include "io/sse_splitter.h"
@@ -19,11 +18,18 @@
 
 namespace cedarpoint {
 
-/// One attempt to get an answer to a request from one runner. Takes a connection from the pool,
-/// sends the request, reads the answer, and updates the runner's statistics in the target set.
-/// Makes no decision about retries.
+/// One attempt to get an answer to a request from one runner, over a connection to it or through
+/// another entry daemon. Takes a connection from the pool, sends the request, reads the answer, and
+/// passes what it observes to a recorder. Makes no decision about retries.
 class runner_attempt final : public std::enable_shared_from_this<runner_attempt> {
 public:
+    /// Where the request is sent.
+    struct destination {
+        endpoint address;
+        runner_id runner; ///< through another entry daemon, which chooses one: empty
+        group_id group;   ///< empty for a plain runner and through another entry daemon
+        bool is_entry_daemon = false;
+    };
     struct options {
         /// Builds head and body once the connection is open, since the head states the time left.
         std::function<std::string()> make_request;
@@ -46,8 +52,8 @@
         std::function<void(const attempt_verdict&)> on_end;
     };
 
-    runner_attempt(entry_context& context, const fleet_target& target, options options,
-                   handlers handlers);
+    runner_attempt(entry_context& context, destination to,
+                   std::unique_ptr<attempt_recorder> recorder, options options, handlers handlers);
     ~runner_attempt();
     runner_attempt(const runner_attempt&) = delete;
     runner_attempt& operator=(const runner_attempt&) = delete;
@@ -68,8 +74,14 @@
     [[nodiscard]] bool is_complete() const { return is_complete_; }
     /// Returns true if the connection ended without a complete answer.
     [[nodiscard]] bool was_cut() const { return was_cut_; }
-    [[nodiscard]] const runner_id& runner() const { return runner_; }
-    [[nodiscard]] const group_id& group() const { return group_; }
+    /// Returns the runner. Through another entry daemon it is empty until that daemon names it.
+    [[nodiscard]] const runner_id& runner() const { return to_.runner; }
+    [[nodiscard]] const group_id& group() const { return to_.group; }
+    /// Returns where the request is sent: to a runner or to another entry daemon.
+    [[nodiscard]] const destination& to() const { return to_; }
+    [[nodiscard]] attempt_recorder& recorder() { return *recorder_; }
+    /// Returns true if nothing was sent because the connection was not established.
+    [[nodiscard]] bool was_unreachable() const { return was_unreachable_; }
     /// Returns true once the head has arrived, if it begins a stream of events that can be
     /// forwarded.
     [[nodiscard]] bool is_streaming() const { return streaming_; }
@@ -82,8 +94,6 @@
     /// Checks once more, when the connection is open, whether the request may be sent. If not, ends
     /// the attempt and returns false.
     [[nodiscard]] bool confirm_send();
-    /// Returns why the request may not be sent now; empty if it may.
-    [[nodiscard]] std::string_view reason_not_to_send(instant now);
     void on_sending();
     void on_head(const http_head& head);
     void on_body(const std::string& bytes);
@@ -93,22 +103,14 @@
     [[nodiscard]] attempt_verdict judge(exchange_end how, const reason& why);
     [[nodiscard]] attempt_verdict judge_complete() const;
     [[nodiscard]] bool is_authentic(const http_head& head) const;
+    [[nodiscard]] attempt_verdict judge_complete_forward() const;
     void record_effect(const attempt_verdict& verdict);
-    /// Records the signals in the answer's head: rate limit, pause and leave.
-    void record_signals(instant now);
-    /// Returns true if the answer changes whether the runner is rate limited, or its rate.
-    bool record_rate_limit(instant now);
-    void count_held_send(instant now);
     void arm_stall_timer(milliseconds limit);
     void release();
 
     entry_context& context_;
-    endpoint address_;
-    runner_id runner_;
-    incarnation
-        incarnation_; ///< the runner's start time, from the view at the beginning of the attempt
-    group_id group_;
-    bool is_group_head_;
+    destination to_;
+    std::unique_ptr<attempt_recorder> recorder_;
     options options_;
     handlers handlers_;
     runner_connection* connection_ = nullptr; ///< null before the start and after the end
@@ -116,12 +118,12 @@
     instant connected_at_;
     std::optional<instant> latest_event_at_; ///< of the events that were forwarded
     std::optional<http_head> head_;
-    answer_signals signals_; ///< from `head_`
     std::string body_;
     sse_splitter events_;
     bool streaming_ = false;
     bool is_complete_ = false;
     bool was_cut_ = false;
+    bool was_unreachable_ = false;
     QTimer stall_timer_;
 };
 
--- a/src/fleet/fleet_messages.cpp
+++ b/src/fleet/fleet_messages.cpp
@@ -60,6 +60,17 @@
     return item;
 }
 
+wire::fleet_item encode_item(const entry_peer& in)
+{
+    wire::fleet_item item;
+    item.set_key(entry_daemon_key(in.address.str()));
+    auto& out = *item.mutable_entry_daemon();
+    out.set_address(in.address.str());
+    out.set_failure_domain(in.failure_domain.str());
+    out.set_cut_off(in.cut_off);
+    return item;
+}
+
 view_runner decode_runner(const wire::fleet_runner& in, const endpoint& address)
 {
     view_runner out;
@@ -159,6 +170,9 @@
     for (const auto& [request, crashes] : in.crashes) {
         out[request_key(request.str())] = encode_item(request, crashes);
     }
+    for (const auto& peer : in.entry_daemons) {
+        out[entry_daemon_key(peer.address.str())] = encode_item(peer);
+    }
     return out;
 }
 
@@ -175,6 +189,13 @@
                 out.crashes[*request] = static_cast<int>(item.crashes().count());
             }
         }
+        else if (item.has_entry_daemon()) {
+            const auto& peer = item.entry_daemon();
+            if (const auto address = endpoint::parse(peer.address())) {
+                out.entry_daemons.push_back(
+                    {*address, failure_domain_id{peer.failure_domain()}, peer.cut_off()});
+            }
+        }
         else if (const auto address = endpoint::parse(item.runner().address())) {
             auto runner = decode_runner(item.runner(), *address);
             out.runners[runner.id] = std::move(runner);
@@ -213,6 +234,10 @@
         each->set_runner(runner.str());
         each->set_born(its_incarnation.value);
     }
+    out.set_cut_off(in.cut_off);
+    if (in.as_peer) {
+        out.set_forward_address(in.as_peer->address.str());
+    }
 }
 
 health_report decode_report(const wire::fleet_follow& in)
@@ -233,6 +258,10 @@
     for (const auto& each : in.leaving()) {
         out.leaving[runner_id{each.runner()}] = incarnation{each.born()};
     }
+    out.cut_off = in.cut_off();
+    if (const auto address = endpoint::parse(in.forward_address())) {
+        out.as_peer = {*address, failure_domain_id{in.failure_domain()}, in.cut_off()};
+    }
     return out;
 }
 
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -28,6 +28,11 @@
     return "request/" + fingerprint;
 }
 
+std::string entry_daemon_key(const std::string& address)
+{
+    return "entry_daemon/" + address;
+}
+
 void view_source::put(const std::string& key, wire::fleet_item item)
 {
     item.set_key(key);
--- a/src/fleet/health_reports.cpp
+++ b/src/fleet/health_reports.cpp
@@ -44,6 +44,8 @@
     auto& own = entries_[follower];
     own.at = now;
     own.runners = in.runners;
+    own.cut_off = in.cut_off;
+    own.as_peer = in.as_peer;
     own.checks.clear();
     for (const auto& [runner, check] : in.checks) {
         own.checks[runner] = {now - check.age, check.reachable};
@@ -69,6 +71,24 @@
     return found == rejected_.end() ? 0 : found->second.value(now);
 }
 
+bool health_reports::is_witness(instant now, const entry& in) const
+{
+    return !in.cut_off || std::none_of(entries_.begin(), entries_.end(), [&](const auto& each) {
+        return is_current(now, each.second) && !each.second.cut_off;
+    });
+}
+
+std::vector<entry_peer> health_reports::entry_daemons(instant now) const
+{
+    std::vector<entry_peer> out;
+    for (const auto& [follower, own] : entries_) {
+        if (own.as_peer && now - own.at <= follower_lifetime) {
+            out.push_back(*own.as_peer);
+        }
+    }
+    return out;
+}
+
 runner_health health_reports::health_of(instant now, const runner_id& runner) const
 {
     runner_health out;
@@ -84,7 +104,7 @@
         out.refused = out.refused || seen.refused;
         out.since_byte = std::min<duration>(out.since_byte, seen.since_byte);
         progressing = progressing || has_recent_byte(seen);
-        stall_seen = stall_seen || sees_stall(seen);
+        stall_seen = stall_seen || (sees_stall(seen) && is_witness(now, own));
     }
     out.stalled = stall_seen && !progressing;
     return out;
--- a/src/fleet/view_builder.cpp
+++ b/src/fleet/view_builder.cpp
@@ -50,6 +50,7 @@
     view_content out;
     add_plain_runners(now, configuration, out);
     add_groups(now, configuration, groups, out);
+    out.entry_daemons = reports_.entry_daemons(now);
     return out;
 }
 
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::uint16_t mesh_port = 17'340;
+constexpr std::uint16_t forwards_port = 17'341;
 constexpr std::uint16_t control_port = 18'229;
 constexpr std::uint16_t callers_port = 18'230;
 constexpr std::uint16_t ready_port = 18'231;
@@ -115,6 +116,7 @@
     else {
         settings_json["role"] = "entry";
         settings_json["address"] = endpoint{ip_of_entry(index), mesh_port}.str();
+        settings_json["forwards"] = endpoint{ip_of_entry(index), forwards_port}.str();
         settings_json["callers"] = endpoint{ip_of_entry(index), callers_port}.str();
         settings_json["ready"] = endpoint{ip_of_entry(index), ready_port}.str();
         if (options_.retry_ratio > 0) {
