Paths: a confirmed cut moves waiting requests; failing paths are avoided

Cause: after a cut began, requests that waited for a connection or for bytes on a dead one waited out their timers, 400 to 700 ms and more; a target whose path fails was chosen again after its backoff and its request sent through a peer although other targets were reached; slow plain answers at a quiet daemon looked like a cut again and again.

Change: a cut is confirmed once a further connection fails; only then is it logged and reported, and requests in flight go through a peer at once if they may be sent again. A failing path costs as much as a backoff. Silences that had lasted when another runner gave a sign of life are no evidence. Probes of failing paths back off like attempts.

--- a/include/cedarpoint/fleet/path_monitor.h
+++ b/include/cedarpoint/fleet/path_monitor.h
@@ -36,6 +36,7 @@
     struct cut_off {
         instant since; ///< time of the latest sign of life before it
         cut_evidence evidence = cut_evidence::failed_connect;
+        bool is_confirmed = false; ///< a further connection attempt has failed
     };
 
     /// Sets the runners that requests can be sent to. Drops what is known of others.
@@ -43,9 +44,9 @@
     void on_reached(instant now, const runner_id& runner);
     /// Records that a connection attempt or a probe failed.
     void on_connect_failed(instant now, const runner_id& runner);
-    /// Records how many runners with requests in flight have been silent for at least
-    /// `cut_off_silence`.
-    void on_silence(instant now, std::size_t silent_runners);
+    /// Records since when runners with requests in flight have been silent, one entry for each that
+    /// has been for at least `cut_off_silence`.
+    void on_silence(instant now, const std::vector<instant>& silent_since);
 
     [[nodiscard]] bool is_failing(const runner_id& runner) const;
     /// Returns true if the next connection to the runner is likely to be established.
@@ -62,8 +63,12 @@
     void begin_cut(cut_evidence evidence);
 
     std::set<runner_id> runners_;
-    std::map<runner_id, instant> failing_; ///< by runner, the time of the next probe
-    instant latest_life_;                  ///< of any runner
+    struct failing_path {
+        int failures = 0; ///< consecutive
+        instant next_probe;
+    };
+    std::map<runner_id, failing_path> failing_;
+    instant latest_life_; ///< of any runner
     std::optional<cut_off> cut_;
     instant next_cut_probe_;
     runner_id latest_cut_probe_;
--- a/include/cedarpoint/fleet/target_ranking.h
+++ b/include/cedarpoint/fleet/target_ranking.h
@@ -28,6 +28,9 @@
 [[nodiscard]] double avoidance_cost(instant now, const fleet_target& target,
                                     const target_stats& stats);
 
+/// Returns the cost of a path from this daemon on which connections fail.
+[[nodiscard]] double path_cost(bool is_failing);
+
 /// Returns the sum of the three costs and a small random part. `draw`, a random number in [0, 1),
 /// decides between targets of about the same cost, so that daemons do not all choose the same one.
 [[nodiscard]] double target_cost(instant now, const fleet_target& target, const target_stats& stats,
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -255,18 +255,12 @@
             path_prober_.probe(runner, target->address);
         }
     }
-    context_.metrics.set_paths(static_cast<double>(paths.count_failing()), paths.cut().has_value());
-    if (paths.cut() && !cut_off_since_) {
-        cut_off_since_ = paths.cut()->since;
-        log_line("dependency_lost")
-            .with("kind", "all runners")
-            .with("evidence", name_of(paths.cut()->evidence))
-            .with("since_ms", to_ms(now - *cut_off_since_))
-            .with("failing", paths.count_failing())
-            .write();
-        follower_.report_soon(); // so that no other daemon sends requests through this one
+    const bool is_cut_off = paths.cut() && paths.cut()->is_confirmed;
+    context_.metrics.set_paths(static_cast<double>(paths.count_failing()), is_cut_off);
+    if (is_cut_off && !cut_off_since_) {
+        on_cut_off(now, *paths.cut());
     }
-    else if (!paths.cut() && cut_off_since_) {
+    else if (!is_cut_off && cut_off_since_) {
         log_line("dependency_regained")
             .with("kind", "all runners")
             .with("after_ms", to_ms(now - *std::exchange(cut_off_since_, {})))
@@ -275,6 +269,21 @@
     }
 }
 
+void entry_daemon::on_cut_off(instant now, const path_monitor::cut_off& cut)
+{
+    cut_off_since_ = cut.since;
+    log_line("dependency_lost")
+        .with("kind", "all runners")
+        .with("evidence", name_of(cut.evidence))
+        .with("since_ms", to_ms(now - cut.since))
+        .with("failing", context_.targets.paths().count_failing())
+        .write();
+    follower_.report_soon(); // so that no other daemon sends requests through this one
+    for (const auto& each : std::vector(requests_.begin(), requests_.end())) {
+        each->on_cut_off();
+    }
+}
+
 void entry_daemon::on_path_probed(const runner_id& runner, connect_probe::result how)
 {
     const auto now = steady_now();
@@ -355,7 +364,7 @@
     out.crashes = context_.crashes.unconfirmed();
     out.cuts = context_.crashes.unconfirmed_cuts(now);
     out.leaving = context_.targets.leaving_targets();
-    out.cut_off = context_.targets.paths().cut().has_value();
+    out.cut_off = cut_off_since_.has_value();
     if (settings_.forwards && !context_.stopping) {
         out.as_peer = {*settings_.forwards, settings_.failure_domain, out.cut_off};
     }
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -46,6 +46,7 @@
     void check_suspension(instant now);
     /// Probes the runners whose paths fail, and logs when this daemon is cut off from all of them.
     void check_paths(instant now);
+    void on_cut_off(instant now, const path_monitor::cut_off& cut);
     void on_path_probed(const runner_id& runner, connect_probe::result how);
     void on_view(view_copy::outcome outcome);
     void install_configuration(const wire::accepted_configuration& accepted);
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -49,6 +49,9 @@
     /// Called when the view has changed. If the group that is answering is no longer in the view,
     /// retries at another runner at once, if that is allowed.
     void on_targets_changed();
+    /// Called when this daemon turns out to be cut off from all runners. Retries through another
+    /// entry daemon at once, if that is allowed.
+    void on_cut_off();
     /// Called after the machine was suspended: the deadline timer does not count that time, so it
     /// would expire late.
     void on_resumed(instant now);
--- a/src/entry/relay_forwarding.cpp
+++ b/src/entry/relay_forwarding.cpp
@@ -58,6 +58,22 @@
     context_.metrics.count_forwarded(std::string{name_of(verdict.outcome)});
 }
 
+void relay::on_cut_off()
+{
+    if (ended_ || attempt_ == nullptr || !attempt_->is_running() ||
+        attempt_->to().is_entry_daemon) {
+        return;
+    }
+    const auto outcome =
+        attempt_->was_sent() ? attempt_outcome::may_have_run : attempt_outcome::not_run;
+    if (!may_send_again(facts_, outcome) || choose_peer(steady_now()) == nullptr) {
+        return;
+    }
+    const auto self = shared_from_this();
+    abandon_attempt();
+    handle_verdict({outcome, target_effect::none, "this daemon is cut off from all runners"});
+}
+
 http_head relay::make_answer_head(const http_head& head) const
 {
     auto out = without_hop_by_hop(head);
--- a/src/fleet/path_monitor.cpp
+++ b/src/fleet/path_monitor.cpp
@@ -1,5 +1,7 @@
 #include "cedarpoint/fleet/path_monitor.h"
 
+#include "cedarpoint/fleet/target_ranking.h"
+
 #include <algorithm>
 #include <array>
 
@@ -9,11 +11,9 @@
 /// Silent runners that count as a cut. One alone may just be slow.
 constexpr std::size_t silent_runners_to_cut = 2;
 
-/// Interval between two probes of a runner whose path fails.
-constexpr duration failing_probe_interval = seconds{1};
-
-/// Interval between two probes while the daemon is cut off.
-constexpr duration cut_probe_interval = milliseconds{250};
+/// Interval between two probes while the daemon is cut off. Longer than a probe's time limit, so
+/// that one that hangs counts as failed before the next one.
+constexpr duration cut_probe_interval = milliseconds{400};
 
 } // namespace
 
@@ -37,7 +37,7 @@
 void path_monitor::begin_cut(cut_evidence evidence)
 {
     if (!cut_) {
-        cut_ = {latest_life_, evidence};
+        cut_ = {latest_life_, evidence, false};
         next_cut_probe_ = {};
     }
 }
@@ -49,8 +49,8 @@
     if (cut_) {
         cut_.reset();
         // The other paths have probably recovered too.
-        for (auto& [each, next_probe] : failing_) {
-            next_probe = now;
+        for (auto& [each, path] : failing_) {
+            path.next_probe = now;
         }
     }
 }
@@ -60,16 +60,25 @@
     if (!runners_.contains(runner)) {
         return;
     }
-    failing_.try_emplace(runner, now + failing_probe_interval);
-    if (is_silent(now)) {
+    auto& path = failing_[runner];
+    ++path.failures;
+    path.next_probe = now + backoff_after(path.failures);
+    if (cut_) {
+        cut_->is_confirmed = true;
+    }
+    else if (is_silent(now)) {
         begin_cut(cut_evidence::failed_connect);
     }
 }
 
-void path_monitor::on_silence(instant now, std::size_t silent_runners)
+void path_monitor::on_silence(instant now, const std::vector<instant>& silent_since)
 {
+    // A silence that had lasted when another runner gave a sign of life is the runner's own.
+    const auto count = static_cast<std::size_t>(
+        std::count_if(silent_since.begin(), silent_since.end(),
+                      [&](instant since) { return since > latest_life_ - cut_off_silence; }));
     const auto needed = std::min(silent_runners_to_cut, runners_.size());
-    if (needed > 0 && silent_runners >= needed && is_silent(now)) {
+    if (needed > 0 && count >= needed && is_silent(now)) {
         begin_cut(cut_evidence::silent_runners);
     }
 }
@@ -97,9 +106,9 @@
         out.push_back(latest_cut_probe_);
         return out;
     }
-    for (auto& [runner, next_probe] : failing_) {
-        if (now >= next_probe) {
-            next_probe = now + failing_probe_interval;
+    for (auto& [runner, path] : failing_) {
+        if (now >= path.next_probe) {
+            path.next_probe = now + backoff_after(path.failures + 1);
             out.push_back(runner);
         }
     }
--- a/src/fleet/target_ranking.cpp
+++ b/src/fleet/target_ranking.cpp
@@ -51,6 +51,11 @@
     return backs_off || stalls || target.suspected ? avoided_cost : 0;
 }
 
+double path_cost(bool is_failing)
+{
+    return is_failing ? avoided_cost : 0;
+}
+
 double target_cost(instant now, const fleet_target& target, const target_stats& stats,
                    const failure_domain_id& own_domain, double draw)
 {
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -107,7 +107,8 @@
             out.outcome = target_choice::outcome_t::rate_limited;
             continue;
         }
-        const auto cost = target_cost(now, target, stats, own_domain_, draw(random_));
+        const auto cost = target_cost(now, target, stats, own_domain_, draw(random_)) +
+                          path_cost(paths_.is_failing(runner));
         if (out.target == nullptr || cost < lowest) {
             out.target = &target;
             lowest = cost;
@@ -209,11 +210,13 @@
 
 void target_set::check_silence(instant now)
 {
-    const auto silent = std::count_if(stats_.begin(), stats_.end(), [&](const auto& each) {
-        return each.second.in_flight > 0 &&
-               now - each.second.waiting_since >= path_monitor::cut_off_silence;
-    });
-    paths_.on_silence(now, static_cast<std::size_t>(silent));
+    std::vector<instant> silent_since;
+    for (const auto& [runner, stats] : stats_) {
+        if (stats.in_flight > 0 && now - stats.waiting_since >= path_monitor::cut_off_silence) {
+            silent_since.push_back(stats.waiting_since);
+        }
+    }
+    paths_.on_silence(now, silent_since);
 }
 
 std::map<runner_id, runner_observation> target_set::take_observations(instant now)
