Tests of requests through another entry daemon

Real daemons, the first cut off from all runners: id, body and time left arrive unaltered and once; events of a stream come as they are made; the caller's close reaches the runner; all are served while the other daemons stop in turn, while there is no leader, and beside a daemon of an earlier version; nothing runs twice while the others are killed; where no daemon reaches a runner the refusal comes at once and has not run; invalid bytes at the port between daemons harm nothing, and a stranger gets no more there than at the callers' port.

--- /dev/null
+++ b/tests/entry/forwarded_request_test.cpp
@@ -0,0 +1,92 @@
+// How a caller's request is written for another entry daemon, and what that daemon's answer says.
+
+#include "entry/forwarded_request.h"
+#include "entry/runner_request.h"
+
+#include <gtest/gtest.h>
+
+namespace cedarpoint {
+namespace {
+
+http_request caller_request()
+{
+    http_request out{"POST", "/ask/x?q=1", {}, "why"};
+    out.fields.add("Host", "h.example");
+    out.fields.add("X-Cedarpoint-Request-Id", "r1");
+    out.fields.add("X-Cedarpoint-Deadline-Ms", "8000");
+    out.fields.add("Authorization", "Bearer k1");
+    out.fields.add("Connection", "keep-alive");
+    out.fields.add("Cedarpoint-Forward-Tried", "forged");
+    return out;
+}
+
+forwarded_request daemon_fields()
+{
+    return {milliseconds{1500}, "7", {runner_id{"i-1"}, runner_id{"i-2"}}, "entry-1"};
+}
+
+TEST(a_forwarded_request, is_the_callers_with_its_key_and_the_time_left)
+{
+    EXPECT_EQ(serialize(caller_request(), daemon_fields(), installed_platform().headers()),
+              "POST /ask/x?q=1 HTTP/1.1\r\n"
+              "Host: h.example\r\n"
+              "X-Cedarpoint-Request-Id: r1\r\n"
+              "Authorization: Bearer k1\r\n"
+              "X-Cedarpoint-Deadline-Ms: 1500\r\n"
+              "Last-Event-Id: 7\r\n"
+              "Cedarpoint-Forward-Tried: i-1,i-2\r\n"
+              "Cedarpoint-Forward-Sender: entry-1\r\n"
+              "Content-Length: 3\r\n"
+              "\r\n"
+              "why");
+}
+
+TEST(a_forwarded_request, names_the_runners_that_were_tried_and_its_sender)
+{
+    http_request received;
+    EXPECT_TRUE(read_tried(received).empty());
+    received.fields.add("Cedarpoint-Forward-Tried", "i-1,i-2");
+    received.fields.add("Cedarpoint-Forward-Sender", "entry-1");
+    EXPECT_EQ(read_tried(received), daemon_fields().tried);
+    EXPECT_EQ(read_sender(received), "entry-1");
+}
+
+TEST(a_forwarded_request, shows_runners_nothing_of_the_way_it_took)
+{
+    runner_request added;
+    added.expected_runner = runner_id{"i-1"};
+    auto request = caller_request();
+    request.fields.add("Cedarpoint-Forward-Sender", "entry-1");
+    const auto bytes = serialize(request, added, installed_platform().headers());
+    EXPECT_EQ(bytes.find("Forward"), std::string::npos) << bytes;
+}
+
+class an_answer_to_another_entry_daemon : public testing::Test {
+protected:
+    http_head head{200, {}};
+};
+
+TEST_F(an_answer_to_another_entry_daemon, says_how_it_came_about_and_which_runner_gave_it)
+{
+    add_forward_fields(head, forward_result::from_runner, runner_id{"i-1"});
+    EXPECT_EQ(read_forward_result(head), forward_result::from_runner);
+    EXPECT_EQ(read_forward_runner(head).str(), "i-1");
+    EXPECT_TRUE(without_forward_fields(head).fields.all().empty());
+}
+
+TEST_F(an_answer_to_another_entry_daemon, takes_no_such_field_from_a_runner)
+{
+    head.fields.add("Cedarpoint-Forward-Result", "not-sent");
+    add_forward_fields(head, forward_result::from_runner, runner_id{"i-1"});
+    EXPECT_EQ(read_forward_result(head), forward_result::from_runner);
+}
+
+TEST_F(an_answer_to_another_entry_daemon, that_says_nothing_may_be_to_a_request_that_was_sent)
+{
+    EXPECT_EQ(read_forward_result(head), forward_result::sent);
+    head.fields.add("Cedarpoint-Forward-Result", "something else");
+    EXPECT_EQ(read_forward_result(head), forward_result::sent);
+}
+
+} // namespace
+} // namespace cedarpoint
--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -3,6 +3,7 @@
 #include "io/clock.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -154,8 +155,11 @@
     }
     auto head = make_head(request);
     ++served_;
-    arrivals.push_back({steady_now(), std::string{request.fields.get("X-Cedarpoint-Request-Id")},
-                        request.body, !rate_limit.empty()});
+    arrivals.push_back(
+        {steady_now(), std::string{request.fields.get("X-Cedarpoint-Request-Id")}, request.body,
+         !rate_limit.empty(),
+         std::atoi(std::string{request.fields.get("X-Cedarpoint-Deadline-Ms")}.c_str())});
+    reply->on_caller_disconnected = [this] { ++abandoned; };
     if (!crash_trigger.empty() && request.body.find(crash_trigger) != std::string::npos) {
         QTimer::singleShot(crash_delay, &timer_, [this] { crash(); });
         return;
@@ -230,6 +234,10 @@
     head.fields.add("Content-Type", "text/event-stream");
     reply->begin(std::move(head));
     const std::string after{request.fields.get("Last-Event-Id")};
+    if (event_gap > milliseconds{0}) {
+        stream_slowly(after.empty() ? 1 : std::stoi(after) + 1, reply);
+        return;
+    }
     for (int event = after.empty() ? 1 : std::stoi(after) + 1; event <= 3; ++event) {
         reply->write(fmt::format("id: {}\ndata: token {}\n\n", event, event));
         if (cut_stream) {
@@ -242,6 +250,17 @@
     reply->finish();
 }
 
+void platform_runner::stream_slowly(int event, const std::shared_ptr<http_reply>& reply)
+{
+    if (event > 3) {
+        reply->finish();
+        return;
+    }
+    reply->write(fmt::format("id: {}\ndata: token {}\n\n", event, event));
+    QTimer::singleShot(event_gap, &timer_,
+                       [this, event, reply] { stream_slowly(event + 1, reply); });
+}
+
 void platform_runner::on_order(const http_request& request,
                                const std::shared_ptr<http_reply>& reply)
 {
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -49,6 +49,8 @@
     /// Stops or restarts heartbeats. Requests are served all the time.
     void set_heartbeats_stopped(bool stopped);
     milliseconds answer_time{0};      ///< time to answer a plain request
+    milliseconds event_gap{0};        ///< time between two events of a stream
+    int abandoned = 0;                ///< requests whose sender disconnected before the answer
     int slots = 4;                    ///< reported in its heartbeats
     std::string crash_trigger;        ///< a request with this text in its body crashes the runner
     milliseconds crash_delay{40};     ///< from the start of such a request to the crash
@@ -64,6 +66,7 @@
         std::string request;
         std::string body;
         bool has_rate_limit = false; ///< the answer contains a rate limit
+        int time_left_ms = 0;        ///< as the request says
     };
     std::vector<arrival> arrivals; ///< requests that ran
 
@@ -71,6 +74,7 @@
     void on_request(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void on_order(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void stream(const http_request& request, const std::shared_ptr<http_reply>& reply);
+    void stream_slowly(int event, const std::shared_ptr<http_reply>& reply);
     /// Returns the head of an answer to the request, with the runner's rate limit and state.
     [[nodiscard]] http_head make_head(const http_request& request) const;
     /// Refuses the request if `refuse_request` asks for it. Returns whether it was refused.
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -66,6 +66,11 @@
     return fmt::format("127.{}.4.{}", options_.net, entry + 1);
 }
 
+endpoint fleet_processes::forward_address(int entry) const
+{
+    return {ip_of_entry(entry + control_count), forwards_port};
+}
+
 std::string fleet_processes::failure_domain_of(int index) const
 {
     return options_.failure_domains == 1 ? "z"
@@ -116,7 +121,9 @@
     else {
         settings_json["role"] = "entry";
         settings_json["address"] = endpoint{ip_of_entry(index), mesh_port}.str();
-        settings_json["forwards"] = endpoint{ip_of_entry(index), forwards_port}.str();
+        if (index - control_count < options_.forwarding_entry_daemons) {
+            settings_json["forwards"] = forward_address(index - control_count).str();
+        }
         settings_json["callers"] = endpoint{ip_of_entry(index), callers_port}.str();
         settings_json["ready"] = endpoint{ip_of_entry(index), ready_port}.str();
         if (options_.retry_ratio > 0) {
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -32,6 +32,9 @@
         int failure_domains = 1;
         /// Entry daemons connect to runners at `runner_proxy_ip` instead of 127.0.0.1.
         bool behind_runner_proxies = false;
+        /// Entry daemons from this number on, as numbered in `entries`, accept no requests of
+        /// others, like those of an earlier version.
+        int forwarding_entry_daemons = 1000;
     };
 
     explicit fleet_processes(options options);
@@ -55,6 +58,8 @@
     /// Returns the address at which an entry daemon, numbered as in `entries`, reaches runners if
     /// it runs behind runner proxies.
     [[nodiscard]] std::string runner_proxy_ip(int entry) const;
+    /// Returns where an entry daemon, numbered as in `entries`, accepts requests of others.
+    [[nodiscard]] endpoint forward_address(int entry) const;
     /// Returns the number of the leading control daemon; nothing if none leads.
     [[nodiscard]] std::optional<int> leader() const;
     /// Sends a configuration to the control daemons in turn until one accepts it. Returns whether
