Cut-off daemons are no witnesses against runners; a few runners are found again soon; cuts in the soak

Cause: the leader took a failed connection check of a cut-off daemon as a check of the runner; with few runners, all failing, requests were refused although a direct attempt could succeed, and probes backed off to 4.8 s. The head of a forwarded request could exceed the other daemon's limit.

Change: checks of cut-off daemons count only if all are cut off; a request whose targets fail one by one still tries one directly after its peers; probes each 400 ms; the listener for peers allows 4 KiB more of head. The soak cuts entry daemons off in seeds without crashes and pauses.

--- a/include/cedarpoint/fleet/health_reports.h
+++ b/include/cedarpoint/fleet/health_reports.h
@@ -33,7 +33,8 @@
 
     [[nodiscard]] runner_health health_of(instant now, const runner_id& runner) const;
     /// Returns true if every entry daemon with a current report has tried to connect to the runner
-    /// at or after `since` and failed. False if there is no current report.
+    /// at or after `since` and failed. False if there is no current report. Daemons that are cut
+    /// off from all runners don't count if another one is not.
     [[nodiscard]] bool is_unreachable_from_all(instant now, instant since,
                                                const runner_id& runner) const;
     /// Returns the requests in flight at each runner, by the reports of all entry daemons but
--- a/include/cedarpoint/fleet/path_monitor.h
+++ b/include/cedarpoint/fleet/path_monitor.h
@@ -63,12 +63,8 @@
     void begin_cut(cut_evidence evidence);
 
     std::set<runner_id> runners_;
-    struct failing_path {
-        int failures = 0; ///< consecutive
-        instant next_probe;
-    };
-    std::map<runner_id, failing_path> failing_;
-    instant latest_life_; ///< of any runner
+    std::map<runner_id, instant> failing_; ///< by runner, the time of the next probe
+    instant latest_life_;                  ///< of any runner
     std::optional<cut_off> cut_;
     instant next_cut_probe_;
     runner_id latest_cut_probe_;
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -52,6 +52,18 @@
     out.safety = in.number_or("safety", out.safety, 0, 1);
 }
 
+void read_addresses(json_reader& in, fleet_settings& out)
+{
+    const bool is_control = out.role == fleet_role::control;
+    out.address = read_endpoint(in, "address", true).value_or(endpoint{});
+    out.bind = read_endpoint(in, "bind", false);
+    out.callers = read_endpoint(in, "callers", !is_control);
+    out.forwards = read_endpoint(in, "forwards", false);
+    out.ready = read_endpoint(in, "ready", !is_control);
+    out.control = read_endpoint(in, "control", is_control);
+    out.metrics = read_endpoint(in, "metrics", false);
+}
+
 } // namespace
 
 std::optional<fleet_settings> fleet_settings::parse(std::string_view text, faults& out)
@@ -71,13 +83,7 @@
     it.role = is_control ? fleet_role::control : fleet_role::entry;
     it.name = in.string("name");
     it.failure_domain = failure_domain_id{in.string("failure_domain")};
-    it.address = read_endpoint(in, "address", true).value_or(endpoint{});
-    it.bind = read_endpoint(in, "bind", false);
-    it.callers = read_endpoint(in, "callers", !is_control);
-    it.forwards = read_endpoint(in, "forwards", false);
-    it.ready = read_endpoint(in, "ready", !is_control);
-    it.control = read_endpoint(in, "control", is_control);
-    it.metrics = read_endpoint(in, "metrics", false);
+    read_addresses(in, it);
     it.data_folder = in.string_or("data_folder", "");
     if (is_control && it.data_folder.empty()) {
         in.add_fault("data_folder", "is required: acknowledged changes are stored there");
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -25,11 +25,15 @@
 /// Bytes of a request's body: twice the limit in the users' own configuration (4 MiB).
 constexpr std::size_t max_caller_body_bytes = std::size_t{8} << 20;
 
-caller_limits limits_of_callers()
+/// Bytes that an entry daemon may add to the head of a request that it sends through another one.
+constexpr std::size_t max_forward_field_bytes = 4096;
+
+caller_limits limits_of(request_source source)
 {
     caller_limits out;
     out.max_connections = max_caller_connections;
     out.max_body_bytes = max_caller_body_bytes;
+    out.max_head_bytes += source == request_source::entry_daemon ? max_forward_field_bytes : 0;
     return out;
 }
 
@@ -154,7 +158,7 @@
 std::unique_ptr<http_listener> entry_daemon::make_listener(request_source source)
 {
     return std::make_unique<http_listener>(
-        limits_of_callers(),
+        limits_of(source),
         [this, source](http_request request, const std::shared_ptr<http_reply>& reply) {
             on_request(source, std::move(request), reply);
         });
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -215,8 +215,8 @@
         why_none = no_target_reason(choice.outcome);
         return {};
     }
-    if (!is_reached && (is_for_peer() || !tried_peers_.empty())) {
-        why_none = "no target is reached";
+    if (paths.cut() && (is_for_peer() || !tried_peers_.empty())) {
+        why_none = "no runner is reached";
         return {};
     }
     return runner_attempt::destination{choice.target->address, choice.target->runner,
--- a/src/fleet/health_reports.cpp
+++ b/src/fleet/health_reports.cpp
@@ -115,7 +115,7 @@
 {
     bool tried = false;
     for (const auto& [follower, own] : entries_) {
-        if (!is_current(now, own)) {
+        if (!is_current(now, own) || !is_witness(now, own)) {
             continue;
         }
         const auto check = own.checks.find(runner);
--- a/src/fleet/path_monitor.cpp
+++ b/src/fleet/path_monitor.cpp
@@ -1,7 +1,5 @@
 #include "cedarpoint/fleet/path_monitor.h"
 
-#include "cedarpoint/fleet/target_ranking.h"
-
 #include <algorithm>
 #include <array>
 
@@ -11,9 +9,10 @@
 /// Silent runners that count as a cut. One alone may just be slow.
 constexpr std::size_t silent_runners_to_cut = 2;
 
-/// Interval between two probes while the daemon is cut off. Longer than a probe's time limit, so
-/// that one that hangs counts as failed before the next one.
-constexpr duration cut_probe_interval = milliseconds{400};
+/// Interval between two probes of a runner whose path fails, and between two probes of any runner
+/// while the daemon is cut off. Longer than a probe's time limit, so that one that hangs has failed
+/// before the next one.
+constexpr duration probe_interval = milliseconds{400};
 
 } // namespace
 
@@ -49,8 +48,8 @@
     if (cut_) {
         cut_.reset();
         // The other paths have probably recovered too.
-        for (auto& [each, path] : failing_) {
-            path.next_probe = now;
+        for (auto& [each, next_probe] : failing_) {
+            next_probe = now;
         }
     }
 }
@@ -60,9 +59,7 @@
     if (!runners_.contains(runner)) {
         return;
     }
-    auto& path = failing_[runner];
-    ++path.failures;
-    path.next_probe = now + backoff_after(path.failures);
+    failing_[runner] = now + probe_interval;
     if (cut_) {
         cut_->is_confirmed = true;
     }
@@ -100,15 +97,15 @@
         if (now < next_cut_probe_ || runners_.empty()) {
             return out;
         }
-        next_cut_probe_ = now + cut_probe_interval;
+        next_cut_probe_ = now + probe_interval;
         auto next = runners_.upper_bound(latest_cut_probe_);
         latest_cut_probe_ = next == runners_.end() ? *runners_.begin() : *next;
         out.push_back(latest_cut_probe_);
         return out;
     }
-    for (auto& [runner, path] : failing_) {
-        if (now >= path.next_probe) {
-            path.next_probe = now + backoff_after(path.failures + 1);
+    for (auto& [runner, next_probe] : failing_) {
+        if (now >= next_probe) {
+            next_probe = now + probe_interval;
             out.push_back(runner);
         }
     }
--- a/tests/fleet/fleet_leader_test.cpp
+++ b/tests/fleet/fleet_leader_test.cpp
@@ -213,6 +213,36 @@
         << "a runner of a configured service may take over the address";
 }
 
+TEST_F(a_leader_with_a_large_configuration, lists_the_entry_daemons_that_send_requests_on)
+{
+    const auto report = [&](const std::string& name, const std::string& address, bool cut_off) {
+        wire::fleet_follow out;
+        out.set_failure_domain("a");
+        out.set_forward_address(address);
+        out.set_cut_off(cut_off);
+        (void)leader.on_follow(start, daemon_id{name}, out);
+    };
+    report("e1", "10.0.0.1:80", false);
+    report("e2", "10.0.0.2:80", true);
+    report("of an earlier version", "", false);
+    report("e3", "no address", false);
+    leader.refresh_view(start);
+    const auto update = receive_report(milliseconds{1}, 0);
+    view_items items;
+    for (const auto& item : update.items()) {
+        items[item.key()] = item;
+    }
+    const auto listed = decode(items).entry_daemons;
+    ASSERT_EQ(listed.size(), 2U);
+    EXPECT_EQ(listed[0].address.str(), "10.0.0.1:80");
+    EXPECT_EQ(listed[0].failure_domain.str(), "a");
+    EXPECT_FALSE(listed[0].cut_off);
+    EXPECT_TRUE(listed[1].cut_off);
+    report("e1", "", false); // it stops
+    leader.refresh_view(start);
+    EXPECT_EQ(leader.pending_updates(start).size(), 5U) << "the change is told to all at once";
+}
+
 // Guards against a leaving runner that still receives requests from daemons that it has not
 // notified itself, because its own heartbeats still report it as ready.
 TEST_F(a_leader_with_a_large_configuration, drains_a_runner_that_has_told_a_daemon_that_it_leaves)
--- a/tests/fleet/health_reports_test.cpp
+++ b/tests/fleet/health_reports_test.cpp
@@ -66,6 +66,49 @@
     EXPECT_TRUE(is_stalled(failed));
 }
 
+class a_daemon_cut_off_from_all_runners : public testing::Test {
+protected:
+    a_daemon_cut_off_from_all_runners()
+    {
+        cut_off = report_on("i-1", 2, 500, 500);
+        cut_off.checks[head] = {milliseconds{300}, false};
+        cut_off.cut_off = true;
+        cut_off.as_peer = {{"10.0.0.1", 80}, failure_domain_id{"a"}, true};
+        reports.put(start, daemon_id{"e1"}, cut_off);
+    }
+
+    health_reports reports;
+    health_report cut_off;
+    const runner_id head{"i-1"};
+    const instant since = start - milliseconds{400};
+};
+
+TEST_F(a_daemon_cut_off_from_all_runners, is_no_witness_against_a_runner_if_another_one_is_not)
+{
+    EXPECT_TRUE(reports.health_of(start, head).stalled) << "nobody knows better";
+    EXPECT_TRUE(reports.is_unreachable_from_all(start, since, head));
+    reports.put(start, daemon_id{"e2"}, report_on("i-1", 0, 0, 5000));
+    EXPECT_FALSE(reports.health_of(start, head).stalled);
+    EXPECT_FALSE(reports.is_unreachable_from_all(start, since, head)) << "it has not tried";
+    auto failed = report_on("i-1", 0, 0, 5000);
+    failed.checks[head] = {milliseconds{300}, false};
+    reports.put(start, daemon_id{"e2"}, failed);
+    EXPECT_TRUE(reports.is_unreachable_from_all(start, since, head));
+}
+
+TEST_F(a_daemon_cut_off_from_all_runners, is_listed_as_such_for_the_others)
+{
+    auto reaching = report_on("i-1", 0, 0, 0);
+    reaching.as_peer = {{"10.0.0.2", 80}, failure_domain_id{"b"}, false};
+    reports.put(start, daemon_id{"e2"}, reaching);
+    reports.put(start, daemon_id{"e3"}, report_on("i-1", 0, 0, 0));
+    const auto listed = reports.entry_daemons(start);
+    ASSERT_EQ(listed.size(), 2U) << "the third accepts no requests of others";
+    EXPECT_TRUE(listed[0].cut_off);
+    EXPECT_FALSE(listed[1].cut_off);
+    EXPECT_TRUE(reports.entry_daemons(start + seconds{3}).empty()) << "the reports are too old";
+}
+
 TEST(a_report, counts_for_less_than_a_second)
 {
     health_reports reports;
--- a/tests/runner_paths/unreachable_runners_test.cpp
+++ b/tests/runner_paths/unreachable_runners_test.cpp
@@ -1,6 +1,6 @@
 // Guards against entry daemons that are cut off from all runners refusing their callers although
 // other entry daemons reach the runners.
-// SITES of 30 entry daemons are run by hand: RUNNER_PATHS_DAEMONS=30.
+// Larger fleets are run by hand: RUNNER_PATHS_DAEMONS=30.
 
 #include "daemon/site.h"
 #include "fleet/fleet_site.h"
@@ -155,6 +155,15 @@
     struct counts {
         int served = 0;
         int sent = 0;
+        std::vector<double> latencies_ms; ///< of those served
+
+        /// Returns the latency that 95% of the served requests don't exceed.
+        [[nodiscard]] double slow_ms() const
+        {
+            auto sorted = latencies_ms;
+            std::sort(sorted.begin(), sorted.end());
+            return sorted.empty() ? 0 : sorted[(sorted.size() - 1) * 95 / 100];
+        }
         [[nodiscard]] double share() const
         {
             return sent == 0 ? 0 : static_cast<double>(served) / sent;
@@ -168,6 +177,10 @@
             if (cut_off.contains(it.entry) == at_cut_off && it.sent >= from && it.sent < until) {
                 ++out.sent;
                 out.served += it.status == 200 ? 1 : 0;
+                if (it.status == 200) {
+                    out.latencies_ms.push_back(
+                        std::chrono::duration<double, std::milli>(it.took).count());
+                }
             }
         }
         return out;
@@ -178,10 +191,11 @@
         const auto first = count_served(true, cut_at, cut_at + contact_time);
         const auto own = count_served(true, cut_at + contact_time, healed_at);
         const auto others = count_served(false, cut_at + contact_time, healed_at);
-        const auto figures = fmt::format("{}: {} of {} in the first 3 s, then {} of {}, at the "
-                                         "others {} of {}",
-                                         when, first.served, first.sent, own.served, own.sent,
-                                         others.served, others.sent);
+        const auto figures = fmt::format(
+            "{}: {} of {} in the first 3 s, then {} of {}, 95% within {:.0f} ms, at the others {} "
+            "of {}, {:.0f} ms",
+            when, first.served, first.sent, own.served, own.sent, own.slow_ms(), others.served,
+            others.sent, others.slow_ms());
         fmt::print("{}\n", figures);
         ASSERT_GT(own.sent, 0);
         EXPECT_GE(own.share(), min_relative_share * others.share()) << figures;
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -1,19 +1,22 @@
 // Seeded soak test: real processes, a proxy in front of each control daemon's mesh address,
 // signals, and continuous requests and configuration changes. Every third seed sends a request that
 // crashes each runner that runs it. Every second seed simulates suspended machines instead of
-// stopped processes. In every fifth seed runners reject entry daemons with a pause. Manual run:
+// stopped processes. In every fifth seed runners reject entry daemons with a pause. In some
+// of the other seeds entry daemons are cut off from all runners. Manual run:
 //     SOAK_FIRST=100 SOAK_COUNT=50 build/cedarpoint_tests --gtest_filter='*fleet_soak*'
 // Add each seed that fails to `regression_seeds`, with its cause.
 
 #include "daemon/site.h"
 #include "fleet/fleet_site.h"
 #include "io/clock.h"
+#include "runner_paths/cuttable_paths.h"
 #include "soak/loopback_proxy.h"
 #include "support/environment.h"
 #include "support/fleet_processes.h"
 #include "support/pausing_runner.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -25,10 +28,12 @@
 namespace {
 
 using testing_support::call;
+using testing_support::cuttable_paths;
 using testing_support::fleet_processes;
 using testing_support::loopback_proxy;
 using testing_support::number_from_environment;
 using testing_support::pass_time;
+using testing_support::path_cut;
 using testing_support::pausing_runner;
 using testing_support::platform_runner;
 using testing_support::wait_until;
@@ -94,9 +99,33 @@
             runners.back()->crash_trigger = crashing_body;
             runners.back()->restart_delay = milliseconds{500};
         }
+        std::vector<endpoint> addresses;
         for (const auto& runner : runners) {
             pausing_runners.push_back(std::make_unique<pausing_runner>(*runner));
+            addresses.push_back(runner->address());
         }
+        for (int entry = 0; entry < entry_count && has_cuts; ++entry) {
+            runner_paths.push_back(
+                std::make_unique<cuttable_paths>(fleet.runner_proxy_ip(entry), addresses));
+        }
+    }
+
+    /// Cuts an entry daemon off from all runners, or ends its cut. Uses its own random generator,
+    /// so that the other random choices of a seed do not change.
+    std::string change_cut()
+    {
+        const auto entry = cut_random() % entry_count;
+        auto& paths = *runner_paths[entry];
+        const auto choice = cut_random() % 8;
+        if (choice >= 6) {
+            paths.heal();
+            return fmt::format("ended the cut of entry daemon {}; ", entry);
+        }
+        const std::array existing{path_cut::existing_t::stall, path_cut::existing_t::reset,
+                                  path_cut::existing_t::live_on};
+        const std::array fresh{path_cut::fresh_t::hang, path_cut::fresh_t::refused};
+        paths.cut({existing.at(choice % 3), fresh.at(choice / 3)});
+        return fmt::format("cut off entry daemon {} in way {}; ", entry, choice);
     }
 
     /// Makes one runner reject one entry daemon with a pause. Uses its own random generator, so
@@ -286,13 +315,24 @@
     std::mt19937_64 random;
     std::mt19937_64 pause_random{GetParam()};
     int net;
+    std::mt19937_64 cut_random{GetParam()};
     bool has_pauses = GetParam() % 5 == 2;
     bool has_crashing_request = GetParam() % 3 == 1;
-    fleet_processes fleet{{net, entry_count, fmt::format("soak-{}", GetParam()), true,
-                           GetParam() % 2 == 1 ? BINARY_DIR "/libsuspended_clock.so" : ""}};
+    /// Not with crashes, since the proxies accept connections to runners that are down, nor with
+    /// pauses, which would count for the daemon that a request came from instead of the one that
+    /// sent it to the runner.
+    bool has_cuts = GetParam() % 4 >= 2 && !has_crashing_request && !has_pauses;
+    fleet_processes fleet{
+        {.net = net,
+         .entry_daemons = entry_count,
+         .log_name = fmt::format("soak-{}", GetParam()),
+         .behind_proxies = true,
+         .preload = GetParam() % 2 == 1 ? BINARY_DIR "/libsuspended_clock.so" : "",
+         .behind_runner_proxies = has_cuts}};
     std::vector<std::unique_ptr<loopback_proxy>> proxies;
     std::vector<std::unique_ptr<platform_runner>> runners;
     std::vector<std::unique_ptr<pausing_runner>> pausing_runners;
+    std::vector<std::unique_ptr<cuttable_paths>> runner_paths; ///< by entry daemon
     int sent_version = 0;
     int acknowledged_version = 0;
     int sent_requests = 0;
@@ -307,6 +347,7 @@
     }));
     std::string fault_history;
     for (int round = 0; round < rounds; ++round) {
+        fault_history += has_cuts ? change_cut() : "";
         fault_history += inject_fault() + "; ";
         SCOPED_TRACE(fault_history);
         if (has_pauses) {
@@ -325,6 +366,9 @@
     for (const auto& proxy : proxies) {
         proxy->set_delay(0);
     }
+    for (const auto& paths : runner_paths) {
+        paths->heal();
+    }
     const auto faults_ended = steady_now();
     ASSERT_TRUE(wait_until([&] { return send_request(); }))
         << "seed " << GetParam() << ": " << fault_history << fleet.describe_controls();
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint16_t control_port = 18'229;
 constexpr std::uint16_t callers_port = 18'230;
 constexpr std::uint16_t ready_port = 18'231;
+const std::string redirect_library = BINARY_DIR "/libredirect_runners.so";
 /// Lines of a daemon's log in the message of a failed check.
 constexpr std::size_t max_described_lines = 12;
 
@@ -84,7 +85,7 @@
         out["LD_PRELOAD"] = options_.preload;
     }
     if (options_.behind_runner_proxies && index >= control_count) {
-        out["LD_PRELOAD"] = BINARY_DIR "/libredirect_runners.so";
+        out["LD_PRELOAD"] += (options_.preload.empty() ? "" : ":") + redirect_library;
         out["REDIRECT_RUNNERS_TO"] = runner_proxy_ip(index - control_count);
     }
     return out;
