Mesh: a connection over which nothing can be sent for long is opened anew

Cause: ZeroMQ doesn't connect again after bytes that break the protocol, so that a daemon never reached a peer whose address had once answered with something else.

Change: after 3 s without a message that could be sent the socket to the peer is replaced, then after 6 s and so on, up to 60 s, with a line connection_reopened.

--- a/src/io/mesh.cpp
+++ b/src/io/mesh.cpp
@@ -1,7 +1,10 @@
 #include "io/mesh.h"
 
+#include "io/clock.h"
 #include "io/listen_step.h"
+#include "io/log_line.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -25,6 +28,10 @@
 /// Interval and timeout of ZeroMQ's heartbeats, which close dead connections.
 constexpr int heartbeat_ms = 1000;
 constexpr int heartbeat_timeout_ms = 2500;
+/// Time without a connection after which it is opened anew. Longer than ZeroMQ needs for a
+/// connection and its handshake. Doubles with each further time.
+constexpr duration first_reopen_delay = seconds{3};
+constexpr duration max_reopen_delay = seconds{60};
 /// Bounds the memory that a peer can make this process allocate. A snapshot is a single message.
 constexpr std::size_t max_message = 64 << 20;
 constexpr const char* zap_address = "inproc://zeromq.zap.01";
@@ -122,7 +129,15 @@
     inbox_->bind(tcp(at));
 }
 
-void mesh::connect_peer(const daemon_id& peer, const endpoint& at)
+void mesh::connect_peer(const daemon_id& id, const endpoint& at)
+{
+    const auto now = steady_now();
+    peer_addresses_[id] = at.str();
+    peers_.emplace(
+        id, peer{at, open_connection(at), now, now + first_reopen_delay, 2 * first_reopen_delay});
+}
+
+zmq::socket_t mesh::open_connection(const endpoint& at)
 {
     zmq::socket_t out{context_, zmq::socket_type::dealer};
     out.set(zmq::sockopt::linger, 0);
@@ -138,8 +153,21 @@
     out.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
     secure(out, false);
     out.connect(tcp(at));
-    peer_addresses_[peer] = at.str();
-    peers_.emplace(peer, std::move(out));
+    return out;
+}
+
+void mesh::reopen_if_stuck(instant now, peer& it)
+{
+    if (now < it.next_reopen) {
+        return;
+    }
+    it.next_reopen = now + it.reopen_delay;
+    it.reopen_delay = std::min(2 * it.reopen_delay, max_reopen_delay);
+    it.socket = open_connection(it.address);
+    log_line("connection_reopened")
+        .with("peer", it.address.str())
+        .with("nothing_sent_ms", to_ms(now - it.latest_send))
+        .write();
 }
 
 void mesh::watch_inbox()
@@ -172,9 +200,15 @@
     zmq::message_t message{envelope.ByteSizeLong()};
     envelope.SerializeToArray(message.data(), static_cast<int>(message.size()));
     const auto n = message.size();
-    if (!it->second.send(message, zmq::send_flags::dontwait)) {
+    const auto now = steady_now();
+    auto& receiver = it->second;
+    if (!receiver.socket.send(message, zmq::send_flags::dontwait)) {
+        reopen_if_stuck(now, receiver);
         return false;
     }
+    receiver.latest_send = now;
+    receiver.next_reopen = now + first_reopen_delay;
+    receiver.reopen_delay = 2 * first_reopen_delay;
     bytes_out_ += n;
     return true;
 }
--- a/src/io/mesh.h
+++ b/src/io/mesh.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/config/settings.h"
 #include "cedarpoint/core/reason.h"
+#include "cedarpoint/core/time.h"
 #include "control.pb.h"
 
 #include <QSocketNotifier>
@@ -44,9 +45,21 @@
     [[nodiscard]] std::uint64_t bytes_in() const { return bytes_in_; }
 
 private:
+    struct peer {
+        endpoint address;
+        zmq::socket_t socket;
+        instant latest_send;   ///< or when it was added
+        instant next_reopen;   ///< while no message can be sent
+        duration reopen_delay; ///< until the reopen after that
+    };
+
     void secure(zmq::socket_t& socket, bool server) const;
     void open_inbox(const endpoint& at);
-    void connect_peer(const daemon_id& peer, const endpoint& at);
+    void connect_peer(const daemon_id& id, const endpoint& at);
+    [[nodiscard]] zmq::socket_t open_connection(const endpoint& at);
+    /// Opens the connection to a peer anew if no message could be sent for long. ZeroMQ doesn't
+    /// connect again after bytes that break the protocol.
+    void reopen_if_stuck(instant now, peer& it);
     void watch_inbox();
     void answer_handshakes();
 
@@ -54,7 +67,7 @@
     zmq::context_t context_{1};
     std::unique_ptr<zmq::socket_t> zap_socket_; ///< authenticates connections (ZAP); only with keys
     std::unique_ptr<zmq::socket_t> inbox_;
-    std::map<daemon_id, zmq::socket_t> peers_;
+    std::map<daemon_id, peer> peers_;
     std::map<daemon_id, std::string> peer_addresses_; ///< other senders are rejected
     std::unique_ptr<QSocketNotifier> notifier_;
     std::unique_ptr<QSocketNotifier> zap_notifier_;
