Requests through peers: files by job, a request of a peer goes back at once

What is known of an entry daemon that is no longer listed is not created anew by its last answer. A daemon that finds itself cut off gives the requests of others that it has not sent back at once. The tests of cuts share a fleet (cuttable_fleet); a test of runners that fall silent for 1.1 s one after the other, with at least 0.99 served.

--- a/include/cedarpoint/fleet/entry_peers.h
+++ b/include/cedarpoint/fleet/entry_peers.h
@@ -52,6 +52,8 @@
     };
     [[nodiscard]] static bool is_listed(instant now, const state& in);
     [[nodiscard]] static bool is_usable(instant now, const state& in);
+    /// Returns null if the peer is not known, or not any more.
+    [[nodiscard]] state* find(const endpoint& peer);
     [[nodiscard]] double cost_of(const state& in) const;
 
     endpoint own_address_;
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -23,9 +23,6 @@
 /// The same limit for a request that can be retried.
 constexpr milliseconds max_idle_if_repeatable{4000};
 
-/// Connections of one request that may fail before it goes through another entry daemon.
-constexpr int max_unreachable_attempts = 2;
-
 /// Bounds the memory of a stream: reading from the runner pauses when more than this many bytes are
 /// buffered for the caller, and resumes when less than half are.
 constexpr std::size_t max_stream_buffer_bytes = 256 << 10;
@@ -36,20 +33,6 @@
     return number ? std::optional{milliseconds{*number}} : std::nullopt;
 }
 
-const char* no_target_reason(target_choice::outcome_t outcome)
-{
-    switch (outcome) {
-    case target_choice::outcome_t::paused:
-        return "all targets have asked for a pause";
-    case target_choice::outcome_t::all_full:
-        return "all targets are full";
-    case target_choice::outcome_t::rate_limited:
-        return "all targets with room have named a rate limit";
-    default:
-        return "no target is available";
-    }
-}
-
 local_reply local_reply_for(admission_refusal why)
 {
     switch (why) {
@@ -171,72 +154,6 @@
 
 // --- attempts -----------------------------------------------------------------------------------
 
-void relay::try_next_target()
-{
-    const auto now = steady_now();
-    std::string why_none;
-    const auto next = choose_next(now, why_none);
-    if (!next) {
-        fail_request(why_none);
-        return;
-    }
-    if (!has_time_to_send(now)) {
-        fail_request("too little time is left");
-        return;
-    }
-    if (facts_.sent > 0 && !context_.budget.take(now, context_.entry_daemons)) {
-        fail_request("the retry budget is spent");
-        return;
-    }
-    send_to(*next);
-}
-
-std::optional<runner_attempt::destination> relay::choose_next(instant now, std::string& why_none)
-{
-    auto& paths = context_.targets.paths();
-    if (paths.cut() || unreachable_ >= max_unreachable_attempts) {
-        if (const auto* peer = choose_peer(now)) {
-            return runner_attempt::destination{peer->address, {}, {}, true};
-        }
-    }
-    const auto choice = context_.targets.choose(now, admission_.service, admission_.model, tried_);
-    const bool is_reached = choice.target != nullptr && paths.can_reach(choice.target->runner);
-    const bool may_be_reached_elsewhere =
-        choice.target != nullptr ||
-        (unreachable_ > 0 && choice.outcome == target_choice::outcome_t::none_available);
-    if (!is_reached && may_be_reached_elsewhere) {
-        if (const auto* peer = choose_peer(now)) {
-            return runner_attempt::destination{peer->address, {}, {}, true};
-        }
-    }
-    if (choice.target == nullptr) {
-        pause_ends_ =
-            choice.outcome == target_choice::outcome_t::paused ? choice.pause_ends : pause_ends_;
-        why_none = no_target_reason(choice.outcome);
-        return {};
-    }
-    if (paths.cut() && (is_for_peer() || !tried_peers_.empty())) {
-        why_none = "no runner is reached";
-        return {};
-    }
-    return runner_attempt::destination{choice.target->address, choice.target->runner,
-                                       choice.target->group, false};
-}
-
-void relay::send_to(const runner_attempt::destination& to)
-{
-    if (to.is_entry_daemon) {
-        tried_peers_.insert(to.address);
-    }
-    else {
-        tried_.insert(to.runner);
-    }
-    const auto next = std::make_shared<runner_attempt>(context_, to, make_recorder(to),
-                                                       make_options(to), make_handlers());
-    attempt_ = next;
-    next->start();
-}
-
 std::string relay::make_request(const runner_id& runner) const
 {
     const auto now = steady_now();
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -69,9 +69,9 @@
     /// Returns the destination of the next attempt, or sets `why_none`.
     [[nodiscard]] std::optional<runner_attempt::destination> choose_next(instant now,
                                                                          std::string& why_none);
-    /// Returns another entry daemon to send the request through; null if there is none, or if the
-    /// request has come from one.
-    [[nodiscard]] const entry_peer* choose_peer(instant now);
+    /// Returns another entry daemon to send the request through; nothing if there is none, or if
+    /// the request has come from one.
+    [[nodiscard]] std::optional<runner_attempt::destination> choose_peer(instant now);
     void send_to(const runner_attempt::destination& to);
     [[nodiscard]] std::unique_ptr<attempt_recorder>
     make_recorder(const runner_attempt::destination& to);
--- a/src/entry/relay_forwarding.cpp
+++ b/src/entry/relay_forwarding.cpp
@@ -16,13 +16,18 @@
 
 } // namespace
 
-const entry_peer* relay::choose_peer(instant now)
+std::optional<runner_attempt::destination> relay::choose_peer(instant now)
 {
     // A request takes one hop, so that daemons that are wrong about each other make no loop.
     if (is_for_peer() || tried_peers_.size() >= max_peers_per_request) {
-        return nullptr;
+        return {};
     }
-    return context_.peers.choose(now, tried_peers_);
+    const auto* peer = context_.peers.choose(now, tried_peers_);
+    if (peer == nullptr) {
+        return {};
+    }
+    return runner_attempt::destination{
+        .address = peer->address, .runner = {}, .group = {}, .is_entry_daemon = true};
 }
 
 std::unique_ptr<attempt_recorder> relay::make_recorder(const runner_attempt::destination& to)
@@ -66,7 +71,9 @@
     }
     const auto outcome =
         attempt_->was_sent() ? attempt_outcome::may_have_run : attempt_outcome::not_run;
-    if (!may_send_again(facts_, outcome) || choose_peer(steady_now()) == nullptr) {
+    // A request of another entry daemon goes back to it, which may send it through a third one.
+    const bool has_other_way = is_for_peer() || choose_peer(steady_now()).has_value();
+    if (!may_send_again(facts_, outcome) || !has_other_way) {
         return;
     }
     const auto self = shared_from_this();
--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -74,29 +74,40 @@
     return &best->peer;
 }
 
+entry_peers::state* entry_peers::find(const endpoint& peer)
+{
+    const auto found = peers_.find(peer);
+    return found == peers_.end() ? nullptr : &found->second;
+}
+
 void entry_peers::on_sent(const endpoint& peer)
 {
-    ++peers_[peer].in_flight;
+    if (auto* own = find(peer)) {
+        ++own->in_flight;
+    }
 }
 
 void entry_peers::on_done(const endpoint& peer)
 {
-    auto& own = peers_[peer];
-    own.in_flight = std::max(0, own.in_flight - 1);
+    if (auto* own = find(peer)) {
+        own->in_flight = std::max(0, own->in_flight - 1);
+    }
 }
 
 void entry_peers::on_success(const endpoint& peer)
 {
-    auto& own = peers_[peer];
-    own.failures = 0;
-    own.backoff_until = {};
+    if (auto* own = find(peer)) {
+        own->failures = 0;
+        own->backoff_until = {};
+    }
 }
 
 void entry_peers::on_failure(instant now, const endpoint& peer)
 {
-    auto& own = peers_[peer];
-    ++own.failures;
-    own.backoff_until = now + backoff_after(own.failures);
+    if (auto* own = find(peer)) {
+        ++own->failures;
+        own->backoff_until = now + backoff_after(own->failures);
+    }
 }
 
 } // namespace cedarpoint
--- a/tests/runner_paths/cuttable_paths.cpp
+++ b/tests/runner_paths/cuttable_paths.cpp
@@ -2,7 +2,7 @@
 
 namespace cedarpoint::testing_support {
 
-cuttable_paths::cuttable_paths(std::string ip, const std::vector<endpoint>& runners)
+cuttable_paths::cuttable_paths(const std::string& ip, const std::vector<endpoint>& runners)
 {
     for (const auto& runner : runners) {
         proxies_.push_back(
@@ -28,6 +28,11 @@
     }
 }
 
+void cuttable_paths::set_silent(std::size_t runner, bool silent)
+{
+    proxies_.at(runner)->set_stalled(silent);
+}
+
 void cuttable_paths::heal()
 {
     for (const auto& proxy : proxies_) {
--- a/tests/runner_paths/cuttable_paths.h
+++ b/tests/runner_paths/cuttable_paths.h
@@ -21,10 +21,12 @@
 /// `redirect_runners` preloaded and REDIRECT_RUNNERS_TO set to `ip`.
 class cuttable_paths {
 public:
-    cuttable_paths(std::string ip, const std::vector<endpoint>& runners);
+    cuttable_paths(const std::string& ip, const std::vector<endpoint>& runners);
 
     void cut(path_cut how);
     void heal();
+    /// Makes the path to one runner carry nothing, or lets it go on.
+    void set_silent(std::size_t runner, bool silent);
 
 private:
     std::vector<std::unique_ptr<loopback_proxy>> proxies_;
--- a/tests/runner_paths/forwarding_test.cpp
+++ b/tests/runner_paths/forwarding_test.cpp
@@ -1,11 +1,8 @@
 // What callers are promised holds for requests that go through another entry daemon.
 
 #include "daemon/site.h"
-#include "fleet/fleet_site.h"
 #include "io/clock.h"
-#include "runner_paths/cuttable_paths.h"
-#include "support/fleet_processes.h"
-#include "support/open_loop_callers.h"
+#include "runner_paths/cuttable_fleet.h"
 
 #include <QTcpSocket>
 
@@ -18,7 +15,7 @@
 namespace {
 
 using testing_support::call;
-using testing_support::cuttable_paths;
+using testing_support::cuttable_fleet;
 using testing_support::fleet_processes;
 using testing_support::open_loop_callers;
 using testing_support::pass_time;
@@ -30,54 +27,20 @@
 /// Time until a daemon that is cut off sends requests through others.
 constexpr duration detection_time = seconds{3};
 
-const std::string document = R"({"version":1,
-    "routes":[{"name":"stream","host":"h.example","pathPrefix":"/ask/","kind":"streaming",
-               "timeoutMs":3000,"service":"pool","maxAttempts":2,"resumable":true,
-               "targetLatencyMs":300,"targetGapMs":300},
-              {"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
-               "timeoutMs":3000,"service":"shop","maxAttempts":2},
-              {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"unsafe",
-               "timeoutMs":3000,"service":"shop","maxAttempts":2}],
-    "services":[{"name":"pool","engine":{"slots":26,"loadsPerS":100,"loads_at_once":50,
-                 "formMs":10,"models":[{"name":"small","size":3,"share":1,"loadS":0.5,
-                 "warmS":0.1}]}},{"name":"shop"}]})";
-
 /// A fleet whose first entry daemon is cut off from all runners.
-class a_request_through_another_entry_daemon : public testing::Test {
+class a_request_through_another_entry_daemon : public testing::Test, protected cuttable_fleet {
 protected:
     explicit a_request_through_another_entry_daemon(int forwarding_entry_daemons = entry_daemons)
-        : fleet{{.net = net_of_this_test(),
-                 .entry_daemons = entry_daemons,
-                 .log_name = fmt::format("forwarding-{}", net_of_this_test()),
-                 .behind_runner_proxies = true,
-                 .forwarding_entry_daemons = forwarding_entry_daemons}}
+        : cuttable_fleet{{.net = net_of_this_test(),
+                          .log_name = fmt::format("forwarding-{}", net_of_this_test()),
+                          .entry_daemons = entry_daemons,
+                          .forwarding_entry_daemons = forwarding_entry_daemons}}
     {
     }
 
     void SetUp() override
     {
-        fleet.start_all();
-        for (int n = 0; n < 3; ++n) {
-            runners.push_back(std::make_unique<platform_runner>(fmt::format("i-{}", n), "pool",
-                                                                fleet.controls()));
-            runners.push_back(std::make_unique<platform_runner>(fmt::format("s-{}", n), "shop",
-                                                                fleet.controls()));
-        }
-        std::vector<endpoint> addresses;
-        for (const auto& runner : runners) {
-            runner->slots = 26;
-            addresses.push_back(runner->address());
-        }
-        for (int entry = 0; entry < entry_daemons; ++entry) {
-            paths.push_back(
-                std::make_unique<cuttable_paths>(fleet.runner_proxy_ip(entry), addresses));
-        }
-        ASSERT_TRUE(fleet.put(document));
-        ASSERT_TRUE(fleet.wait_serving("/safe/x"));
-        ASSERT_TRUE(wait_until([this] {
-            return std::any_of(runners.begin(), runners.end(),
-                               [](const auto& runner) { return runner->is_open(); });
-        }));
+        ASSERT_TRUE(start());
         pass_time(milliseconds{500});
         paths[0]->cut({path_cut::existing_t::stall, path_cut::fresh_t::hang});
         const auto begun = steady_now();
@@ -130,32 +93,12 @@
         return out;
     }
 
-    /// Checks that no request of these callers has run twice, and that none that was refused has.
-    void expect_at_most_once(const open_loop_callers& callers) const
-    {
-        for (const auto& it : callers.results) {
-            std::size_t runs = 0;
-            for (const auto& runner : runners) {
-                runs += static_cast<std::size_t>(
-                    std::count_if(runner->arrivals.begin(), runner->arrivals.end(),
-                                  [&](const auto& each) { return each.request == it.id; }));
-            }
-            EXPECT_LE(runs, 1U) << it.id << " ran more than once";
-            if (it.status == 503) {
-                EXPECT_EQ(runs, 0U) << it.id << " was refused but ran";
-            }
-        }
-    }
-
     [[nodiscard]] static int count_served(const open_loop_callers& callers)
     {
         return static_cast<int>(std::count_if(callers.results.begin(), callers.results.end(),
                                               [](const auto& it) { return it.status == 200; }));
     }
 
-    fleet_processes fleet;
-    std::vector<std::unique_ptr<platform_runner>> runners;
-    std::vector<std::unique_ptr<cuttable_paths>> paths;
     int asked = 0;
 };
 
--- a/tests/runner_paths/unreachable_runners_test.cpp
+++ b/tests/runner_paths/unreachable_runners_test.cpp
@@ -3,12 +3,9 @@
 // Larger fleets are run by hand: RUNNER_PATHS_DAEMONS=30.
 
 #include "daemon/site.h"
-#include "fleet/fleet_site.h"
 #include "io/clock.h"
-#include "runner_paths/cuttable_paths.h"
+#include "runner_paths/cuttable_fleet.h"
 #include "support/environment.h"
-#include "support/fleet_processes.h"
-#include "support/open_loop_callers.h"
 
 #include <algorithm>
 #include <array>
@@ -20,16 +17,14 @@
 namespace cedarpoint {
 namespace {
 
-using testing_support::cuttable_paths;
-using testing_support::fleet_processes;
+using testing_support::cuttable_fleet;
 using testing_support::number_from_environment;
 using testing_support::open_loop_callers;
 using testing_support::pass_time;
 using testing_support::path_cut;
-using testing_support::platform_runner;
-using testing_support::wait_until;
 
 constexpr int failure_domains = 3;
+constexpr double requests_per_daemon = 7.5; ///< a second
 constexpr duration cut_time = seconds{7};
 /// Callers are served again from this long after the beginning of a cut.
 constexpr duration contact_time = seconds{3};
@@ -38,18 +33,6 @@
 /// First attempts served at the others.
 constexpr double min_share_elsewhere = 0.99;
 
-const std::string document = R"({"version":1,
-    "routes":[{"name":"stream","host":"h.example","pathPrefix":"/ask/","kind":"streaming",
-               "timeoutMs":2000,"service":"pool","maxAttempts":2,"resumable":true,
-               "targetLatencyMs":300,"targetGapMs":300},
-              {"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
-               "timeoutMs":2000,"service":"shop","maxAttempts":2},
-              {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"unsafe",
-               "timeoutMs":2000,"service":"shop","maxAttempts":2}],
-    "services":[{"name":"pool","engine":{"slots":26,"loadsPerS":100,"loads_at_once":50,
-                 "formMs":10,"models":[{"name":"small","size":3,"share":1,"loadS":0.5,
-                 "warmS":0.1}]}},{"name":"shop"}]})";
-
 /// Which entry daemons are cut off.
 enum class cut_part { most, one_domain, one };
 
@@ -79,33 +62,31 @@
     }
 }
 
-class entry_daemons_cut_off_from_runners : public testing::TestWithParam<cut_case> {
+class entry_daemons_cut_off_from_runners : public testing::TestWithParam<cut_case>,
+                                           protected cuttable_fleet {
 protected:
+    entry_daemons_cut_off_from_runners()
+        : cuttable_fleet{{.net = GetParam().net,
+                          .log_name = fmt::format("runner-paths-{}", GetParam().net),
+                          .entry_daemons = entry_daemons(),
+                          .failure_domains = failure_domains,
+                          .groups = 3}}
+    {
+    }
+
+    static int entry_daemons()
+    {
+        return static_cast<int>(number_from_environment("RUNNER_PATHS_DAEMONS", 8));
+    }
+
     void SetUp() override
     {
-        fleet.start_all();
-        for (int n = 0; n < 9; ++n) {
-            runners.push_back(std::make_unique<platform_runner>(fmt::format("i-{}", n), "pool",
-                                                                fleet.controls()));
-        }
-        for (int n = 0; n < 3; ++n) {
-            runners.push_back(std::make_unique<platform_runner>(fmt::format("s-{}", n), "shop",
-                                                                fleet.controls()));
-        }
-        std::vector<endpoint> addresses;
         for (const auto& runner : runners) {
             runner->answer_time = milliseconds{20};
-            runner->slots = 26;
-            addresses.push_back(runner->address());
         }
-        for (std::size_t entry = 0; entry < fleet.entries().size(); ++entry) {
-            paths.push_back(std::make_unique<cuttable_paths>(
-                fleet.runner_proxy_ip(static_cast<int>(entry)), addresses));
-        }
-        ASSERT_TRUE(fleet.put(document));
-        ASSERT_TRUE(fleet.wait_serving("/safe/x"));
-        ASSERT_TRUE(wait_until([this] { return count_open() == 3; }));
-        callers = std::make_unique<open_loop_callers>(fleet.entries(), requests_per_second, "r",
+        ASSERT_TRUE(start());
+        callers = std::make_unique<open_loop_callers>(fleet.entries(),
+                                                      requests_per_daemon * entry_daemons(), "r",
                                                       [](std::size_t n) { return request_of(n); });
         pass_time(seconds{3});
     }
@@ -124,12 +105,6 @@
         return out;
     }
 
-    [[nodiscard]] int count_open() const
-    {
-        return static_cast<int>(std::count_if(
-            runners.begin(), runners.end(), [](const auto& runner) { return runner->is_open(); }));
-    }
-
     /// Cuts off the daemons in `part` for `cut_time`.
     void cut(cut_part part)
     {
@@ -204,28 +179,6 @@
         }
     }
 
-    /// Checks that no request ran more often than it may, and that what was refused has not run.
-    void expect_promises_kept() const
-    {
-        std::map<std::string, int> runs;
-        for (const auto& runner : runners) {
-            for (const auto& each : runner->arrivals) {
-                ++runs[each.request];
-            }
-        }
-        for (const auto& it : callers->results) {
-            if (it.target != "/once/x") {
-                continue;
-            }
-            const auto found = runs.find(it.id);
-            const int count = found == runs.end() ? 0 : found->second;
-            EXPECT_LE(count, 1) << it.id << " ran more than once";
-            if (it.status == 503 || it.status == 429) {
-                EXPECT_EQ(count, 0) << it.id << " was refused but ran";
-            }
-        }
-    }
-
     void play(const char* when)
     {
         cut(GetParam().part);
@@ -236,15 +189,6 @@
         expect_served_as_elsewhere(when);
     }
 
-    int entry_daemons = static_cast<int>(number_from_environment("RUNNER_PATHS_DAEMONS", 8));
-    double requests_per_second = 7.5 * entry_daemons;
-    fleet_processes fleet{{.net = GetParam().net,
-                           .entry_daemons = entry_daemons,
-                           .log_name = fmt::format("runner-paths-{}", GetParam().net),
-                           .failure_domains = failure_domains,
-                           .behind_runner_proxies = true}};
-    std::vector<std::unique_ptr<platform_runner>> runners;
-    std::vector<std::unique_ptr<cuttable_paths>> paths;
     std::unique_ptr<open_loop_callers> callers;
     std::set<std::size_t> cut_off;
     std::size_t shift = 0; ///< other daemons are cut off the second time
@@ -257,7 +201,25 @@
     play("first cut");
     shift = 3;
     play("second cut");
-    expect_promises_kept();
+    expect_at_most_once(*callers);
+}
+
+/// Runners that fall silent for about a second, one after the other, and go on.
+class runners_that_pause : public entry_daemons_cut_off_from_runners {};
+
+TEST_P(runners_that_pause, move_no_daemon_to_others)
+{
+    for (std::size_t runner = 0; runner < runners.size(); ++runner) {
+        set_silent(runner, true);
+        pass_time(milliseconds{1100});
+        set_silent(runner, false);
+        pass_time(milliseconds{200});
+    }
+    callers->stop();
+    pass_time(milliseconds{2500});
+    const auto served = callers->served_share({}, steady_now());
+    EXPECT_GE(served, min_share_elsewhere);
+    expect_at_most_once(*callers);
 }
 
 using existing = path_cut::existing_t;
@@ -273,6 +235,9 @@
         cut_case{"hang_for_one", {existing::stall, fresh::hang}, cut_part::one, 6},
         cut_case{"live_on_and_hang", {existing::live_on, fresh::hang}, cut_part::one_domain, 7}),
     [](const auto& it) { return it.param.name; });
+INSTANTIATE_TEST_SUITE_P(pauses, runners_that_pause,
+                         testing::Values(cut_case{"no_cut", {}, cut_part::one, 18}),
+                         [](const auto& it) { return it.param.name; });
 
 } // namespace
 } // namespace cedarpoint
