View: a plain runner that entry daemons hear stays, also if the leader doesn't

What callers saw: a plain runner cut off from the control daemons got no more requests after 3 heartbeats, although every entry daemon reached it.

Change: the latest byte that an entry daemon received from a runner counts like a heartbeat for its place in the view. Bytes of another runner at its address (421) don't.

Measured: a_leader_with_a_large_configuration. keeps_a_runner_that_only_entry_daemons_hear failed without the change in view_builder and passes.

--- a/include/cedarpoint/fleet/health_reports.h
+++ b/include/cedarpoint/fleet/health_reports.h
@@ -37,6 +37,11 @@
     /// off from all runners don't count if another one is not.
     [[nodiscard]] bool is_unreachable_from_all(instant now, instant since,
                                                const runner_id& runner) const;
+    /// Returns when an entry daemon received a byte from the runner for the last time, in any
+    /// report of this term; the epoch if none did.
+    [[nodiscard]] instant latest_byte(const runner_id& runner) const;
+    /// Forgets a runner that is no longer registered.
+    void forget(const runner_id& runner) { latest_bytes_.erase(runner); }
     /// Returns the requests in flight at each runner, by the reports of all entry daemons but
     /// `excluded`.
     [[nodiscard]] std::map<runner_id, int> loads_excluding(instant now,
@@ -71,6 +76,7 @@
     [[nodiscard]] bool is_witness(instant now, const entry& in) const;
 
     std::map<daemon_id, entry> entries_;
+    std::map<runner_id, instant> latest_bytes_;
     latency_tracker latencies_;
     std::map<model_id, decaying_count> rejected_;
     std::uint64_t requests_seen_ = 0;
--- a/src/entry/attempt_recorder.h
+++ b/src/entry/attempt_recorder.h
@@ -24,6 +24,7 @@
     virtual void on_sending(instant now, bool on_new_connection) = 0;
     /// `is_authentic`: the head is certainly of the answer to this request.
     virtual void on_head(instant now, const http_head& head, bool is_authentic) = 0;
+    /// Called after `on_head` and with each part of the body.
     virtual void on_byte(instant now) = 0;
     /// Records the time between two events of a stream.
     virtual void on_event_gap(duration gap) = 0;
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -118,8 +118,8 @@
 {
     const auto now = steady_now();
     head_ = head;
-    recorder_->on_byte(now);
     recorder_->on_head(now, head, is_authentic(head));
+    recorder_->on_byte(now);
     if (to_.is_entry_daemon) {
         to_.runner = read_forward_runner(head);
     }
--- a/src/entry/runner_recorder.cpp
+++ b/src/entry/runner_recorder.cpp
@@ -81,7 +81,9 @@
 
 void runner_recorder::on_byte(instant now)
 {
-    context_.targets.on_byte(now, runner_);
+    if (!signals_.is_from_other_runner) {
+        context_.targets.on_byte(now, runner_);
+    }
 }
 
 void runner_recorder::on_event_gap(duration gap)
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -88,6 +88,7 @@
     for (const auto& runner : registry_.remove_silent(now, removal_timeout)) {
         steps.push_back(make_record(fleet_state::remove_runner(runner)));
         rate_limits_.forget(runner);
+        reports_.forget(runner);
         quarantine_.forget(runner);
         drained_.erase(runner);
     }
--- a/src/fleet/health_reports.cpp
+++ b/src/fleet/health_reports.cpp
@@ -52,6 +52,8 @@
     }
     for (const auto& [runner, seen] : in.runners) {
         latencies_.record(now, runner, seen.waits, seen.waited);
+        auto& latest = latest_bytes_[runner];
+        latest = std::max<instant>(latest, now - seen.since_byte);
     }
     for (const auto& [model, demand] : in.demand) {
         requests_seen_ += demand.started + demand.rejected;
@@ -62,6 +64,7 @@
 void health_reports::clear()
 {
     entries_.clear();
+    latest_bytes_.clear();
     latencies_.clear();
 }
 
@@ -110,6 +113,12 @@
     return out;
 }
 
+instant health_reports::latest_byte(const runner_id& runner) const
+{
+    const auto found = latest_bytes_.find(runner);
+    return found == latest_bytes_.end() ? instant{} : found->second;
+}
+
 bool health_reports::is_unreachable_from_all(instant now, instant since,
                                              const runner_id& runner) const
 {
--- a/src/fleet/view_builder.cpp
+++ b/src/fleet/view_builder.cpp
@@ -1,12 +1,14 @@
 #include "cedarpoint/fleet/view_builder.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
 namespace cedarpoint {
 namespace {
 
-/// A plain runner without contact for this many heartbeat intervals is omitted from the view.
+/// A plain runner from which neither the leader nor an entry daemon has received anything for this
+/// many heartbeat intervals is omitted from the view.
 constexpr int heartbeats_until_lost = 3;
 
 /// `Runner` is an `announcement` or a `registered_runner`.
@@ -56,9 +58,11 @@
 
 bool view_builder::is_usable(instant now, const runner_record& record) const
 {
+    // A runner that this leader doesn't hear may serve the entry daemons all the same.
+    const auto latest_life = std::max(record.last_contact, reports_.latest_byte(record.latest.id));
     return registry_.is_present(record) && !record.latest.draining &&
            !state_.is_leaving(record.latest.id) &&
-           now - record.last_contact < heartbeat_ * heartbeats_until_lost;
+           now - latest_life < heartbeat_ * heartbeats_until_lost;
 }
 
 void view_builder::add_plain_runners(instant now, const fleet_configuration& configuration,
--- a/tests/fleet/fleet_leader_test.cpp
+++ b/tests/fleet/fleet_leader_test.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace cedarpoint {
@@ -213,6 +214,33 @@
         << "a runner of a configured service may take over the address";
 }
 
+// Guards against plain runners that leave the view, and so get no requests, because the leader
+// alone doesn't hear them.
+TEST_F(a_leader_with_a_large_configuration, keeps_a_runner_that_only_entry_daemons_hear)
+{
+    const auto is_listed = [&](instant now) {
+        leader.refresh_view(now);
+        const auto update = receive_report(now - start, 0);
+        return std::any_of(update.items().begin(), update.items().end(),
+                           [](const auto& item) { return item.runner().id() == "i-1"; });
+    };
+    const auto report_byte = [&](instant now, std::uint32_t age_ms) {
+        wire::fleet_follow report;
+        auto* seen = report.add_sightings();
+        seen->set_runner("i-1");
+        seen->set_in_flight(1);
+        seen->set_byte_ms(age_ms);
+        (void)leader.on_follow(now, daemon_id{"other entry"}, report);
+    };
+    ASSERT_TRUE(leader.announce(start, heartbeat_of("i-1", "shop", 1)));
+    EXPECT_TRUE(is_listed(start + seconds{3}));
+    report_byte(start + seconds{4}, 1000);
+    EXPECT_TRUE(is_listed(start + seconds{6})) << "its latest byte came after 3 s";
+    EXPECT_FALSE(is_listed(start + seconds{7}));
+    report_byte(start + seconds{7}, 4000);
+    EXPECT_FALSE(is_listed(start + seconds{7})) << "that byte came at 3 s too";
+}
+
 TEST_F(a_leader_with_a_large_configuration, lists_the_entry_daemons_that_send_requests_on)
 {
     const auto report = [&](const std::string& name, const std::string& address, bool cut_off) {
