Paths: failed probes count like failed connections, and the first one goes out at once

Cause: requests avoid a target whose path fails, so that a daemon no longer reported a second failed connection, by which the leader sees that a runner that went dark stalls.

Change: failed probes are recorded as unreachable like a request's failed connection; the first probe goes out at once; a connection that is established ends the backoff that failed ones began.

--- a/src/entry/entry_daemon_paths.cpp
+++ b/src/entry/entry_daemon_paths.cpp
@@ -50,12 +50,12 @@
 void entry_daemon::on_path_probed(const runner_id& runner, connect_probe::result how)
 {
     const auto now = steady_now();
-    auto& paths = context_.targets.paths();
+    auto& targets = context_.targets;
     if (how == connect_probe::result::connected) {
-        paths.on_reached(now, runner);
+        targets.on_connected(now, runner);
     }
     else {
-        paths.on_connect_failed(now, runner);
+        targets.on_unreachable(now, runner, how == connect_probe::result::refused);
     }
 }
 
--- a/src/fleet/path_monitor.cpp
+++ b/src/fleet/path_monitor.cpp
@@ -59,7 +59,7 @@
     if (!runners_.contains(runner)) {
         return;
     }
-    failing_[runner] = now + probe_interval;
+    failing_.try_emplace(runner, now); // a lost packet is told from a failing path at once
     if (cut_) {
         cut_->is_confirmed = true;
     }
--- a/src/fleet/target_set.cpp
+++ b/src/fleet/target_set.cpp
@@ -160,6 +160,11 @@
 void target_set::on_connected(instant now, const runner_id& runner)
 {
     paths_.on_reached(now, runner);
+    if (auto& stats = stats_[runner]; stats.failed_connects > 0) {
+        stats.failed_connects = 0;
+        stats.refused = false;
+        on_success(runner);
+    }
 }
 
 void target_set::on_byte(instant now, const runner_id& runner)
--- a/tests/fleet/target_set_test.cpp
+++ b/tests/fleet/target_set_test.cpp
@@ -51,6 +51,25 @@
     EXPECT_EQ(none.outcome, target_choice::outcome_t::none_available);
 }
 
+// Guards against the leader learning late that a runner is down: requests avoid a target whose path
+// fails, so that its failed probes have to count like failed connections of requests.
+TEST(a_target, that_probes_do_not_reach_is_reported_and_forgiven_once_one_does)
+{
+    target_set targets{failure_domain_id{"zone"}, 1};
+    targets.update(start, decode(two_groups()));
+    const runner_id down{"i-1"};
+    targets.on_unreachable(start, down, false);
+    targets.on_unreachable(start, down, false); // a probe
+    EXPECT_EQ(targets.take_observations(start).at(down).failed_connects, 2U);
+    EXPECT_EQ(targets.choose(start, service_id{"pool"}, model_id{"m"}, {}).target->runner.str(),
+              "i-2");
+    targets.on_connected(start, down);
+    targets.on_sent(start, runner_id{"i-2"});
+    EXPECT_EQ(targets.choose(start, service_id{"pool"}, model_id{"m"}, {}).target->runner.str(),
+              "i-1");
+    EXPECT_EQ(targets.take_observations(start).count(down), 0U) << "nothing to report";
+}
+
 TEST(a_target, that_is_slow_or_suspected_comes_after_the_others)
 {
     target_set targets{failure_domain_id{"z"}, 1};
