--- a/tests/runner_paths/forwarding_test.cpp
+++ b/tests/runner_paths/forwarding_test.cpp
@@ -54,7 +54,7 @@
         constexpr int first_net = 8;
         const auto& suite = *testing::UnitTest::GetInstance()->current_test_suite();
         const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
-        int net = first_net + (std::string{suite.name()}.starts_with("a_request") ? 0 : 9);
+        int net = first_net + (std::string{suite.name()}.starts_with("a_request_through") ? 0 : 9);
         for (int n = 0; n < suite.total_test_count(); ++n) {
             if (suite.GetTestInfo(n)->name() == name) {
                 net += n;
