Peers: requests that fail at one time count once, and a peer is probed until it is reached

The peer was back 0.9 s later and answered nobody's requests, while the other one was killed: 2.6 s in which a request was served by neither.

Change: failures within a backoff don't count again. A peer whose connection fails is used again as soon as a probe connects, each 400 ms, like a runner whose path fails; its prober is the one of runners, for any kind of key. A peer without a configuration says that it reaches no runner, so that it isn't chosen as the one with the fewest requests.

--- a/include/cedarpoint/fleet/entry_peers.h
+++ b/include/cedarpoint/fleet/entry_peers.h
@@ -32,15 +32,23 @@
 
     /// Returns the peer to send a request through, or null if there is none: the one with the
     /// fewest requests of this daemon in flight, in the own failure domain if it has not many more,
-    /// and equal ones in turn. Excludes those in `tried`, those that are cut off themselves, and
-    /// those that have failed recently.
-    [[nodiscard]] const entry_peer* choose(instant now, const std::set<endpoint>& tried);
+    /// and equal ones in turn. Excludes those in `tried`, those that are cut off themselves, those
+    /// that are not reached, and those that have failed recently.
+    [[nodiscard]] const entry_peer* choose(instant now, const std::set<endpoint>& tried) const;
+
+    /// Returns the peers that were not reached and are to be probed now. Records them as probed.
+    [[nodiscard]] std::vector<endpoint> take_due_probes(instant now);
 
     void on_sent(const endpoint& peer);
     void on_done(const endpoint& peer);
     void on_success(const endpoint& peer);
-    /// Records that the peer was not reached, gave no valid answer, or reaches no runner either.
+    /// Records that the peer gave no valid answer, or reaches no runner either. Requests that fail
+    /// at the same time count once.
     void on_failure(instant now, const endpoint& peer);
+    /// Records that a connection to the peer was established.
+    void on_reached(const endpoint& peer);
+    /// Records that a connection to the peer failed. It is used again once one is established.
+    void on_unreachable(instant now, const endpoint& peer);
 
 private:
     struct state {
@@ -49,6 +57,7 @@
         int in_flight = 0;
         int failures = 0; ///< consecutive
         instant backoff_until;
+        std::optional<instant> next_probe; ///< set while the peer is not reached
     };
     [[nodiscard]] static bool is_listed(instant now, const state& in);
     [[nodiscard]] static bool is_usable(instant now, const state& in);
@@ -59,7 +68,7 @@
     endpoint own_address_;
     failure_domain_id own_domain_;
     std::map<endpoint, state> peers_;
-    endpoint latest_choice_;
+    endpoint latest_sent_to_;
 };
 
 } // namespace cedarpoint
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -69,6 +69,11 @@
       path_prober_{[this](const runner_id& runner, connect_probe::result how) {
           on_path_probed(runner, how);
       }},
+      peer_prober_{[this](const endpoint& peer, connect_probe::result how) {
+          if (how == connect_probe::result::connected) {
+              context_.peers.on_reached(peer);
+          }
+      }},
       mesh_{[this](const wire::envelope& in) { follower_.receive(steady_now(), in); }},
       suspensions_{steady_now(), timer_now()}
 {
@@ -216,8 +221,10 @@
     finished_requests_.clear();
     runner_ends_.clean_up();
     path_prober_.clean_up();
+    peer_prober_.clean_up();
     check_suspension(now);
     check_paths(now);
+    check_peers(now);
     mesh_.drain();
     follower_.tick(now);
     mesh_.drain();
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -5,10 +5,10 @@
 #include "entry/fleet_follower.h"
 #include "entry/reachability_checker.h"
 #include "entry/relay.h"
+#include "io/address_prober.h"
 #include "io/http_listener.h"
 #include "io/mesh.h"
 #include "io/runner_end_checker.h"
-#include "io/runner_prober.h"
 #include "io/suspension_watch.h"
 
 #include <QTimer>
@@ -48,6 +48,8 @@
     void check_paths(instant now);
     void on_cut_off(instant now, const path_monitor::cut_off& cut);
     void on_path_probed(const runner_id& runner, connect_probe::result how);
+    /// Probes the other entry daemons that were not reached.
+    void check_peers(instant now);
     void on_view(view_copy::outcome outcome);
     void install_configuration(const wire::accepted_configuration& accepted);
     [[nodiscard]] fleet_follower::hooks make_follower_hooks();
@@ -66,7 +68,8 @@
     fleet_follower follower_;
     reachability_checker reachability_;
     runner_end_checker runner_ends_;
-    runner_prober path_prober_;
+    address_prober<runner_id> path_prober_;
+    address_prober<endpoint> peer_prober_;
     std::optional<instant> cut_off_since_; ///< from all runners, as logged
     mesh mesh_;
     std::set<std::shared_ptr<relay>> requests_;
--- a/src/entry/entry_daemon_paths.cpp
+++ b/src/entry/entry_daemon_paths.cpp
@@ -1,4 +1,4 @@
-// How an entry daemon watches its paths to the runners.
+// How an entry daemon watches its paths to the runners and to the other entry daemons.
 
 #include "entry/entry_daemon.h"
 #include "io/clock.h"
@@ -59,4 +59,11 @@
     }
 }
 
+void entry_daemon::check_peers(instant now)
+{
+    for (const auto& peer : context_.peers.take_due_probes(now)) {
+        peer_prober_.probe(peer, peer);
+    }
+}
+
 } // namespace cedarpoint
--- a/src/entry/peer_recorder.cpp
+++ b/src/entry/peer_recorder.cpp
@@ -35,7 +35,7 @@
 
 void peer_recorder::on_unreachable(instant now, bool /*refused*/)
 {
-    peers_.on_failure(now, peer_);
+    peers_.on_unreachable(now, peer_);
 }
 
 void peer_recorder::on_effect(instant now, target_effect effect)
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -71,7 +71,9 @@
                                                                          std::string& why_none);
     /// Returns another entry daemon to send the request through; nothing if there is none, or if
     /// the request has come from one.
-    [[nodiscard]] std::optional<runner_attempt::destination> choose_peer(instant now);
+    [[nodiscard]] std::optional<runner_attempt::destination> choose_peer(instant now) const;
+    /// Returns true if it is known that a direct attempt would fail.
+    [[nodiscard]] bool reaches_no_runner() const;
     void send_to(const runner_attempt::destination& to);
     [[nodiscard]] std::unique_ptr<attempt_recorder>
     make_recorder(const runner_attempt::destination& to);
--- a/src/entry/relay_forwarding.cpp
+++ b/src/entry/relay_forwarding.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-std::optional<runner_attempt::destination> relay::choose_peer(instant now)
+std::optional<runner_attempt::destination> relay::choose_peer(instant now) const
 {
     // A request takes one hop, so that daemons that are wrong about each other make no loop.
     if (is_for_peer() || tried_peers_.size() >= max_peers_per_request) {
@@ -98,8 +98,10 @@
     if (facts_.sent > 0) {
         return forward_result::sent;
     }
-    const bool is_cut_off = unreachable_ > 0 || context_.targets.paths().cut();
-    return is_cut_off ? forward_result::unreachable : forward_result::not_sent;
+    // A daemon that has just started knows no runner.
+    const bool reaches_none =
+        routes_ == nullptr || unreachable_ > 0 || context_.targets.paths().cut();
+    return reaches_none ? forward_result::unreachable : forward_result::not_sent;
 }
 
 } // namespace cedarpoint
--- a/src/fleet/entry_peers.cpp
+++ b/src/fleet/entry_peers.cpp
@@ -16,6 +16,9 @@
 /// reported to a new leader.
 constexpr duration unlisted_lifetime = seconds{3};
 
+/// Interval between two probes of a peer that is not reached.
+constexpr duration probe_interval = milliseconds{400};
+
 } // namespace
 
 entry_peers::entry_peers(endpoint own_address, failure_domain_id own_domain)
@@ -47,7 +50,7 @@
 
 bool entry_peers::is_usable(instant now, const state& in)
 {
-    return !in.peer.cut_off && now >= in.backoff_until && is_listed(now, in);
+    return !in.peer.cut_off && !in.next_probe && now >= in.backoff_until && is_listed(now, in);
 }
 
 double entry_peers::cost_of(const state& in) const
@@ -55,10 +58,10 @@
     return in.in_flight + (in.peer.failure_domain == own_domain_ ? 0 : other_domain_cost);
 }
 
-const entry_peer* entry_peers::choose(instant now, const std::set<endpoint>& tried)
+const entry_peer* entry_peers::choose(instant now, const std::set<endpoint>& tried) const
 {
     const state* best = nullptr;
-    auto it = peers_.upper_bound(latest_choice_);
+    auto it = peers_.upper_bound(latest_sent_to_);
     for (std::size_t n = 0; n < peers_.size(); ++n, ++it) {
         it = it == peers_.end() ? peers_.begin() : it;
         const auto& [address, own] = *it;
@@ -67,11 +70,7 @@
             best = &own;
         }
     }
-    if (best == nullptr) {
-        return nullptr;
-    }
-    latest_choice_ = best->peer.address;
-    return &best->peer;
+    return best == nullptr ? nullptr : &best->peer;
 }
 
 entry_peers::state* entry_peers::find(const endpoint& peer)
@@ -84,6 +83,7 @@
 {
     if (auto* own = find(peer)) {
         ++own->in_flight;
+        latest_sent_to_ = peer;
     }
 }
 
@@ -99,15 +99,44 @@
     if (auto* own = find(peer)) {
         own->failures = 0;
         own->backoff_until = {};
+        own->next_probe.reset();
     }
 }
 
 void entry_peers::on_failure(instant now, const endpoint& peer)
 {
-    if (auto* own = find(peer)) {
+    // All requests in flight fail when a peer ends. Counted one by one, they would add up to the
+    // longest backoff.
+    if (auto* own = find(peer); own != nullptr && now >= own->backoff_until) {
         ++own->failures;
         own->backoff_until = now + backoff_after(own->failures);
     }
 }
 
+void entry_peers::on_reached(const endpoint& peer)
+{
+    if (auto* own = find(peer)) {
+        own->next_probe.reset();
+    }
+}
+
+void entry_peers::on_unreachable(instant now, const endpoint& peer)
+{
+    if (auto* own = find(peer)) {
+        own->next_probe = own->next_probe.value_or(now);
+    }
+}
+
+std::vector<endpoint> entry_peers::take_due_probes(instant now)
+{
+    std::vector<endpoint> out;
+    for (auto& [address, own] : peers_) {
+        if (own.next_probe && now >= *own.next_probe) {
+            own.next_probe = now + probe_interval;
+            out.push_back(address);
+        }
+    }
+    return out;
+}
+
 } // namespace cedarpoint
--- a/src/io/runner_end_checker.h
+++ b/src/io/runner_end_checker.h
@@ -2,7 +2,7 @@
 
 #include "cedarpoint/core/endpoint.h"
 #include "cedarpoint/core/ids.h"
-#include "io/runner_prober.h"
+#include "io/address_prober.h"
 
 #include <functional>
 
@@ -21,7 +21,7 @@
     void clean_up() { prober_.clean_up(); }
 
 private:
-    runner_prober prober_;
+    address_prober<runner_id> prober_;
 };
 
 } // namespace cedarpoint
