Forwarded requests go to no runner that their first daemon knows to leave

Cause: a request carried the runners that it had been sent to, but not those of whose leave its daemon knew. The other daemon learns of a leave from the leader or from the runner itself, and without a leader sent one request there first.

Change: the field names all runners that must not get the request.

--- a/src/entry/forwarded_request.cpp
+++ b/src/entry/forwarded_request.cpp
@@ -28,21 +28,21 @@
     if (!added.resume_after.empty()) {
         fields.add(names.resume_after, added.resume_after);
     }
-    std::vector<std::string_view> tried;
-    for (const auto& runner : added.tried) {
-        tried.emplace_back(runner.str());
+    std::vector<std::string_view> excluded;
+    for (const auto& runner : added.excluded) {
+        excluded.emplace_back(runner.str());
     }
-    fields.add(std::string{forward_tried_field}, fmt::format("{}", fmt::join(tried, ",")));
+    fields.add(std::string{forward_excluded_field}, fmt::format("{}", fmt::join(excluded, ",")));
     fields.add(std::string{forward_sender_field}, added.sender);
     const std::array<std::string_view, 4> removed{names.deadline_ms, names.resume_after,
-                                                  forward_tried_field, forward_sender_field};
+                                                  forward_excluded_field, forward_sender_field};
     return serialize(from, fields, removed);
 }
 
-std::set<runner_id> read_tried(const http_request& in)
+std::set<runner_id> read_excluded(const http_request& in)
 {
     std::set<runner_id> out;
-    auto rest = in.fields.get(forward_tried_field);
+    auto rest = in.fields.get(forward_excluded_field);
     while (!rest.empty()) {
         const auto end = std::min(rest.find(','), rest.size());
         out.emplace(std::string{rest.substr(0, end)});
--- a/src/entry/forwarded_request.h
+++ b/src/entry/forwarded_request.h
@@ -16,15 +16,16 @@
 // caller has sent. Header fields between entry daemons begin with "Cedarpoint-Forward"; callers and
 // runners never get them.
 
-inline constexpr std::string_view forward_tried_field = "Cedarpoint-Forward-Tried";
+inline constexpr std::string_view forward_excluded_field = "Cedarpoint-Forward-Excluded";
 inline constexpr std::string_view forward_sender_field = "Cedarpoint-Forward-Sender";
 
 /// Header fields that the sending daemon sets. They replace those of the caller.
 struct forwarded_request {
     milliseconds time_left{0};
-    std::string resume_after;  ///< id of the last event that the caller has; empty if none
-    std::set<runner_id> tried; ///< runners that the request was sent to
-    std::string sender;        ///< name of the sending daemon, for the log
+    std::string resume_after; ///< id of the last event that the caller has; empty if none
+    /// Runners that must not get the request: those that it was sent to, and those that leave.
+    std::set<runner_id> excluded;
+    std::string sender; ///< name of the sending daemon, for the log
 };
 
 /// Serializes a caller's request for another entry daemon.
@@ -32,7 +33,7 @@
                                     const header_names& names);
 
 /// Reads what the sending daemon has set in a received request.
-[[nodiscard]] std::set<runner_id> read_tried(const http_request& in);
+[[nodiscard]] std::set<runner_id> read_excluded(const http_request& in);
 [[nodiscard]] std::string_view read_sender(const http_request& in);
 
 /// How the other daemon's answer came about.
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -89,7 +89,7 @@
     const auto now = steady_now();
     start_deadline_timer(now);
     if (is_for_peer()) {
-        tried_ = read_tried(request_);
+        tried_ = read_excluded(request_);
     }
     else {
         count_first_attempt(now);
--- a/src/entry/relay_forwarding.cpp
+++ b/src/entry/relay_forwarding.cpp
@@ -43,7 +43,11 @@
     forwarded_request added;
     added.time_left = std::chrono::duration_cast<milliseconds>(admission_.deadline - steady_now());
     added.resume_after = cursor_.last_id();
-    added.tried = sent_to_;
+    added.excluded = sent_to_;
+    // The other daemon learns of a leave from the leader, and of none while there is no leader.
+    for (const auto& [runner, its_incarnation] : context_.targets.leaving_targets()) {
+        added.excluded.insert(runner);
+    }
     added.sender = context_.name;
     return serialize(request_, added, context_.platform.headers());
 }
--- a/src/entry/runner_request.cpp
+++ b/src/entry/runner_request.cpp
@@ -24,8 +24,8 @@
     }
     // Set by this daemon, or not for runners to see.
     const std::array<std::string_view, 8> removed{
-        names.deadline_ms,  names.priority,  names.account,       names.expected_runner,
-        names.resume_after, "Authorization", forward_tried_field, forward_sender_field};
+        names.deadline_ms,  names.priority,  names.account,          names.expected_runner,
+        names.resume_after, "Authorization", forward_excluded_field, forward_sender_field};
     return serialize(from, fields, removed);
 }
 
