A request that no daemon can send is refused after one connection that times out

What callers saw: at a daemon cut off from all runners whose peers were gone too, a request tried one runner after the other, 0.4 s each, up to its deadline.

Change: while a cut is confirmed, one connection of a request may time out; probes find out when a runner is reached again. Refused connections cost no time and don't count.

--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -301,6 +301,9 @@
     if (attempt_->to().is_entry_daemon) {
         record_forwarded_end(verdict);
     }
+    else {
+        unanswered_ += attempt_->was_unanswered() ? 1 : 0;
+    }
     const bool failed = verdict.outcome == attempt_outcome::client_error ||
                         verdict.outcome == attempt_outcome::server_error;
     if (failed) {
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -137,6 +137,7 @@
     std::set<runner_id> sent_to_; ///< those of `tried_` to which the request was written
     std::set<endpoint> tried_peers_;
     int unreachable_ = 0; ///< attempts of this request whose connection was not established
+    int unanswered_ = 0;  ///< those of `unreachable_` to runners that were not refused
     std::optional<instant> pause_ends_;       ///< set only if all targets are paused
     std::shared_ptr<runner_attempt> attempt_; ///< the latest; null before the first
     event_cursor cursor_;
--- a/src/entry/relay_targets.cpp
+++ b/src/entry/relay_targets.cpp
@@ -11,6 +11,10 @@
 /// Connections of one request that may fail before it goes through another entry daemon.
 constexpr int max_unreachable_attempts = 2;
 
+/// Connections of one request that may time out while this daemon is cut off and no other one can
+/// be asked. Probes find out when a runner is reached again.
+constexpr int max_timeouts_while_cut_off = 1;
+
 const char* no_target_reason(target_choice::outcome_t outcome)
 {
     switch (outcome) {
@@ -71,7 +75,7 @@
         why_none = no_target_reason(choice.outcome);
         return {};
     }
-    if (paths.cut() && (is_for_peer() || !tried_peers_.empty())) {
+    if (reaches_no_runner()) {
         why_none = "no runner is reached";
         return {};
     }
@@ -79,6 +83,16 @@
                                        choice.target->group, false};
 }
 
+bool relay::reaches_no_runner() const
+{
+    const auto& cut = context_.targets.paths().cut();
+    if (!cut) {
+        return false;
+    }
+    return is_for_peer() || !tried_peers_.empty() ||
+           (cut->is_confirmed && unanswered_ >= max_timeouts_while_cut_off);
+}
+
 void relay::send_to(const runner_attempt::destination& to)
 {
     if (to.is_entry_daemon) {
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -176,6 +176,7 @@
     case exchange_end::refused:
     case exchange_end::unsent:
         was_unreachable_ = true;
+        was_unanswered_ = how == exchange_end::unsent;
         recorder_->on_unreachable(steady_now(), how == exchange_end::refused);
         return {attempt_outcome::not_run, target_effect::none, why.str()};
     case exchange_end::cut:
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -82,6 +82,8 @@
     [[nodiscard]] attempt_recorder& recorder() { return *recorder_; }
     /// Returns true if nothing was sent because the connection was not established.
     [[nodiscard]] bool was_unreachable() const { return was_unreachable_; }
+    /// Returns true if it was not established for any reason but a refusal, such as a timeout.
+    [[nodiscard]] bool was_unanswered() const { return was_unanswered_; }
     /// Returns true once the head has arrived, if it begins a stream of events that can be
     /// forwarded.
     [[nodiscard]] bool is_streaming() const { return streaming_; }
@@ -124,6 +126,7 @@
     bool is_complete_ = false;
     bool was_cut_ = false;
     bool was_unreachable_ = false;
+    bool was_unanswered_ = false;
     QTimer stall_timer_;
 };
 
--- a/tests/runner_paths/forwarding_test.cpp
+++ b/tests/runner_paths/forwarding_test.cpp
@@ -32,11 +32,13 @@
 /// A fleet whose first entry daemon is cut off from all runners.
 class a_request_through_another_entry_daemon : public testing::Test, protected cuttable_fleet {
 protected:
-    explicit a_request_through_another_entry_daemon(int forwarding_entry_daemons = entry_daemons)
+    explicit a_request_through_another_entry_daemon(int forwarding_entry_daemons = entry_daemons,
+                                                    int plain_runners = 3)
         : cuttable_fleet{{.net = net_of_this_test(),
                           .log_name = fmt::format("forwarding-{}", net_of_this_test()),
                           .entry_daemons = entry_daemons,
-                          .forwarding_entry_daemons = forwarding_entry_daemons}}
+                          .forwarding_entry_daemons = forwarding_entry_daemons,
+                          .plain_runners = plain_runners}}
     {
     }
 
@@ -205,8 +207,6 @@
     EXPECT_EQ(count_served(*callers), static_cast<int>(callers->results.size()));
 }
 
-TEST_F(a_request_through_another_entry_daemon, takes_one_hop_and_is_refused_soon_if_none_reaches)
-{
 // Guards against the other daemon sending a request to a runner of whose leave only the first one
 // knows.
 TEST_F(a_request_through_another_entry_daemon, is_not_sent_to_a_runner_that_leaves)
@@ -232,6 +232,8 @@
     EXPECT_EQ(leaver.arrivals.size(), arrivals);
 }
 
+TEST_F(a_request_through_another_entry_daemon, takes_one_hop_and_is_refused_soon_if_none_reaches)
+{
     for (const auto& path : paths) {
         path->cut({path_cut::existing_t::stall, path_cut::fresh_t::hang});
     }
@@ -285,5 +287,29 @@
     EXPECT_EQ(count_served(*callers), static_cast<int>(callers->results.size()));
 }
 
+/// The same with more runners than can be tried within a request's time.
+class a_request_that_no_daemon_can_send : public a_request_through_another_entry_daemon {
+protected:
+    a_request_that_no_daemon_can_send() : a_request_through_another_entry_daemon{entry_daemons, 8}
+    {
+    }
+};
+
+// Guards against a request waiting for one connection after the other until its deadline, although
+// its daemon knows that it reaches no runner.
+TEST_F(a_request_that_no_daemon_can_send, is_refused_long_before_its_deadline)
+{
+    for (int peer = 1; peer < entry_daemons; ++peer) {
+        fleet.at(fleet_processes::control_count + peer).signal(SIGKILL);
+    }
+    pass_time(seconds{1});
+    for (int request = 0; request < 4; ++request) {
+        const auto begun = steady_now();
+        EXPECT_EQ(ask("/once/x", "for nobody").head.status, 503);
+        EXPECT_LT(steady_now() - begun, seconds{1});
+    }
+    EXPECT_TRUE(arrivals_of("for nobody").empty());
+}
+
 } // namespace
 } // namespace cedarpoint
