Entry metrics: one class keeps counters by their labels

Cause: the two counters of forwarded requests searched their labels at each call, where those of ends and attempts kept the counters in maps of their own.

Change: labelled_counters serves the four. Names, labels and help unchanged.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -12,14 +12,18 @@
 
 entry_metrics::entry_metrics()
     : ends_{registry_.add_counters("cedarpoint_requests_total",
-                                   "Requests by final answer and its cause")},
+                                   "Requests by final answer and its cause"),
+            {"outcome", "cause"}},
       attempts_{
-          registry_.add_counters("cedarpoint_attempts_total", "Attempts at runners by outcome")},
+          registry_.add_counters("cedarpoint_attempts_total", "Attempts at runners by outcome"),
+          {"outcome"}},
       forwarded_{registry_.add_counters("cedarpoint_forwarded_attempts_total",
-                                        "Attempts through other entry daemons by outcome")},
+                                        "Attempts through other entry daemons by outcome"),
+                 {"outcome"}},
       peer_requests_{
           registry_.add_counters("cedarpoint_peer_requests_total",
-                                 "Requests of other entry daemons by final answer and its cause")},
+                                 "Requests of other entry daemons by final answer and its cause"),
+          {"outcome", "cause"}},
       first_byte_{registry_.add_histogram("cedarpoint_first_byte_seconds",
                                           "From arrival to the first event or the whole answer",
                                           latency_bounds)},
@@ -67,30 +71,22 @@
 
 void entry_metrics::count_end(const std::string& outcome, const std::string& cause)
 {
-    auto*& counter = known_ends_[outcome + "/" + cause];
-    if (counter == nullptr) {
-        counter = &ends_.Add({{"outcome", outcome}, {"cause", cause}});
-    }
-    counter->Increment();
+    ends_.increment({outcome, cause});
 }
 
 void entry_metrics::count_attempt(const std::string& outcome)
 {
-    auto*& counter = known_attempts_[outcome];
-    if (counter == nullptr) {
-        counter = &attempts_.Add({{"outcome", outcome}});
-    }
-    counter->Increment();
+    attempts_.increment({outcome});
 }
 
 void entry_metrics::count_forwarded(const std::string& outcome)
 {
-    forwarded_.Add({{"outcome", outcome}}).Increment();
+    forwarded_.increment({outcome});
 }
 
 void entry_metrics::count_peer_request(const std::string& outcome, const std::string& cause)
 {
-    peer_requests_.Add({{"outcome", outcome}, {"cause", cause}}).Increment();
+    peer_requests_.increment({outcome, cause});
 }
 
 void entry_metrics::observe_first_byte(duration since_arrival)
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "cedarpoint/core/time.h"
+#include "io/labelled_counters.h"
 #include "io/metrics_registry.h"
 
-#include <map>
 #include <string>
 
 namespace cedarpoint {
@@ -48,10 +48,10 @@
 
 private:
     metrics_registry registry_;
-    prometheus::Family<prometheus::Counter>& ends_;
-    prometheus::Family<prometheus::Counter>& attempts_;
-    prometheus::Family<prometheus::Counter>& forwarded_;
-    prometheus::Family<prometheus::Counter>& peer_requests_;
+    labelled_counters ends_;
+    labelled_counters attempts_;
+    labelled_counters forwarded_;
+    labelled_counters peer_requests_;
     prometheus::Histogram& first_byte_;
     prometheus::Histogram& request_time_;
     prometheus::Histogram& pause_;
@@ -69,10 +69,6 @@
     prometheus::Counter& runner_ends_;
     prometheus::Gauge& failing_paths_;
     prometheus::Gauge& cut_off_;
-    // Counters by label. Cached because a family searches its labels at each call, which costs time
-    // for every request.
-    std::map<std::string, prometheus::Counter*> known_ends_;
-    std::map<std::string, prometheus::Counter*> known_attempts_;
 };
 
 } // namespace cedarpoint
