--- a/tests/fleet/entry_peers_test.cpp
+++ b/tests/fleet/entry_peers_test.cpp
@@ -28,7 +28,7 @@
     /// Returns the peer through which a request goes that ends at once.
     std::optional<endpoint> send()
     {
-        const auto chosen = choose();
+        auto chosen = choose();
         if (chosen) {
             peers.on_sent(*chosen);
             peers.on_done(*chosen);
