Red test: requests that share a part of their prompts crash runner after runner

Callers see their requests refused while all runners are down in turn. The cause is not touched here. Beside the test:

- The adapter reads the list of prompt parts (its last entry belongs to the request itself); bad entries are skipped, at most 32 are read.
- The log line of an attempt whose connection was cut names the shared parts, so that the logs tell a shared part from a coincidence.

--- a/include/cedarpoint/core/ids.h
+++ b/include/cedarpoint/core/ids.h
@@ -30,6 +30,7 @@
 using pool_id = id<struct pool_tag>;                     ///< one declaration of replica groups
 using service_id = id<struct service_tag>;               ///< a plain service
 using model_id = id<struct model_tag>;                   ///< a model's name
+using prompt_part_id = id<struct prompt_part_tag>;       ///< a part that prompts may share
 using client_account_id = id<struct client_account_tag>; ///< one customer
 using failure_domain_id = id<struct failure_domain_tag>; ///< one zone
 using fabric_domain_id = id<struct fabric_domain_tag>;   ///< nodes on one high-speed interconnect
--- a/include/cedarpoint/fleet/platform_adapter.h
+++ b/include/cedarpoint/fleet/platform_adapter.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cedarpoint {
 
@@ -18,6 +19,7 @@
     std::string deadline_ms;     ///< remaining time for the answer, in milliseconds
     std::string priority;        ///< to runners: 0 (highest) to 9
     std::string model;           ///< model that a request for an engine asks for
+    std::string prompt_parts;    ///< parts of the prompt, in order; read by the adapter
     std::string account;         ///< to runners: name of the caller's account
     std::string expected_runner; ///< to runners: a runner with another id refuses the request
     std::string signature;       ///< in answers of runners: proves that a runner made the answer
@@ -56,6 +58,11 @@
     /// Returns the start time of a runner process that deregisters; 0 if `body` has none or is
     /// invalid.
     [[nodiscard]] virtual incarnation read_departing_incarnation(std::string_view body) const = 0;
+    /// Reads the value of the header `prompt_parts`. Returns the parts that other requests may
+    /// share, each once, in order: all but the last one, which belongs to the request itself. Skips
+    /// invalid entries.
+    [[nodiscard]] virtual std::vector<prompt_part_id>
+    read_shared_parts(std::string_view field) const = 0;
     [[nodiscard]] virtual std::string write_order(const group_order& order) const = 0;
 };
 
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -120,6 +120,8 @@
     /// Returns the entry daemon that the latest attempt went through; empty if it went to a runner.
     [[nodiscard]] std::string peer_address() const;
     void log_attempt(const attempt_verdict& verdict) const;
+    /// Returns the parts of the prompt that other requests may share, for the log.
+    [[nodiscard]] std::string describe_shared_parts() const;
     [[nodiscard]] bool is_stream() const;
 
     entry_context& context_;
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -9,9 +9,11 @@
 #include "io/log_line.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <random>
+#include <vector>
 
 namespace cedarpoint {
 namespace {
@@ -193,7 +195,20 @@
         .with("group", attempt_->group().str())
         .with("through", peer_address())
         .with("why", verdict.why)
+        .with("parts", attempt_->was_cut() ? describe_shared_parts() : "")
         .write();
 }
 
+std::string relay::describe_shared_parts() const
+{
+    const auto& platform = context_.platform;
+    std::vector<std::string_view> out;
+    const auto parts =
+        platform.read_shared_parts(request_.fields.get(platform.headers().prompt_parts));
+    for (const auto& part : parts) {
+        out.emplace_back(part.str());
+    }
+    return fmt::format("{}", fmt::join(out, ","));
+}
+
 } // namespace cedarpoint
--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -157,11 +157,11 @@
     ++served_;
     arrivals.push_back(
         {steady_now(), std::string{request.fields.get("X-Cedarpoint-Request-Id")}, request.body,
-         !rate_limit.empty(),
+         std::string{request.fields.get("X-Cedarpoint-Prompt-Prefix")}, !rate_limit.empty(),
          std::atoi(std::string{request.fields.get("X-Cedarpoint-Deadline-Ms")}.c_str())});
     reply->on_caller_disconnected = [this] { ++abandoned; };
-    if (!crash_trigger.empty() && request.body.find(crash_trigger) != std::string::npos) {
-        QTimer::singleShot(crash_delay, &timer_, [this] { crash(); });
+    if (is_crashed_by(request)) {
+        crash_under(request, reply);
         return;
     }
     if (service_ == "pool") {
@@ -180,6 +180,30 @@
                        [reply, head, body = request.body] { reply->send(head, "plain " + body); });
 }
 
+bool platform_runner::is_crashed_by(const http_request& request) const
+{
+    const auto has_text = [](std::string_view text, const std::string& part) {
+        return !part.empty() && text.find(part) != std::string_view::npos;
+    };
+    return has_text(request.body, crash_trigger) ||
+           has_text(request.fields.get("X-Cedarpoint-Prompt-Prefix"), crash_part);
+}
+
+void platform_runner::crash_under(const http_request& request,
+                                  const std::shared_ptr<http_reply>& reply)
+{
+    QTimer::singleShot(crash_delay, &timer_, [this] { crash(); });
+    if (stage == crash_stage::before_head) {
+        return;
+    }
+    auto head = make_head(request);
+    if (service_ == "pool") {
+        head.fields.add("Content-Type", "text/event-stream");
+    }
+    reply->begin(std::move(head));
+    reply->write("id: 1\ndata: token 1\n\n");
+}
+
 http_head platform_runner::make_head(const http_request& request) const
 {
     http_head out{200, {}};
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -53,6 +53,7 @@
     int abandoned = 0;                ///< requests whose sender disconnected before the answer
     int slots = 4;                    ///< reported in its heartbeats
     std::string crash_trigger;        ///< a request with this text in its body crashes the runner
+    std::string crash_part;           ///< a request with this part in its prompt does, too
     milliseconds crash_delay{40};     ///< from the start of such a request to the crash
     milliseconds restart_delay{2500}; ///< from a crash to the restart under the same id
     std::vector<instant> ends;        ///< times of its crashes
@@ -61,10 +62,17 @@
     bool keeps_port_open = false;
     /// Stops at once, like a crashed process, and restarts after `restart_delay`.
     void crash();
+    /// How far an answer gets before a request crashes the runner.
+    enum class crash_stage {
+        before_head,
+        in_stream ///< after the first event
+    };
+    crash_stage stage = crash_stage::before_head;
     struct arrival {
         instant at;
         std::string request;
         std::string body;
+        std::string prompt_parts;
         bool has_rate_limit = false; ///< the answer contains a rate limit
         int time_left_ms = 0;        ///< as the request says
     };
@@ -75,6 +83,9 @@
     void on_order(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void stream(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void stream_slowly(int event, const std::shared_ptr<http_reply>& reply);
+    [[nodiscard]] bool is_crashed_by(const http_request& request) const;
+    /// Answers as far as `stage` says, then crashes.
+    void crash_under(const http_request& request, const std::shared_ptr<http_reply>& reply);
     /// Returns the head of an answer to the request, with the runner's rate limit and state.
     [[nodiscard]] http_head make_head(const http_request& request) const;
     /// Refuses the request if `refuse_request` asks for it. Returns whether it was refused.
--- a/tests/platform/platform_adapter_test.cpp
+++ b/tests/platform/platform_adapter_test.cpp
@@ -207,6 +207,36 @@
     EXPECT_EQ(platform.read_call("POST", "/cedarpoint/instances/i-7").call, control_call::unknown);
 }
 
+TEST(a_list_of_prompt_parts, is_read_without_the_part_that_belongs_to_the_request)
+{
+    const auto read = [](std::string_view field) {
+        std::vector<std::string> out;
+        for (const auto& part : installed_platform().read_shared_parts(field)) {
+            out.push_back(part.str());
+        }
+        return out;
+    };
+    using parts = std::vector<std::string>;
+    EXPECT_EQ(read("5c1e07a2:800,91BD3f06:410,e4402b7d:250"), (parts{"5c1e07a2", "91bd3f06"}));
+    EXPECT_EQ(read("a:1 , b:2,c:3"), (parts{"a", "b"}));
+    EXPECT_EQ(read("a:1"), parts{});
+    EXPECT_EQ(read(""), parts{});
+
+    // Invalid entries are skipped, and a part that stands twice is read once.
+    EXPECT_EQ(read("a:1,a:1,b:2,a:1"), (parts{"a", "b"}));
+    EXPECT_EQ(read("a,:1,xyz:1,b:many,b:2,c:3"), parts{"b"});
+    EXPECT_EQ(read(",,,"), parts{});
+    EXPECT_EQ(read(std::string(33, 'a') + ":1," + std::string(32, 'b') + ":1,c:1"),
+              parts{std::string(32, 'b')});
+
+    // A list as long as a head may be costs no more than a short one.
+    std::string many;
+    for (int n = 0; n < 4000; ++n) {
+        many += std::to_string(n) + ":1,";
+    }
+    EXPECT_EQ(read(many + "0:1").size(), 32U);
+}
+
 TEST(an_order, contains_its_fencing_token_and_its_group)
 {
     group_order order;
--- a/tests/support/open_loop_callers.h
+++ b/tests/support/open_loop_callers.h
@@ -23,11 +23,13 @@
         std::string body;
         std::string model;              ///< empty: the request names none
         bool on_new_connection = false; ///< otherwise on a kept one, if there is one
+        std::string prompt_parts;       ///< as in the header; empty: the request names none
     };
     struct result {
         std::size_t entry = 0; ///< the entry daemon that was asked
         std::string id;
         std::string target;
+        std::string prompt_parts;
         instant sent;
         instant ended;
         int status = 0; ///< HTTP status; 0: no complete answer
