--- a/include/cedarpoint/fleet/control_call.h
+++ b/include/cedarpoint/fleet/control_call.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cedarpoint/core/ids.h"
-#include "cedarpoint/quarantine/request_fingerprint.h"
+#include "cedarpoint/quarantine/crash_cause.h"
 
 #include <string_view>
 
@@ -14,7 +14,7 @@
     heartbeat,
     deregister,
     check_readiness,
-    list_quarantine, ///< lists the requests that are sent to no runner
+    list_quarantine, ///< lists the requests and prompt parts that are sent to no runner
     lift_quarantine,
     unknown
 };
@@ -25,8 +25,8 @@
 /// A call and its arguments.
 struct parsed_call {
     control_call call = control_call::unknown;
-    runner_id runner;            ///< the calling runner, if a runner calls
-    request_fingerprint request; ///< the request whose quarantine is lifted
+    runner_id runner;  ///< the calling runner, if a runner calls
+    crash_cause cause; ///< the cause whose quarantine is lifted
 };
 
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -72,22 +72,22 @@
     }
     /// Called once for each unreadable configuration in the log. The log should contain none.
     std::function<void(std::uint64_t version, const reason&)> on_unreadable_configuration;
-    /// Called when an entry daemon has reported a request during which runners crashed.
-    std::function<void(instant now, const request_fingerprint&, const crash_history&)> on_crashes;
+    /// Called when an entry daemon has reported a request, or a part of a prompt, during which
+    /// runners crashed.
+    std::function<void(instant now, const crash_cause&, const crash_history&)> on_crashes;
     /// Called when a runner starts to drain because it announced in an answer that it is leaving.
     std::function<void(const runner_id&)> on_leave_signal;
-    /// Called when a request is to be quarantined.
+    /// Called when a cause is to be quarantined.
     std::function<void(instant now, const quarantine_order&)> on_quarantine;
-    /// Processes the lifting of a request's quarantine by an operator, after it is committed to the
-    /// log.
-    void on_quarantine_lifted(instant now, const request_fingerprint& request);
+    /// Processes the lifting of a quarantine by an operator, after it is committed to the log.
+    void on_quarantine_lifted(instant now, const crash_cause& cause);
 
 private:
     void take_configuration();
     void take_rate_limits(instant now, const daemon_id& follower, rate_limit_observations in);
     void add_quarantines(instant now, std::vector<planner_step>& steps);
     void take_crashes(instant now, const daemon_id& follower, crash_histories in);
-    /// Passes the full crash history of each request in `reported` to `on_crashes`.
+    /// Passes the full crash history of each cause in `reported` to `on_crashes`.
     void report_crashes(instant now, const crash_histories& reported) const;
     /// Records which incarnations of runners have ended according to a heartbeat. `earlier_owner`
     /// is the previous owner of its address, if that was another runner.
--- a/include/cedarpoint/fleet/fleet_state.h
+++ b/include/cedarpoint/fleet/fleet_state.h
@@ -4,7 +4,7 @@
 #include "cedarpoint/core/endpoint.h"
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/units.h"
-#include "cedarpoint/quarantine/request_fingerprint.h"
+#include "cedarpoint/quarantine/crash_cause.h"
 #include "control.pb.h"
 
 #include <cstdint>
@@ -40,9 +40,9 @@
 
 /// The replicated state of the control daemons: the configuration with the highest version, the
 /// registered runners, the runners that are leaving or gone, the groups whose head may be open, and
-/// the quarantined requests. A new leader starts from it before it has received any heartbeat.
-/// Persistent: `save` and `restore` write and read the snapshot, `apply` applies the commands in
-/// the log.
+/// the quarantined causes of crashes. A new leader starts from it before it has received any
+/// heartbeat. Persistent: `save` and `restore` write and read the snapshot, `apply` applies the
+/// commands in the log.
 class fleet_state final : public replicated_state {
 public:
     std::string apply(const std::string& command) override;
@@ -66,13 +66,13 @@
         return registrations_;
     }
     [[nodiscard]] const std::map<group_id, formed_group>& groups() const { return groups_; }
-    /// Returns the requests that are sent to no runner until an operator lifts their quarantine.
-    [[nodiscard]] const std::set<request_fingerprint>& quarantined() const { return quarantined_; }
-    /// Returns the requests whose quarantine was lifted most recently.
-    [[nodiscard]] const std::set<request_fingerprint>& lifted() const { return lifted_; }
-    /// Returns the log record of a quarantined request; null if the request is not quarantined.
-    [[nodiscard]] const wire::quarantined_request*
-    find_quarantined(const request_fingerprint& request) const;
+    /// Returns the causes of crashes: requests with one of them are sent to no runner until an
+    /// operator lifts its quarantine.
+    [[nodiscard]] const std::set<crash_cause>& quarantined() const { return quarantined_; }
+    /// Returns the causes whose quarantine was lifted most recently.
+    [[nodiscard]] const std::set<crash_cause>& lifted() const { return lifted_; }
+    /// Returns the log record of a quarantined cause; null if it is not quarantined.
+    [[nodiscard]] const wire::quarantined_request* find_quarantined(const crash_cause& cause) const;
 
     // Commands for the log.
     [[nodiscard]] static std::string put_configuration(std::uint64_t version,
@@ -87,7 +87,7 @@
     /// Removes a group whose head is not open and will not open again.
     [[nodiscard]] static std::string end_group(const group_id& group);
     [[nodiscard]] static std::string quarantine(const wire::quarantined_request& request);
-    [[nodiscard]] static std::string lift_quarantine(const request_fingerprint& request);
+    [[nodiscard]] static std::string lift_quarantine(const crash_cause& cause);
 
 private:
     struct departure {
@@ -104,8 +104,8 @@
     /// Maximum number of departures kept; the oldest are dropped to bound memory.
     static constexpr std::size_t max_departures = 20'000;
 
-    /// Maximum number of quarantined and lifted requests together. The oldest are dropped. A
-    /// dropped request is quarantined again only after it has crashed runners again.
+    /// Maximum number of quarantined and lifted causes together. The oldest are dropped. A dropped
+    /// cause is quarantined again only after it has crashed runners again.
     static constexpr std::size_t max_quarantined = 1'000;
 
     wire::accepted_configuration configuration_;
@@ -114,8 +114,8 @@
     std::map<runner_id, registered_runner> registrations_;
     std::map<group_id, formed_group> groups_;
     std::deque<wire::quarantined_request> quarantine_log_; ///< latest of each, oldest first
-    std::set<request_fingerprint> quarantined_;
-    std::set<request_fingerprint> lifted_;
+    std::set<crash_cause> quarantined_;
+    std::set<crash_cause> lifted_;
 };
 
 /// Returns the text of a configuration from a view or from the log; empty if it is corrupt.
--- a/include/cedarpoint/fleet/fleet_view.h
+++ b/include/cedarpoint/fleet/fleet_view.h
@@ -61,6 +61,7 @@
 std::string runner_key(const std::string& runner);
 std::string group_key(const std::string& group);
 std::string request_key(const std::string& fingerprint);
+std::string prompt_part_key(const std::string& model, const std::string& part);
 std::string entry_daemon_key(const std::string& address);
 
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/view_content.h
+++ b/include/cedarpoint/fleet/view_content.h
@@ -38,8 +38,8 @@
 struct view_content {
     std::map<runner_id, view_runner> runners; ///< plain runners and heads of groups
     std::map<group_id, view_group> groups;
-    /// Number of runners that crashed while running each request. 0: an operator has lifted the
-    /// request's quarantine.
+    /// Number of runners that crashed under each suspected cause. 0: an operator has lifted its
+    /// quarantine.
     crash_counts crashes;
     std::vector<entry_peer> entry_daemons; ///< those that send requests on for others
 };
--- a/include/cedarpoint/quarantine/crash_cause.h
+++ b/include/cedarpoint/quarantine/crash_cause.h
@@ -1,19 +1,37 @@
 #pragma once
 
-#include "cedarpoint/quarantine/crash_ledger.h"
-#include "cedarpoint/quarantine/crash_observation.h"
+#include "cedarpoint/core/ids.h"
+#include "cedarpoint/quarantine/request_fingerprint.h"
 
-#include <set>
+#include <compare>
+#include <string>
+#include <variant>
+#include <vector>
 
 namespace cedarpoint {
 
-/// Returns the requests to quarantine in addition to those in `known`. A request qualifies if
-/// enough runners have crashed one after the other while running it, and no other request that was
-/// in flight during one of these crashes has been in flight during at least as many. If there is
-/// such a request, the decision waits for a further crash that only one of the two was involved in.
-/// After several more crashes that involve both, the request with the shortest total time in flight
-/// is chosen, and its crashes no longer count against the other.
-[[nodiscard]] std::set<request_fingerprint>
-find_crash_causes(const crash_ledger& ledger, const std::set<request_fingerprint>& known);
+/// A part of a prompt, as processed by the weights of one model. Requests that differ otherwise may
+/// share it.
+struct prompt_part {
+    model_id model; ///< empty if the request names none
+    prompt_part_id id;
+
+    friend auto operator<=>(const prompt_part&, const prompt_part&) = default;
+};
+
+/// What may crash the runners that run a request: the request as a whole, or a part of its prompt.
+using crash_cause = std::variant<request_fingerprint, prompt_part>;
+
+/// The causes that one request can have: the request itself, then the shared parts of its prompt in
+/// their order. A part that belongs to the request alone is no cause of its own.
+using possible_causes = std::vector<crash_cause>;
+
+[[nodiscard]] inline bool is_prompt_part(const crash_cause& cause)
+{
+    return std::holds_alternative<prompt_part>(cause);
+}
+
+/// Returns the fingerprint of a request, or the id of a part and its model, for logs.
+[[nodiscard]] std::string describe(const crash_cause& cause);
 
 } // namespace cedarpoint
--- a/include/cedarpoint/quarantine/quarantine_controller.h
+++ b/include/cedarpoint/quarantine/quarantine_controller.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/quarantine/crash_cause.h"
 #include "cedarpoint/quarantine/crash_ledger.h"
 #include "cedarpoint/quarantine/crash_observation.h"
 #include "cedarpoint/quarantine/runner_incarnations.h"
@@ -13,16 +14,16 @@
 
 namespace cedarpoint {
 
-/// An order to quarantine a request, with the crashes that justify it.
+/// An order to quarantine a cause, with the crashes that justify it.
 struct quarantine_order {
-    request_fingerprint request;
+    crash_cause cause;
     std::vector<crash_observation> crashes;
 };
 
-/// Combines the crash observations of all entry daemons and decides which requests are
-/// quarantined. This is soft state of the leading control daemon that is cleared at the start of
-/// each term; the daemons report their observations again to a new leader. The decisions themselves
-/// are kept in the replicated log.
+/// Combines the crash observations of all entry daemons and decides which requests and which parts
+/// of prompts are quarantined. This is soft state of the leading control daemon that is cleared at
+/// the start of each term; the daemons report their observations again to a new leader. The
+/// decisions themselves are kept in the replicated log.
 class quarantine_controller {
 public:
     quarantine_controller();
@@ -45,32 +46,43 @@
     /// proves to be crashes.
     crash_histories on_replaced(instant now, const runner_id& runner);
     void forget(const runner_id& runner) { incarnations_.forget(runner); }
-    /// Returns the requests to quarantine in addition to those in `quarantined`, as determined by
-    /// `find_crash_causes`. Returns each again at intervals until it is in `quarantined`.
-    [[nodiscard]] std::vector<quarantine_order>
-    decide(instant now, const std::set<request_fingerprint>& quarantined);
-    /// Returns the crash counts to send to entry daemons. The count is 0 for the requests in
-    /// `lifted`, so that the daemons drop their own observations of them.
-    [[nodiscard]] crash_counts counts(const std::set<request_fingerprint>& quarantined,
-                                      const std::set<request_fingerprint>& lifted = {}) const;
-    /// Records that an operator lifted the quarantine of the request, which clears it of all
-    /// earlier crashes.
-    void on_lifted(instant now, const request_fingerprint& request);
-    /// Returns null if nothing is recorded for the request.
-    [[nodiscard]] const crash_history* find(const request_fingerprint& request) const
+    /// Returns the causes to quarantine in addition to those in `quarantined`, as determined by
+    /// `find_crash_causes`. Returns each again at intervals until it is in `quarantined`. A part of
+    /// a prompt is returned only after entry daemons had the time to report answers to requests
+    /// that have it.
+    [[nodiscard]] std::vector<quarantine_order> decide(instant now,
+                                                       const std::set<crash_cause>& quarantined);
+    /// Returns the crash counts to send to entry daemons. The count is 0 for the causes in
+    /// `lifted`, so that the daemons drop their own observations of them. It is 1 for a suspect
+    /// that another one may explain, and a part of a prompt has none below two crashes.
+    [[nodiscard]] crash_counts counts(const std::set<crash_cause>& quarantined,
+                                      const std::set<crash_cause>& lifted = {});
+    /// Records that an operator lifted the quarantine of the cause, which clears it of all earlier
+    /// crashes.
+    void on_lifted(instant now, const crash_cause& cause);
+    /// Returns null if nothing is recorded for the cause.
+    [[nodiscard]] const crash_history* find(const crash_cause& cause) const
     {
-        return ledger_.find(request);
+        return ledger_.find(cause);
     }
 
 private:
     crash_histories take_proved(instant now);
+    /// Derives causes and counts from the ledger if it has changed.
+    void update(const std::set<crash_cause>& quarantined);
+    /// Records since when each part of a prompt has been suspected.
+    void update_suspected_parts(instant now);
+    [[nodiscard]] bool has_waited_for_answers(instant now, const crash_cause& cause) const;
+    [[nodiscard]] crash_counts count_suspects(const std::set<crash_cause>& quarantined) const;
 
     crash_ledger ledger_;
     runner_incarnations incarnations_;
     unproved_cuts cuts_;
-    std::map<request_fingerprint, instant> ordered_at_;
-    std::set<request_fingerprint> causes_;      ///< as of the latest decision
-    std::set<request_fingerprint> decided_for_; ///< requests already quarantined at that time
+    std::map<crash_cause, instant> ordered_at_;
+    std::set<crash_cause> causes_;      ///< as of the latest update
+    crash_counts suspects_;             ///< as of the latest update
+    std::set<crash_cause> updated_for_; ///< causes already quarantined at that time
+    std::map<crash_cause, instant> part_suspected_at_;
     bool needs_update_ = false;
 };
 
--- a/include/cedarpoint/quarantine/unproved_cuts.h
+++ b/include/cedarpoint/quarantine/unproved_cuts.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/quarantine/crash_cause.h"
 #include "cedarpoint/quarantine/crash_observation.h"
-#include "cedarpoint/quarantine/request_fingerprint.h"
 #include "cedarpoint/quarantine/runner_incarnations.h"
 
 #include <vector>
@@ -17,9 +17,8 @@
 public:
     /// Adds observations that entry daemons report. Skips those that are already held.
     void add(instant now, const crash_histories& in);
-    /// Drops earlier cuts of a request that a runner answered completely at `at`: the request did
-    /// not cause them.
-    void on_answer(instant at, const request_fingerprint& request);
+    /// Drops earlier cuts of a cause of which a runner answered a request completely at `at`.
+    void on_answer(instant at, const crash_cause& cause);
     /// Removes and returns the cuts that are proved to be crashes, with the incarnation that ended
     /// filled in.
     [[nodiscard]] crash_histories take_proved(instant now, const runner_incarnations& incarnations);
@@ -27,11 +26,10 @@
 
 private:
     struct cut {
-        request_fingerprint request;
+        crash_cause cause;
         crash_observation observation;
     };
-    [[nodiscard]] bool holds(const request_fingerprint& request,
-                             const crash_observation& observation) const;
+    [[nodiscard]] bool holds(const crash_cause& cause, const crash_observation& observation) const;
     void drop_old(instant now);
 
     std::vector<cut> cuts_;
--- a/src/control_daemon/control_api.cpp
+++ b/src/control_daemon/control_api.cpp
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/http_status.h"
 #include "io/clock.h"
+#include "io/crash_log.h"
 #include "io/header_rules.h"
 #include "io/log_line.h"
 
@@ -104,7 +105,7 @@
         list_quarantine(reply);
         break;
     case control_call::lift_quarantine:
-        lift_quarantine(parsed.request, reply);
+        lift_quarantine(parsed.cause, reply);
         break;
     default:
         handle_departure(parsed.runner, true, platform_.read_departing_incarnation(request.body),
@@ -221,35 +222,45 @@
 void control_api::list_quarantine(const reply_ptr& reply)
 {
     nlohmann::json out = nlohmann::json::array();
-    for (const auto& request : state_.quarantined()) {
+    for (const auto& cause : state_.quarantined()) {
         nlohmann::json crashes = nlohmann::json::array();
-        if (const auto* record = state_.find_quarantined(request); record != nullptr) {
+        if (const auto* record = state_.find_quarantined(cause); record != nullptr) {
             for (const auto& crash : record->crashes()) {
                 crashes.push_back({{"runner", crash.runner()},
                                    {"daemon", crash.daemon()},
                                    {"request", crash.request()}});
             }
         }
-        out.push_back({{"fingerprint", request.str()}, {"crashes", std::move(crashes)}});
+        nlohmann::json each{{"crashes", std::move(crashes)}};
+        if (const auto* part = std::get_if<prompt_part>(&cause)) {
+            each["prompt_part"] = part->id.str();
+            each["model"] = part->model.str();
+        }
+        else {
+            each["fingerprint"] = std::get<request_fingerprint>(cause).str();
+        }
+        out.push_back(std::move(each));
     }
     answer(reply, http_status::ok, out.dump());
 }
 
-void control_api::lift_quarantine(const request_fingerprint& request, const reply_ptr& reply)
+void control_api::lift_quarantine(const crash_cause& cause, const reply_ptr& reply)
 {
-    if (!state_.quarantined().contains(request)) {
-        answer(reply, http_status::not_found, R"({"error":"this request is not quarantined"})");
+    if (!state_.quarantined().contains(cause)) {
+        answer(reply, http_status::not_found,
+               is_prompt_part(cause) ? R"({"error":"this part is not quarantined"})"
+                                     : R"({"error":"this request is not quarantined"})");
         return;
     }
     const bool proposed = hooks_.propose(
-        fleet_state::lift_quarantine(request),
-        [this, reply, request](const std::optional<std::string>& applied) {
+        fleet_state::lift_quarantine(cause),
+        [this, reply, cause](const std::optional<std::string>& applied) {
             log_line("quarantine_lifted")
-                .with("fingerprint", request.str())
+                .with(log_key_of(cause), describe(cause))
                 .with("outcome", applied ? "accepted" : "unknown")
                 .write();
             if (applied) {
-                leader_.on_quarantine_lifted(steady_now(), request);
+                leader_.on_quarantine_lifted(steady_now(), cause);
                 hooks_.on_committed();
             }
             answer(reply, applied ? http_status::ok : http_status::service_unavailable, "{}");
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -3,6 +3,7 @@
 #include "control_daemon/control_daemon.h"
 
 #include "io/clock.h"
+#include "io/crash_log.h"
 #include "io/log_line.h"
 #include "io/simple_listeners.h"
 
@@ -80,13 +81,13 @@
     return out;
 }
 
-/// Logs a request when a second runner has crashed while running it, and again for each further
-/// runner. Requests with a single crash are many, and entry daemons log them.
-void log_crashes(instant now, const request_fingerprint& request, const crash_history& known)
+/// Logs a request, or a part of prompts, when a second runner has crashed while running it, and
+/// again for each further runner. Those with a single crash are many, and entry daemons log them.
+void log_crashes(instant now, const crash_cause& cause, const crash_history& known)
 {
     if (known.crashes.size() >= std::size_t{crashes_to_stop_retries}) {
-        log_line("request_crashes")
-            .with("fingerprint", request.str())
+        log_line(is_prompt_part(cause) ? "part_crashes" : "request_crashes")
+            .with(log_key_of(cause), describe(cause))
             .with("runners", describe(now, known.crashes))
             .write();
     }
@@ -95,7 +96,7 @@
 void log_quarantine(instant now, const quarantine_order& order)
 {
     log_line("quarantine")
-        .with("fingerprint", order.request.str())
+        .with(log_key_of(order.cause), describe(order.cause))
         .with("runners", describe(now, order.crashes))
         .write();
 }
--- a/src/entry/local_reply.cpp
+++ b/src/entry/local_reply.cpp
@@ -11,7 +11,7 @@
 constexpr std::string_view retry_after_quarantine = "3600";
 constexpr std::string_view no_retry_after = "";
 
-constexpr std::array<local_reply_spec, 8> specs{{
+constexpr std::array<local_reply_spec, 9> specs{{
     {local_reply::no_configuration, http_status::service_unavailable,
      "no configuration is known yet", "no configuration is known yet", short_retry_after},
     {local_reply::no_route, http_status::not_found, "no route", "no route", no_retry_after},
@@ -28,6 +28,9 @@
     {local_reply::quarantined, http_status::too_many_requests,
      "this request has ended the runners that ran it and is sent to none", "quarantined",
      retry_after_quarantine},
+    {local_reply::quarantined_part, http_status::too_many_requests,
+     "a part of this prompt has ended the runners that ran it and is sent to none", "quarantined",
+     retry_after_quarantine},
 }};
 
 } // namespace
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -33,6 +33,13 @@
     return number ? std::optional{milliseconds{*number}} : std::nullopt;
 }
 
+/// Returns true if no runner has answered the attempt, so that the caller may send the request
+/// again.
+bool has_no_answer(attempt_outcome outcome)
+{
+    return outcome == attempt_outcome::not_run || outcome == attempt_outcome::may_have_run;
+}
+
 local_reply local_reply_for(admission_refusal why)
 {
     switch (why) {
@@ -82,8 +89,8 @@
     if (!admit_request()) {
         return;
     }
-    if (is_quarantined()) {
-        answer(local_reply::quarantined, "");
+    if (const auto cause = find_quarantined()) {
+        refuse_quarantined(*cause);
         return;
     }
     const auto now = steady_now();
@@ -195,7 +202,7 @@
     // Capturing `this` is safe: the relay cancels its attempts before it finishes, and its owner
     // keeps it until none of its member functions runs.
     runner_attempt::handlers out;
-    out.may_send = [this] { return has_time_to_send(steady_now()); };
+    out.reason_not_to_send = [this] { return reason_not_to_send(); };
     out.on_sending = [this] {
         ++facts_.sent;
         if (!attempt_->to().is_entry_daemon) {
@@ -327,7 +334,10 @@
         return;
     }
     log_attempt(verdict);
-    if (!may_send_again(facts_, verdict.outcome)) {
+    if (const auto cause = find_quarantined(); cause && has_no_answer(verdict.outcome)) {
+        refuse_quarantined(*cause);
+    }
+    else if (!may_send_again(facts_, verdict.outcome)) {
         fail_request(verdict.why);
     }
     else if (retry_may_crash_runner(verdict.outcome)) {
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -2,7 +2,7 @@
 
 #include "cedarpoint/fleet/request_admission.h"
 #include "cedarpoint/fleet/retry_policy.h"
-#include "cedarpoint/quarantine/request_fingerprint.h"
+#include "cedarpoint/quarantine/crash_cause.h"
 #include "entry/entry_context.h"
 #include "entry/event_cursor.h"
 #include "entry/forwarded_request.h"
@@ -93,8 +93,17 @@
     void on_attempt_end(const attempt_verdict& verdict);
     /// Records for crash detection how the attempt ended.
     void record_attempt_end(const attempt_verdict& verdict);
-    [[nodiscard]] const request_fingerprint& fingerprint();
-    [[nodiscard]] bool is_quarantined();
+    /// Returns what may be the cause if runners crash while running this request.
+    [[nodiscard]] const possible_causes& causes();
+    [[nodiscard]] request_fingerprint make_fingerprint() const;
+    /// Returns the fingerprint for the log; empty if nothing has asked for it.
+    [[nodiscard]] std::string describe_fingerprint() const;
+    [[nodiscard]] std::optional<crash_cause> find_quarantined();
+    /// Returns why the request must not be written to a connection that is open now; empty if it
+    /// may be.
+    [[nodiscard]] std::string_view reason_not_to_send();
+    /// Ends a request that must not be sent to any runner.
+    void refuse_quarantined(const crash_cause& cause);
     /// Returns true if the request must not be retried because it may crash another runner.
     [[nodiscard]] bool retry_may_crash_runner(attempt_outcome outcome);
     void on_stalled();
@@ -134,7 +143,7 @@
     instant arrived_;
     admission admission_;
     retry_facts facts_;
-    std::optional<request_fingerprint> fingerprint_; ///< computed at its first use
+    possible_causes causes_; ///< empty before the first use
     std::set<runner_id> tried_;
     std::set<runner_id> sent_to_; ///< those of `tried_` to which the request was written
     std::set<endpoint> tried_peers_;
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -175,7 +175,7 @@
         .with("sent", facts_.sent)
         .with("ms", to_ms(steady_now() - arrived_))
         .with("config", routes_ != nullptr ? routes_->version() : 0)
-        .with("fingerprint", fingerprint_ ? fingerprint_->str() : "")
+        .with("fingerprint", describe_fingerprint())
         .write();
     on_end_(shared_from_this());
 }
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -86,8 +86,10 @@
 
 bool runner_attempt::confirm_send()
 {
-    const auto why = handlers_.may_send() ? recorder_->reason_not_to_send(steady_now())
-                                          : "too little time is left";
+    auto why = handlers_.reason_not_to_send();
+    if (why.empty()) {
+        why = recorder_->reason_not_to_send(steady_now());
+    }
     if (why.empty()) {
         return true;
     }
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -43,7 +43,8 @@
     };
     /// None is called after `on_end` or `cancel`.
     struct handlers {
-        std::function<bool()> may_send;   ///< called once the connection is open
+        /// Called once the connection is open. Returns why nothing may be sent; empty if it may.
+        std::function<std::string_view()> reason_not_to_send;
         std::function<void()> on_sending; ///< called just before the request is written
         /// Called with each complete event of a stream. Returns false if it was not forwarded.
         std::function<bool(std::string_view)> on_event;
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -22,7 +22,7 @@
 
 crash_histories seen_by(const daemon_id& follower, crash_histories in)
 {
-    for (auto& [request, history] : in) {
+    for (auto& [cause, history] : in) {
         for (auto& crash : history.crashes) {
             crash.daemon = follower;
         }
@@ -47,10 +47,10 @@
     followers_.clear();
     rate_limits_.clear(term);
     quarantine_.clear();
-    for (const auto& request : state_.lifted()) {
+    for (const auto& cause : state_.lifted()) {
         // Recorded again in each term, because entry daemons may still report crashes from before
         // the lifting.
-        quarantine_.on_lifted(now, request);
+        quarantine_.on_lifted(now, cause);
     }
     view_ = {};
     viewed_version_ = 0;
@@ -103,7 +103,7 @@
 {
     for (const auto& order : quarantine_.decide(now, state_.quarantined())) {
         wire::quarantined_request record;
-        record.set_fingerprint(order.request.str());
+        encode_cause(order.cause, record);
         for (const auto& crash : order.crashes) {
             *record.add_crashes() = encode_crash(now, crash);
         }
@@ -114,9 +114,9 @@
     }
 }
 
-void fleet_leader::on_quarantine_lifted(instant now, const request_fingerprint& request)
+void fleet_leader::on_quarantine_lifted(instant now, const crash_cause& cause)
 {
-    quarantine_.on_lifted(now, request);
+    quarantine_.on_lifted(now, cause);
 }
 
 bool fleet_leader::announce(instant now, const announcement& in)
@@ -275,9 +275,9 @@
 
 void fleet_leader::report_crashes(instant now, const crash_histories& reported) const
 {
-    for (const auto& [request, history] : reported) {
-        if (const auto* known = quarantine_.find(request); on_crashes && known != nullptr) {
-            on_crashes(now, request, *known);
+    for (const auto& [cause, history] : reported) {
+        if (const auto* known = quarantine_.find(cause); on_crashes && known != nullptr) {
+            on_crashes(now, cause, *known);
         }
     }
 }
--- a/src/fleet/fleet_messages.cpp
+++ b/src/fleet/fleet_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/fleet/fleet_view.h"
 #include "cedarpoint/fleet/view_builder.h"
+#include "cedarpoint/quarantine/crash_messages.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -51,11 +52,19 @@
     return item;
 }
 
-wire::fleet_item encode_item(const request_fingerprint& request, int crashes)
+std::string key_of(const crash_cause& cause)
+{
+    if (const auto* part = std::get_if<prompt_part>(&cause)) {
+        return prompt_part_key(part->model.str(), part->id.str());
+    }
+    return request_key(std::get<request_fingerprint>(cause).str());
+}
+
+wire::fleet_item encode_item(const crash_cause& cause, int crashes)
 {
     wire::fleet_item item;
-    item.set_key(request_key(request.str()));
-    item.mutable_crashes()->set_fingerprint(request.str());
+    item.set_key(key_of(cause));
+    encode_cause(cause, *item.mutable_crashes());
     item.mutable_crashes()->set_count(static_cast<std::uint32_t>(crashes));
     return item;
 }
@@ -167,8 +176,8 @@
     for (const auto& [name, group] : in.groups) {
         out[group_key(name.str())] = encode_item(group);
     }
-    for (const auto& [request, crashes] : in.crashes) {
-        out[request_key(request.str())] = encode_item(request, crashes);
+    for (const auto& [cause, crashes] : in.crashes) {
+        out[key_of(cause)] = encode_item(cause, crashes);
     }
     for (const auto& peer : in.entry_daemons) {
         out[entry_daemon_key(peer.address.str())] = encode_item(peer);
@@ -185,8 +194,8 @@
             out.groups[group.name] = std::move(group);
         }
         else if (item.has_crashes()) {
-            if (const auto request = request_fingerprint::parse(item.crashes().fingerprint())) {
-                out.crashes[*request] = static_cast<int>(item.crashes().count());
+            if (const auto cause = decode_cause(item.crashes())) {
+                out.crashes[*cause] = static_cast<int>(item.crashes().count());
             }
         }
         else if (item.has_entry_daemon()) {
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -1,6 +1,7 @@
 #include "cedarpoint/fleet/fleet_state.h"
 
 #include "cedarpoint/core/packing.h"
+#include "cedarpoint/quarantine/crash_messages.h"
 
 #include <algorithm>
 #include <utility>
@@ -133,10 +134,10 @@
     return out.SerializeAsString();
 }
 
-std::string fleet_state::lift_quarantine(const request_fingerprint& request)
+std::string fleet_state::lift_quarantine(const crash_cause& cause)
 {
     wire::quarantined_request out;
-    out.set_fingerprint(request.str());
+    encode_cause(cause, out);
     out.set_lifted(true);
     return quarantine(out);
 }
@@ -216,31 +217,28 @@
 
 void fleet_state::note_quarantine(const wire::quarantined_request& in)
 {
-    const auto request = request_fingerprint::parse(in.fingerprint());
-    if (!request) {
-        return; // invalid fingerprint; no version writes one
+    const auto cause = decode_cause(in);
+    if (!cause) {
+        return; // invalid cause; no version writes one
     }
-    std::erase_if(quarantine_log_,
-                  [&](const auto& each) { return each.fingerprint() == in.fingerprint(); });
+    std::erase_if(quarantine_log_, [&](const auto& each) { return decode_cause(each) == cause; });
     quarantine_log_.push_back(in);
-    quarantined_.erase(*request);
-    lifted_.erase(*request);
-    (in.lifted() ? lifted_ : quarantined_).insert(*request);
+    quarantined_.erase(*cause);
+    lifted_.erase(*cause);
+    (in.lifted() ? lifted_ : quarantined_).insert(*cause);
     while (quarantine_log_.size() > max_quarantined) {
-        const auto oldest = request_fingerprint::parse(quarantine_log_.front().fingerprint());
+        const auto oldest = decode_cause(quarantine_log_.front());
         quarantined_.erase(*oldest);
         lifted_.erase(*oldest);
         quarantine_log_.pop_front();
     }
 }
 
-const wire::quarantined_request*
-fleet_state::find_quarantined(const request_fingerprint& request) const
+const wire::quarantined_request* fleet_state::find_quarantined(const crash_cause& cause) const
 {
-    const auto name = request.str();
     const auto found =
         std::find_if(quarantine_log_.begin(), quarantine_log_.end(), [&](const auto& each) {
-            return each.fingerprint() == name && !each.lifted();
+            return decode_cause(each) == cause && !each.lifted();
         });
     return found == quarantine_log_.end() ? nullptr : &*found;
 }
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -28,6 +28,11 @@
     return "request/" + fingerprint;
 }
 
+std::string prompt_part_key(const std::string& model, const std::string& part)
+{
+    return "part/" + model + "/" + part;
+}
+
 std::string entry_daemon_key(const std::string& address)
 {
     return "entry_daemon/" + address;
--- a/src/fleet/view_builder.cpp
+++ b/src/fleet/view_builder.cpp
@@ -137,8 +137,8 @@
             out.runners[runner] = make_runner(runner, registered);
         }
     }
-    for (const auto& request : state.quarantined()) {
-        out.crashes[request] = crashes_to_quarantine;
+    for (const auto& cause : state.quarantined()) {
+        out.crashes[cause] = crashes_to_quarantine;
     }
     return out;
 }
--- a/src/quarantine/crash_detector.cpp
+++ b/src/quarantine/crash_detector.cpp
@@ -1,6 +1,6 @@
 #include "cedarpoint/quarantine/crash_detector.h"
 
-#include "cedarpoint/quarantine/crash_cause.h"
+#include "cedarpoint/quarantine/find_crash_causes.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,8 +8,8 @@
 namespace cedarpoint {
 namespace {
 
-/// Suspected requests that a daemon keeps: several times the number in flight at a few runners.
-constexpr std::size_t max_requests = 256;
+/// Suspects that a daemon keeps: several times those in flight at a few runners.
+constexpr std::size_t max_causes = 256;
 
 /// Cuts kept for one runner while its check is under way; more than the requests that a runner
 /// processes concurrently.
@@ -28,15 +28,15 @@
 
 } // namespace
 
-crash_detector::crash_detector() : own_ledger_{max_requests} {}
+crash_detector::crash_detector() : own_ledger_{max_causes} {}
 
-bool crash_detector::on_cut(const request_fingerprint& request, crash_observation in)
+bool crash_detector::on_cut(const possible_causes& causes, crash_observation in)
 {
     auto& waiting = unchecked_[in.runner];
     const bool is_first = waiting.empty();
     in.serial = static_cast<std::uint64_t>(in.ended_at.time_since_epoch().count());
     if (waiting.size() < max_unchecked_cuts) {
-        waiting.push_back({request, std::move(in)});
+        waiting.push_back({causes, std::move(in)});
     }
     return is_first;
 }
@@ -59,27 +59,32 @@
             add_unproved_cut(now, std::move(each));
             continue;
         }
-        own_ledger_.add(each.request, each.crash);
-        note_change(now, each.request);
-        out[each.request].crashes.push_back(std::move(each.crash));
+        for (std::uint32_t position = 0; position < each.causes.size(); ++position) {
+            const auto& cause = each.causes[position];
+            each.crash.position = position;
+            own_ledger_.add(cause, each.crash);
+            note_change(now, cause);
+            out[cause].crashes.push_back(each.crash);
+        }
     }
     return out;
 }
 
 void crash_detector::add_unproved_cut(instant now, unchecked_cut in)
 {
-    cuts_.push_back({in.request, std::move(in.crash), now});
+    cuts_.push_back({std::move(in.causes), std::move(in.crash), now});
     if (cuts_.size() > max_unproved_cuts) {
         cuts_.pop_front();
     }
 }
 
-bool crash_detector::drop_cuts(const request_fingerprint& request)
+bool crash_detector::drop_cuts(const crash_cause& request)
 {
     bool was_reported = false;
     std::erase_if(cuts_, [&](const auto& each) {
-        was_reported = was_reported || (each.request == request && each.is_reported);
-        return each.request == request;
+        const bool is_its = each.causes.front() == request;
+        was_reported = was_reported || (is_its && each.is_reported);
+        return is_its;
     });
     return was_reported;
 }
@@ -92,7 +97,7 @@
     for (auto& each : cuts_) {
         if (!each.is_confirmed) {
             each.is_reported = true;
-            out[each.request].crashes.push_back(each.crash);
+            out[each.causes.front()].crashes.push_back(each.crash);
         }
     }
     return out;
@@ -100,83 +105,123 @@
 
 void crash_detector::merge(instant now, const crash_histories& in)
 {
-    for (const auto& [request, history] : in) {
-        own_ledger_.merge(request, history);
-        note_change(now, request);
+    for (const auto& [cause, history] : in) {
+        own_ledger_.merge(cause, history);
+        note_change(now, cause);
     }
 }
 
-void crash_detector::on_answer(instant now, const request_fingerprint& request)
+void crash_detector::on_answer(instant now, const possible_causes& causes, answer_kind kind)
 {
-    const bool was_reported = drop_cuts(request);
-    if (!was_reported && own_ledger_.find(request) == nullptr &&
-        !leader_counts_.contains(request)) {
+    note_answer(now, causes.front(), drop_cuts(causes.front()));
+    if (kind != answer_kind::success) {
         return;
     }
-    own_ledger_.on_answer(now, request);
-    note_change(now, request);
+    for (auto part = causes.begin() + 1; part != causes.end(); ++part) {
+        note_answer(now, *part, false);
+    }
+}
+
+void crash_detector::note_answer(instant now, const crash_cause& cause, bool was_reported)
+{
+    const auto* own = own_ledger_.find(cause);
+    const bool has_crashes = own != nullptr && !own->crashes.empty();
+    if (was_reported || has_crashes || leader_counts_.contains(cause)) {
+        own_ledger_.on_answer(now, cause);
+        note_change(now, cause);
+    }
 }
 
-void crash_detector::note_change(instant now, const request_fingerprint& request)
+void crash_detector::note_change(instant now, const crash_cause& cause)
 {
-    changed_at_[request] = now;
-    std::erase_if(changed_at_,
-                  [&](const auto& each) { return own_ledger_.find(each.first) == nullptr; });
-    own_causes_ = find_crash_causes(own_ledger_, quarantined_);
+    changed_at_[cause] = now;
+    if (changed_at_.size() > 2 * max_causes) {
+        std::erase_if(changed_at_,
+                      [&](const auto& each) { return own_ledger_.find(each.first) == nullptr; });
+    }
+    own_causes_outdated_ = true;
+}
+
+const std::set<crash_cause>& crash_detector::own_causes()
+{
+    if (std::exchange(own_causes_outdated_, false)) {
+        own_causes_ = find_crash_causes(own_ledger_, quarantined_);
+    }
+    return own_causes_;
 }
 
 void crash_detector::set_leader_counts(instant now, crash_counts counts)
 {
-    for (const auto& [request, crashes] : counts) {
-        const auto before = leader_counts_.find(request);
+    for (const auto& [cause, crashes] : counts) {
+        const auto before = leader_counts_.find(cause);
         const bool was_not_cleared = before == leader_counts_.end() || before->second != 0;
-        if (crashes == 0 && was_not_cleared && own_ledger_.find(request) != nullptr) {
-            own_ledger_.on_answer(now, request);
+        if (crashes == 0 && was_not_cleared && own_ledger_.find(cause) != nullptr) {
+            own_ledger_.on_answer(now, cause);
         }
     }
     leader_counts_ = std::move(counts);
     quarantined_.clear();
-    for (const auto& [request, crashes] : leader_counts_) {
+    for (const auto& [cause, crashes] : leader_counts_) {
         if (crashes >= crashes_to_quarantine) {
-            quarantined_.insert(request);
+            quarantined_.insert(cause);
         }
     }
-    own_causes_ = find_crash_causes(own_ledger_, quarantined_);
+    own_causes_outdated_ = true;
 }
 
-int crash_detector::count(const request_fingerprint& request) const
+int crash_detector::count(const crash_cause& request) const
 {
     const auto leader_count = leader_counts_.find(request);
     return std::max(leader_count == leader_counts_.end() ? 0 : leader_count->second,
                     own_ledger_.count(request, quarantined_));
 }
 
-bool crash_detector::is_quarantined(instant now, const request_fingerprint& request) const
+int crash_detector::count_unchecked(const crash_cause& request) const
+{
+    return static_cast<int>(
+        std::count_if(unchecked_.begin(), unchecked_.end(), [&](const auto& at_runner) {
+            return std::any_of(at_runner.second.begin(), at_runner.second.end(),
+                               [&](const auto& each) { return each.causes.front() == request; });
+        }));
+}
+
+std::optional<crash_cause> crash_detector::find_quarantined(instant now,
+                                                            const possible_causes& causes)
 {
     const bool is_alone = !answered_report_at_ || now - *answered_report_at_ > leader_timeout;
-    return quarantined_.contains(request) || (is_alone && own_causes_.contains(request));
+    const auto found = std::find_if(causes.begin(), causes.end(), [&](const auto& cause) {
+        return quarantined_.contains(cause) || (is_alone && own_causes().contains(cause));
+    });
+    return found == causes.end() ? std::nullopt : std::optional{*found};
 }
 
-bool crash_detector::may_retry(const request_fingerprint& request) const
+bool crash_detector::may_retry(const possible_causes& causes) const
 {
-    const int crashes = count(request);
-    if (crashes == 0) {
-        return true; // cuts alone don't prove a crash
+    return std::none_of(causes.begin(), causes.end(),
+                        [&](const auto& cause) { return is_blamed(cause); });
+}
+
+bool crash_detector::is_blamed(const crash_cause& cause) const
+{
+    if (is_prompt_part(cause)) {
+        // One daemon sees too few answers to tell a part that crashes runners from a popular one.
+        const auto found = leader_counts_.find(cause);
+        return found != leader_counts_.end() && found->second >= crashes_to_stop_retries;
     }
-    const auto unchecked =
-        std::count_if(unchecked_.begin(), unchecked_.end(), [&](const auto& at_runner) {
-            return std::any_of(at_runner.second.begin(), at_runner.second.end(),
-                               [&](const auto& each) { return each.request == request; });
-        });
-    return crashes + unchecked < crashes_to_stop_retries;
+    const int crashes = count(cause);
+    if (crashes == 0 || // cuts alone don't prove a crash
+        crashes + count_unchecked(cause) < crashes_to_stop_retries) {
+        return false;
+    }
+    return !has_stronger_rival(own_ledger_, cause, quarantined_);
 }
 
 crash_histories crash_detector::unconfirmed() const
 {
     crash_histories out;
-    for (const auto& [request, at] : changed_at_) {
-        if (const auto* known = own_ledger_.find(request); known != nullptr) {
-            out[request] = *known;
+    for (const auto& [cause, at] : changed_at_) {
+        if (const auto* known = own_ledger_.find(cause); known != nullptr) {
+            out[cause] = *known;
         }
     }
     return out;
@@ -193,8 +238,8 @@
             !is_new_term && (each.is_confirmed || (each.is_reported && each.checked_at < asked_at));
     }
     if (is_new_term) {
-        for (const auto& [request, history] : own_ledger_.histories()) {
-            changed_at_[request] = now; // a new leader has none of the observations
+        for (const auto& [cause, history] : own_ledger_.histories()) {
+            changed_at_[cause] = now; // a new leader has none of the observations
         }
         return;
     }
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -65,12 +65,18 @@
     crashes.erase(removable == crashes.end() ? std::prev(crashes.end()) : removable);
 }
 
-/// Eviction order. Requests without a crash are evicted first: many requests lose a connection and
-/// are answered later.
-bool is_evicted_before(const crash_history& one, const crash_history& other)
+/// A crash older than this, compared with the latest one, no longer keeps its suspect from being
+/// evicted first.
+constexpr duration max_crash_age = seconds{60};
+
+/// How much a history says, for eviction. Many requests lose a connection and are answered later,
+/// and most of those in flight during a crash are in flight during no other.
+int weight_of(const crash_history& in, instant latest)
 {
-    return std::pair{!one.crashes.empty(), latest_change(one)} <
-           std::pair{!other.crashes.empty(), latest_change(other)};
+    if (in.crashes.empty() || latest - latest_change(in) > max_crash_age) {
+        return 0;
+    }
+    return in.crashes.size() == 1 ? 1 : 2;
 }
 
 /// Returns true if the runner accepted the connection of `later` after it had ended in `earlier`.
@@ -101,28 +107,33 @@
     histories_.clear();
 }
 
-void crash_ledger::merge(const request_fingerprint& request, const crash_history& in)
+void crash_ledger::merge(const crash_cause& cause, const crash_history& in)
 {
     if (in.answered_at) {
-        on_answer(*in.answered_at, request);
+        on_answer(*in.answered_at, cause);
     }
     for (const auto& each : in.crashes) {
-        add(request, each);
+        add(cause, each);
     }
 }
 
-void crash_ledger::add(const request_fingerprint& request, crash_observation in)
+void crash_ledger::add(const crash_cause& cause, crash_observation in)
 {
-    auto& own = histories_[request];
+    auto& own = histories_[cause];
     if (own.answered_at && in.ended_at <= *own.answered_at) {
         return;
     }
+    latest_change_ = std::max(latest_change_, in.ended_at);
     const auto known = std::find_if(own.crashes.begin(), own.crashes.end(),
                                     [&](const auto& each) { return is_same_end(each, in); });
     if (known == own.crashes.end()) {
         own.crashes.push_back(std::move(in));
         drop_excess(own.crashes);
     }
+    else if (is_prompt_part(cause) && !is_same_observation(*known, in)) {
+        // Another request with this part was in flight. The part was from the first of them on.
+        known->sent_at = std::min(known->sent_at, in.sent_at);
+    }
     else if (known->daemon == in.daemon) {
         // Times within one report are consistent with one another, so the latest report replaces
         // the times of an earlier one.
@@ -131,9 +142,9 @@
     drop_oldest();
 }
 
-void crash_ledger::on_answer(instant now, const request_fingerprint& request)
+void crash_ledger::on_answer(instant now, const crash_cause& cause)
 {
-    auto& own = histories_[request];
+    auto& own = histories_[cause];
     own.answered_at = std::max(own.answered_at.value_or(now), now);
     std::erase_if(own.crashes, [&](const auto& each) { return each.ended_at <= *own.answered_at; });
     drop_oldest();
@@ -141,26 +152,29 @@
 
 void crash_ledger::drop_oldest()
 {
-    if (histories_.size() <= max_requests_) {
+    if (histories_.size() <= max_causes_) {
         return;
     }
+    const auto order_of = [this](const crash_history& in) {
+        return std::pair{weight_of(in, latest_change_), latest_change(in)};
+    };
     histories_.erase(std::min_element(histories_.begin(), histories_.end(),
-                                      [](const auto& one, const auto& other) {
-                                          return is_evicted_before(one.second, other.second);
+                                      [&](const auto& one, const auto& other) {
+                                          return order_of(one.second) < order_of(other.second);
                                       }));
 }
 
-const crash_history* crash_ledger::find(const request_fingerprint& request) const
+const crash_history* crash_ledger::find(const crash_cause& cause) const
 {
-    const auto found = histories_.find(request);
+    const auto found = histories_.find(cause);
     return found == histories_.end() ? nullptr : &found->second;
 }
 
-bool crash_ledger::is_explained(const crash_observation& crash,
-                                const std::set<request_fingerprint>& causes) const
+bool crash_ledger::is_explained(const crash_observation& crash, const std::set<crash_cause>& causes,
+                                bool by_parts_only) const
 {
     return std::any_of(causes.begin(), causes.end(), [&](const auto& cause) {
-        const auto* known = find(cause);
+        const auto* known = by_parts_only && !is_prompt_part(cause) ? nullptr : find(cause);
         return known != nullptr &&
                std::any_of(known->crashes.begin(), known->crashes.end(),
                            [&](const auto& each) { return is_same_end(each, crash); });
@@ -168,13 +182,12 @@
 }
 
 std::vector<const crash_observation*>
-crash_ledger::find_unexplained(const request_fingerprint& request,
-                               const std::set<request_fingerprint>& causes) const
+crash_ledger::find_counted(const crash_cause& cause, const std::set<crash_cause>& causes) const
 {
     crash_pointers out;
-    if (const auto* own = find(request); own != nullptr) {
+    if (const auto* own = find(cause); own != nullptr) {
         for (const auto& each : own->crashes) {
-            if (causes.contains(request) || !is_explained(each, causes)) {
+            if (causes.contains(cause) || !is_explained(each, causes, is_prompt_part(cause))) {
                 out.push_back(&each);
             }
         }
@@ -182,16 +195,25 @@
     return out;
 }
 
-int crash_ledger::count(const request_fingerprint& request,
-                        const std::set<request_fingerprint>& causes) const
+int crash_ledger::count(const crash_cause& cause, const std::set<crash_cause>& causes) const
+{
+    return static_cast<int>(find_sequence(find_counted(cause, causes)).size());
+}
+
+int crash_ledger::count_all(const crash_cause& cause, const std::set<crash_cause>& causes) const
 {
-    return static_cast<int>(find_sequence(find_unexplained(request, causes)).size());
+    return static_cast<int>(find_counted(cause, causes).size());
 }
 
-int crash_ledger::count_all(const request_fingerprint& request,
-                            const std::set<request_fingerprint>& causes) const
+int crash_ledger::count_unexplained(const crash_cause& cause,
+                                    const std::set<crash_cause>& causes) const
 {
-    return static_cast<int>(find_unexplained(request, causes).size());
+    const auto* own = find(cause);
+    return own == nullptr ? 0
+                          : static_cast<int>(std::count_if(
+                                own->crashes.begin(), own->crashes.end(), [&](const auto& each) {
+                                    return !is_explained(each, causes, false);
+                                }));
 }
 
 } // namespace cedarpoint
--- a/src/quarantine/crash_messages.cpp
+++ b/src/quarantine/crash_messages.cpp
@@ -31,6 +31,7 @@
         out.connected_at = std::min(from_age(made_at, in.connected_ms()), out.ended_at);
     }
     out.serial = in.serial();
+    out.position = in.position();
     return out;
 }
 
@@ -60,14 +61,15 @@
         out.set_connected_ms(to_age(now, *in.connected_at));
     }
     out.set_serial(in.serial);
+    out.set_position(in.position);
     return out;
 }
 
 void encode_crashes(instant now, const crash_histories& in, suspected_requests& out)
 {
-    for (const auto& [request, history] : in) {
+    for (const auto& [cause, history] : in) {
         auto* each = out.Add();
-        each->set_fingerprint(request.str());
+        encode_cause(cause, *each);
         for (const auto& crash : history.crashes) {
             *each->add_crashes() = encode_crash(now, crash);
         }
@@ -82,8 +84,8 @@
 {
     crash_histories out;
     for (const auto& each : in) {
-        if (const auto request = request_fingerprint::parse(each.fingerprint())) {
-            out[*request] = decode_history(made_at, each);
+        if (const auto cause = decode_cause(each)) {
+            out[*cause] = decode_history(made_at, each);
         }
     }
     return out;
--- a/src/quarantine/unproved_cuts.cpp
+++ b/src/quarantine/unproved_cuts.cpp
@@ -18,28 +18,27 @@
 void unproved_cuts::add(instant now, const crash_histories& in)
 {
     drop_old(now);
-    for (const auto& [request, history] : in) {
+    for (const auto& [cause, history] : in) {
         for (const auto& each : history.crashes) {
             const bool is_due = now - each.ended_at <= max_cut_age && cuts_.size() < max_cuts;
-            if (is_due && !holds(request, each)) {
-                cuts_.push_back({request, each});
+            if (is_due && !holds(cause, each)) {
+                cuts_.push_back({cause, each});
             }
         }
     }
 }
 
-bool unproved_cuts::holds(const request_fingerprint& request,
-                          const crash_observation& observation) const
+bool unproved_cuts::holds(const crash_cause& cause, const crash_observation& observation) const
 {
     return std::any_of(cuts_.begin(), cuts_.end(), [&](const auto& each) {
-        return each.request == request && is_same_observation(each.observation, observation);
+        return each.cause == cause && is_same_observation(each.observation, observation);
     });
 }
 
-void unproved_cuts::on_answer(instant at, const request_fingerprint& request)
+void unproved_cuts::on_answer(instant at, const crash_cause& cause)
 {
     std::erase_if(cuts_, [&](const auto& each) {
-        return each.request == request && each.observation.ended_at <= at;
+        return each.cause == cause && each.observation.ended_at <= at;
     });
 }
 
@@ -57,7 +56,7 @@
         }
         each.observation.its_incarnation = *its_incarnation;
         each.observation.is_proved_by_incarnation = true;
-        out[each.request].crashes.push_back(std::move(each.observation));
+        out[each.cause].crashes.push_back(std::move(each.observation));
     }
     cuts_ = std::move(waiting);
     return out;
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -59,7 +59,7 @@
     auto verdict = stopping_ ? caller_verdict{refused_call{{}, refusals::stopping()}}
                              : admit_caller(now, facts, config_.get(), options_.longest_wait);
     const bool is_quarantined =
-        facts.fingerprint && crashes_.is_quarantined(now, *facts.fingerprint);
+        facts.fingerprint && crashes_.is_quarantined(now, {*facts.fingerprint});
     if (auto* call = std::get_if<admitted_call>(&verdict); call != nullptr && is_quarantined) {
         verdict = refused_call{call->account, refusals::quarantined()};
     }
@@ -264,14 +264,18 @@
     if (!it.facts.fingerprint) {
         return;
     }
+    // A request of this form names no parts of its prompt.
+    const possible_causes causes{*it.facts.fingerprint};
     if (how == attempt_end::complete || how == attempt_end::server_error) {
-        crashes_.on_answer(now, *it.facts.fingerprint);
+        crashes_.on_answer(now, causes,
+                           how == attempt_end::complete ? answer_kind::success
+                                                        : answer_kind::failure);
     }
     if (how != attempt_end::cut || it.leaving) {
         return; // a leaving runner ends as planned
     }
-    const bool is_first = crashes_.on_cut(
-        *it.facts.fingerprint, {it.upstream, it.began_at, now, {}, it.facts.id, it.began_at});
+    const bool is_first =
+        crashes_.on_cut(causes, {it.upstream, it.began_at, now, {}, it.facts.id, it.began_at});
     if (is_first) {
         out.emplace_back(check_runner{it.upstream, it.address});
     }
@@ -280,7 +284,7 @@
 bool dispatcher::retry_may_crash_runner(const open_request& it, attempt_end how) const
 {
     return !proves_not_run(how) && it.facts.fingerprint &&
-           !crashes_.may_retry(*it.facts.fingerprint);
+           !crashes_.may_retry({*it.facts.fingerprint});
 }
 
 crash_histories dispatcher::runner_checked(instant now, const runner_id& runner, bool refused)
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -1,5 +1,7 @@
 #include "cedarpoint/fleet/fleet_state.h"
+
 #include "cedarpoint/fleet/fleet_view.h"
+#include "cedarpoint/quarantine/crash_messages.h"
 
 #include <gtest/gtest.h>
 
@@ -65,8 +67,8 @@
     state.apply(fleet_state::lift_quarantine(first));
     fleet_state copy;
     ASSERT_TRUE(copy.restore(state.save()));
-    EXPECT_EQ(copy.quarantined(), std::set<request_fingerprint>{second});
-    EXPECT_EQ(copy.lifted(), std::set<request_fingerprint>{first});
+    EXPECT_EQ(copy.quarantined(), std::set<crash_cause>{second});
+    EXPECT_EQ(copy.lifted(), std::set<crash_cause>{first});
     ASSERT_NE(copy.find_quarantined(second), nullptr);
     EXPECT_EQ(copy.find_quarantined(second)->crashes(0).runner(), "i-1");
     EXPECT_EQ(copy.find_quarantined(first), nullptr);
@@ -77,6 +79,23 @@
     EXPECT_TRUE(copy.lifted().empty());
 }
 
+TEST(a_quarantine, of_a_part_is_kept_beside_those_of_requests)
+{
+    const crash_cause part = prompt_part{model_id{"m"}, prompt_part_id{"5c1e07a2"}};
+    wire::quarantined_request record;
+    encode_cause(part, record);
+    EXPECT_TRUE(record.fingerprint().empty()) << "earlier versions skip it";
+    fleet_state state;
+    state.apply(fleet_state::quarantine(record));
+    fleet_state copy;
+    ASSERT_TRUE(copy.restore(state.save()));
+    EXPECT_EQ(copy.quarantined(), std::set<crash_cause>{part});
+    ASSERT_NE(copy.find_quarantined(part), nullptr);
+    copy.apply(fleet_state::lift_quarantine(part));
+    EXPECT_TRUE(copy.quarantined().empty());
+    EXPECT_EQ(copy.lifted(), std::set<crash_cause>{part});
+}
+
 TEST(a_quarantine, is_bounded_and_the_oldest_goes_first)
 {
     fleet_state state;
@@ -86,8 +105,8 @@
         state.apply(fleet_state::quarantine(record));
     }
     EXPECT_EQ(state.quarantined().size(), 1'000U);
-    EXPECT_FALSE(state.quarantined().contains({0, 0}));
-    EXPECT_TRUE(state.quarantined().contains({1'499, 1'499}));
+    EXPECT_FALSE(state.quarantined().contains(request_fingerprint{0, 0}));
+    EXPECT_TRUE(state.quarantined().contains(request_fingerprint{1'499, 1'499}));
 }
 
 TEST(a_quarantine, that_can_not_be_read_changes_nothing)
--- a/tests/platform/platform_adapter_test.cpp
+++ b/tests/platform/platform_adapter_test.cpp
@@ -198,9 +198,16 @@
     const auto lift =
         platform.read_call("POST", "/cedarpoint/quarantine/" + request.str() + "/lift");
     EXPECT_EQ(lift.call, control_call::lift_quarantine);
-    EXPECT_EQ(lift.request, request);
-    for (const auto* wrong : {"/cedarpoint/quarantine", "/cedarpoint/quarantine/lift",
-                              "/cedarpoint/quarantine/12/lift", "/cedarpoint/quarantines"}) {
+    EXPECT_EQ(lift.cause, crash_cause{request});
+    const auto lift_part =
+        platform.read_call("POST", "/cedarpoint/quarantine/part/org/model-7/5c1e07a2/lift");
+    EXPECT_EQ(lift_part.call, control_call::lift_quarantine);
+    EXPECT_EQ(lift_part.cause,
+              (crash_cause{prompt_part{model_id{"org/model-7"}, prompt_part_id{"5c1e07a2"}}}));
+    for (const auto* wrong :
+         {"/cedarpoint/quarantine", "/cedarpoint/quarantine/lift", "/cedarpoint/quarantine/12/lift",
+          "/cedarpoint/quarantines", "/cedarpoint/quarantine/part/lift",
+          "/cedarpoint/quarantine/part/model-7//lift"}) {
         EXPECT_EQ(platform.read_call("POST", wrong).call, control_call::unknown) << wrong;
     }
     EXPECT_EQ(platform.read_call("GET", "/cedarpoint/config/put").call, control_call::unknown);
--- a/tests/quarantine/crash_ledger_test.cpp
+++ b/tests/quarantine/crash_ledger_test.cpp
@@ -155,11 +155,12 @@
 TEST_F(crash_ledger_test, evicts_the_request_whose_latest_crash_is_the_oldest)
 {
     for (std::uint64_t n = 10; n < 14; ++n) {
-        ledger.add({n, n}, crash("a", static_cast<int>(n) * 10, static_cast<int>(n) * 10 + 5));
+        ledger.add(request_fingerprint{n, n},
+                   crash("a", static_cast<int>(n) * 10, static_cast<int>(n) * 10 + 5));
     }
     ledger.add(cause, crash("b", 400, 450));
     EXPECT_EQ(ledger.histories().size(), 4U);
-    EXPECT_EQ(ledger.find({10, 10}), nullptr);
+    EXPECT_EQ(ledger.find(request_fingerprint{10, 10}), nullptr);
     EXPECT_NE(ledger.find(cause), nullptr);
 }
 
--- a/tests/quarantine/runner_incarnations_test.cpp
+++ b/tests/quarantine/runner_incarnations_test.cpp
@@ -88,7 +88,7 @@
         return out;
     }
 
-    [[nodiscard]] int count() const
+    [[nodiscard]] int count()
     {
         const auto counts = controller.counts({});
         const auto found = counts.find(cut_request);
