Answers that end with their connection are complete only if their runner still runs

Callers got half of an answer as a whole one: an answer with neither a length nor chunks ends with its connection, and so does that of a runner that crashes. The crash was then counterevidence against itself, too.

Change: after such an answer the attempt waits 20 ms. If another connection to the runner is still open, or its address accepts one, the answer is complete; if the address refuses, the attempt was cut, and counts as one for retries and for the crash ledger.

Open: a runner whose port stays open.

--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -8,6 +8,13 @@
 #include <utility>
 
 namespace cedarpoint {
+namespace {
+
+/// Time from the end of a connection until the other connections of a crashed runner have ended as
+/// well.
+constexpr int crash_settle_ms = 20;
+
+} // namespace
 
 runner_attempt::runner_attempt(entry_context& context, destination to,
                                std::unique_ptr<attempt_recorder> recorder, options options,
@@ -21,6 +28,8 @@
         const auto self = shared_from_this();
         handlers_.on_stalled();
     });
+    check_timer_.setSingleShot(true);
+    check_timer_.setTimerType(Qt::PreciseTimer);
 }
 
 runner_attempt::~runner_attempt() = default;
@@ -71,6 +80,8 @@
         connection_->cancel();
         release();
     }
+    checks_runner_ = false;
+    check_timer_.stop();
 }
 
 void runner_attempt::pause(bool paused)
@@ -166,7 +177,54 @@
 
 void runner_attempt::on_exchange_end(exchange_end how, const reason& why)
 {
+    const bool may_be_torn = how == exchange_end::complete && !to_.is_entry_daemon &&
+                             connection_->answer_ended_with_connection();
     release();
+    if (may_be_torn) {
+        check_runner();
+    }
+    else {
+        finish(how, why);
+    }
+}
+
+void runner_attempt::check_runner()
+{
+    checks_runner_ = true;
+    QObject::connect(&check_timer_, &QTimer::timeout, [this, ended_at = steady_now()] {
+        const auto self = shared_from_this();
+        on_check_due(ended_at);
+    });
+    check_timer_.start(crash_settle_ms);
+}
+
+void runner_attempt::on_check_due(instant ended_at)
+{
+    if (context_.pool.has_open_since(to_.address, ended_at)) {
+        finish(exchange_end::complete, {});
+        return;
+    }
+    probe_ = std::make_unique<connect_probe>(to_.address, [this](connect_probe::result how) {
+        // Queued, because the end of the attempt may destroy the probe.
+        QTimer::singleShot(0, [weak = weak_from_this(), how] {
+            const auto self = weak.lock();
+            if (self == nullptr || !self->checks_runner_) {
+                return;
+            }
+            if (how == connect_probe::result::refused) {
+                self->finish(exchange_end::cut, {"read", self->to_.address.str(),
+                                                 "the runner ended with its connection"});
+                return;
+            }
+            self->finish(exchange_end::complete, {});
+        });
+    });
+    probe_->start();
+}
+
+void runner_attempt::finish(exchange_end how, const reason& why)
+{
+    checks_runner_ = false;
     const auto verdict = judge(how, why);
     record_effect(verdict);
     handlers_.on_end(verdict);
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -5,6 +5,7 @@
 #include "cedarpoint/fleet/answer_verdict.h"
 #include "entry/attempt_recorder.h"
 #include "entry/entry_context.h"
+#include "io/connect_probe.h"
 #include "io/runner_connection.h"
 #include "io/sse_splitter.h"
 
@@ -21,6 +22,9 @@
 /// One attempt to get an answer to a request from one runner, over a connection to it or through
 /// another entry daemon. Takes a connection from the pool, sends the request, reads the answer, and
 /// passes what it observes to a recorder. Makes no decision about retries.
+///
+/// An answer without a length may end with its connection, and so does the answer of a runner that
+/// crashes. Such an answer counts as complete only after it is known that the runner still runs.
 class runner_attempt final : public std::enable_shared_from_this<runner_attempt> {
 public:
     /// Where the request is sent.
@@ -65,7 +69,7 @@
     /// Pauses or resumes reading from the runner, for a caller that reads slowly.
     void pause(bool paused);
 
-    [[nodiscard]] bool is_running() const { return connection_ != nullptr; }
+    [[nodiscard]] bool is_running() const { return connection_ != nullptr || checks_runner_; }
     [[nodiscard]] bool was_sent() const { return sent_at_.has_value(); }
     /// Returns when the request was written to the connection. Precondition: `was_sent()`.
     [[nodiscard]] instant sent_at() const { return *sent_at_; }
@@ -102,6 +106,10 @@
     void on_body(const std::string& bytes);
     void on_event(std::string_view event);
     void on_exchange_end(exchange_end how, const reason& why);
+    /// Finds out whether the runner still runs after its answer has ended with the connection.
+    void check_runner();
+    void on_check_due(instant ended_at);
+    void finish(exchange_end how, const reason& why);
     [[nodiscard]] exchange_handlers make_exchange_handlers();
     [[nodiscard]] attempt_verdict judge(exchange_end how, const reason& why);
     [[nodiscard]] attempt_verdict judge_complete() const;
@@ -124,11 +132,14 @@
     std::string body_;
     sse_splitter events_;
     bool streaming_ = false;
+    bool checks_runner_ = false;
+    std::unique_ptr<connect_probe> probe_; ///< whether the runner still runs
     bool is_complete_ = false;
     bool was_cut_ = false;
     bool was_unreachable_ = false;
     bool was_unanswered_ = false;
     QTimer stall_timer_;
+    QTimer check_timer_;
 };
 
 } // namespace cedarpoint
--- a/src/io/runner_connection.cpp
+++ b/src/io/runner_connection.cpp
@@ -187,6 +187,7 @@
     if (how == socket_end::orderly && head_seen_ && !foreign_) {
         parser_->put_eof();
         if (parser_->is_done()) {
+            ended_with_connection_ = true;
             end(exchange_end::complete, "", "");
             return;
         }
--- a/src/io/runner_connection.h
+++ b/src/io/runner_connection.h
@@ -71,6 +71,11 @@
     [[nodiscard]] instant idle_since() const { return idle_since_; }
     /// Returns the timeout that the peer announced in a Keep-Alive header, if any.
     [[nodiscard]] std::optional<seconds> keep_alive() const { return keep_alive_; }
+    /// Returns true while the connection is established.
+    [[nodiscard]] bool is_open() const { return socket_.is_connected(); }
+    /// Returns true if the latest answer had neither a length nor chunks and ended with the
+    /// connection.
+    [[nodiscard]] bool answer_ended_with_connection() const { return ended_with_connection_; }
     [[nodiscard]] bool is_fresh() const { return served_ == 0; }
 
 private:
@@ -98,6 +103,7 @@
     bool busy_ = false;
     bool unusable_ = false;
     bool head_seen_ = false;
+    bool ended_with_connection_ = false;
     bool foreign_ = false; ///< the answer being read belongs to another request
 };
 
--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -51,11 +51,23 @@
             on_request(request, reply);
         });
     reason why;
-    EXPECT_TRUE(listener_->start(address_, why)) << why.str();
-    address_ = listener_->address();
+    EXPECT_TRUE(listener_->start(is_unframed_ ? endpoint{address_.ip, 0} : address_, why))
+        << why.str();
+    if (is_unframed_) {
+        front_ = std::make_unique<unframed_front>(address_, listener_->address());
+    }
+    else {
+        address_ = listener_->address();
+    }
     timer_.start(runner_heartbeat);
 }
 
+void platform_runner::set_unframed()
+{
+    is_unframed_ = true;
+    begin_incarnation();
+}
+
 void platform_runner::crash()
 {
     if (is_down_) {
@@ -64,6 +76,7 @@
     is_down_ = true;
     ends.push_back(steady_now());
     timer_.stop();
+    front_.reset();
     listener_.reset();
     if (keeps_port_open) {
         keep_port_open();
@@ -173,11 +186,24 @@
         head.status = 500;
     }
     if (answer_time == milliseconds{0}) {
-        reply->send(std::move(head), "plain " + request.body);
+        send_plain(reply, std::move(head), "plain " + request.body);
         return;
     }
-    QTimer::singleShot(answer_time,
-                       [reply, head, body = request.body] { reply->send(head, "plain " + body); });
+    QTimer::singleShot(answer_time, &timer_, [this, reply, head, body = request.body] {
+        send_plain(reply, head, "plain " + body);
+    });
+}
+
+void platform_runner::send_plain(const std::shared_ptr<http_reply>& reply, http_head head,
+                                 const std::string& body) const
+{
+    if (!is_unframed_) {
+        reply->send(std::move(head), body);
+        return;
+    }
+    reply->begin(std::move(head));
+    reply->write(body);
+    reply->finish();
 }
 
 bool platform_runner::is_crashed_by(const http_request& request) const
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/endpoint.h"
 #include "cedarpoint/core/time.h"
+#include "fleet/unframed_front.h"
 #include "io/http_listener.h"
 #include "io/runner_pool.h"
 
@@ -60,6 +61,9 @@
     /// True if a supervisor keeps the listening socket open: connections that send a request while
     /// the runner is down are aborted.
     bool keeps_port_open = false;
+    /// Answers with neither a length nor chunks from now on, and ends each answer with its
+    /// connection.
+    void set_unframed();
     /// Stops at once, like a crashed process, and restarts after `restart_delay`.
     void crash();
     /// How far an answer gets before a request crashes the runner.
@@ -82,6 +86,8 @@
     void on_request(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void on_order(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void stream(const http_request& request, const std::shared_ptr<http_reply>& reply);
+    void send_plain(const std::shared_ptr<http_reply>& reply, http_head head,
+                    const std::string& body) const;
     void stream_slowly(int event, const std::shared_ptr<http_reply>& reply);
     [[nodiscard]] bool is_crashed_by(const http_request& request) const;
     /// Answers as far as `stage` says, then crashes.
@@ -102,6 +108,8 @@
     std::vector<endpoint> controls_;
     std::size_t control_index_ = 0; ///< of the control daemon that receives the heartbeats
     std::unique_ptr<http_listener> listener_; ///< null while down, unless `keeps_port_open`
+    std::unique_ptr<unframed_front> front_;   ///< null unless answers are unframed
+    bool is_unframed_ = false;
     bool is_down_ = false;
     endpoint address_{"127.0.0.1", 0}; ///< kept across restarts
     runner_pool pool_;
--- a/tests/quarantine/crashing_part_test.cpp
+++ b/tests/quarantine/crashing_part_test.cpp
@@ -34,6 +34,7 @@
 
 constexpr int runner_count = 14;
 constexpr int quarantined_status = 429;
+constexpr int served_status = 200;
 
 const std::string common_part = "5c1e07a2";
 const std::string crashing_part = "badc0de5";
@@ -58,6 +59,7 @@
     bool is_first_part = false;   ///< otherwise the crashing part follows the common one
     milliseconds answer_time{20}; ///< of a sound request
     bool loses_leader = false;    ///< after the fifth crash
+    bool is_unframed = false;     ///< answers have no length and end with their connections
 };
 
 // GoogleTest looks up this function by its name.
@@ -81,6 +83,9 @@
             runners.back()->slots = 16;
             runners.back()->stage = GetParam().stage;
             runners.back()->crash_part = crashing_part;
+            if (GetParam().is_unframed) {
+                runners.back()->set_unframed();
+            }
         }
         ASSERT_TRUE(fleet.put(document));
         ASSERT_TRUE(fleet.wait_serving(GetParam().target));
@@ -171,6 +176,14 @@
     }
 };
 
+/// A crashed runner has answered nothing completely.
+void expect_no_success(const open_loop_callers& callers)
+{
+    for (const auto& each : callers.results) {
+        EXPECT_NE(each.status, served_status) << each.id << ": " << each.text;
+    }
+}
+
 class a_part_that_crashes_runners : public fleet_with_shared_parts {};
 
 TEST_P(a_part_that_crashes_runners, reaches_few_more_of_them_once_five_have_crashed)
@@ -194,6 +207,8 @@
     expect_guarantee();
     expect_no_quarantine(*sound);
 
+    expect_no_success(*crashing);
+
     // The callers stop, and send such requests again after a pause.
     crashing.reset();
     pass_time(seconds{3});
@@ -220,6 +235,16 @@
         crash_case{.name = "that_run_once", .net = 33, .target = "/once/x"},
         crash_case{.name = "beside_long_requests", .net = 34, .answer_time = milliseconds{700}},
         crash_case{.name = "and_loses_the_leader", .net = 35, .loses_leader = true},
+        crash_case{.name = "in_answers_without_length",
+                   .net = 37,
+                   .stage = stage::in_stream,
+                   .is_unframed = true},
+        crash_case{.name = "in_streams_without_chunks",
+                   .net = 38,
+                   .service = "pool",
+                   .target = "/ask/x",
+                   .stage = stage::in_stream,
+                   .is_unframed = true},
         crash_case{.name = "at_30_entry_daemons", .net = 36, .entry_daemons = 30}),
     [](const auto& it) { return it.param.name; });
 
@@ -248,17 +273,18 @@
     EXPECT_GT(sound->served_share(steady_now() - seconds{2}, steady_now()), min_served_share);
 }
 
-INSTANTIATE_TEST_SUITE_P(cases, parts_that_crash_no_runner,
-                         testing::Values(crash_case{.name = "in_short_answers", .net = 40},
-                                         crash_case{.name = "in_long_answers",
-                                                    .net = 41,
-                                                    .answer_time = milliseconds{700}},
-                                         crash_case{.name = "in_streams",
-                                                    .net = 42,
-                                                    .service = "pool",
-                                                    .target = "/ask/x",
-                                                    .answer_time = milliseconds{50}}),
-                         [](const auto& it) { return it.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    cases, parts_that_crash_no_runner,
+    testing::Values(
+        crash_case{.name = "in_short_answers", .net = 40},
+        crash_case{.name = "in_long_answers", .net = 41, .answer_time = milliseconds{700}},
+        crash_case{.name = "in_streams",
+                   .net = 42,
+                   .service = "pool",
+                   .target = "/ask/x",
+                   .answer_time = milliseconds{50}},
+        crash_case{.name = "in_answers_without_length", .net = 43, .is_unframed = true}),
+    [](const auto& it) { return it.param.name; });
 
 } // namespace
 } // namespace cedarpoint
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -1,6 +1,7 @@
 // Seeded soak test: real processes, a proxy in front of each control daemon's mesh address,
 // signals, and continuous requests and configuration changes. Every third seed sends a request that
-// crashes each runner that runs it. Every second seed simulates suspended machines instead of
+// crashes each runner that runs it; in some of the others different requests do that, with one part
+// in their prompts. Every second seed simulates suspended machines instead of
 // stopped processes. In every fifth seed runners reject entry daemons with a pause. In some
 // of the other seeds entry daemons are cut off from all runners. Manual run:
 //     SOAK_FIRST=100 SOAK_COUNT=50 build/cedarpoint_tests --gtest_filter='*fleet_soak*'
@@ -50,6 +51,16 @@
 constexpr duration contact_time = seconds{3};
 constexpr int quarantined_status = 429;
 
+/// Part of prompts that crashes each runner that runs a request with it. Once it has crashed
+/// `max_crashed_by_part` runners, at most `max_arrivals_after_part` such requests reach runners
+/// later than `contact_time`.
+const std::string crashing_part = "badc0de5";
+constexpr std::size_t max_crashed_by_part = 5;
+constexpr std::ptrdiff_t max_arrivals_after_part = 3;
+
+/// A seed with a crashing part, which the first seeds don't have.
+constexpr std::uint64_t seed_with_crashing_part = 5;
+
 /// Seeds that failed once, each with its cause.
 const std::vector<std::uint64_t> regression_seeds{
     150, // failed once: no leader for 60 s after all control daemons were killed; see
@@ -59,9 +70,12 @@
 std::vector<std::uint64_t> seeds()
 {
     auto out = regression_seeds;
+    out.push_back(seed_with_crashing_part);
     const auto first = number_from_environment("SOAK_FIRST", 1);
     for (std::uint64_t n = 0; n < number_from_environment("SOAK_COUNT", 2); ++n) {
-        out.push_back(first + n);
+        if (std::find(out.begin(), out.end(), first + n) == out.end()) {
+            out.push_back(first + n);
+        }
     }
     return out;
 }
@@ -97,6 +111,7 @@
             runners.push_back(std::make_unique<platform_runner>(
                 fmt::format("s-{}", n), "shop", fleet.controls(), std::uint64_t{1000}));
             runners.back()->crash_trigger = crashing_body;
+            runners.back()->crash_part = crashing_part;
             runners.back()->restart_delay = milliseconds{500};
         }
         std::vector<endpoint> addresses;
@@ -239,7 +254,9 @@
         const bool unsafe = random() % 2 == 0;
         const auto id = fmt::format("{}-r{}", sender, ++sent_requests);
         const auto headers = "X-Cedarpoint-Request-Id: " + id +
-                             "\r\nX-Cedarpoint-Deadline-Ms: 3000\r\nX-Cedarpoint-Model: small\r\n";
+                             "\r\nX-Cedarpoint-Deadline-Ms: 3000\r\nX-Cedarpoint-Model: small\r\n"
+                             "X-Cedarpoint-Prompt-Prefix: 5c1e07a2:800," +
+                             fmt::format("{:x}:250\r\n", sent_requests);
         const auto served_before = served_total();
         const auto answer = call(entry, "POST", unsafe ? "/once/x" : "/ask/x", headers, id);
         const bool complete = answer.end == exchange_end::complete && answer.head.status == 200;
@@ -303,6 +320,59 @@
             << fault_history << arrivals_before << " arrivals before";
     }
 
+    /// Sends a request with the crashing part that differs from all others. Uses no random numbers.
+    int send_request_with_crashing_part()
+    {
+        const int sender = ++sent_crashing_requests % entry_count;
+        const auto entry = fleet.entries()[static_cast<std::size_t>(sender)];
+        const auto headers =
+            fmt::format("X-Cedarpoint-Request-Id: {}-p{}\r\nX-Cedarpoint-Deadline-Ms: 2000\r\n"
+                        "X-Cedarpoint-Model: small\r\n"
+                        "X-Cedarpoint-Prompt-Prefix: 5c1e07a2:800,{}:400,f{:x}:250\r\n",
+                        sender, sent_crashing_requests, crashing_part, sent_crashing_requests);
+        return call(entry, "POST", "/once/x", headers, fmt::format("p{}", sent_crashing_requests))
+            .head.status;
+    }
+
+    [[nodiscard]] std::ptrdiff_t count_arrivals_with_part(instant from) const
+    {
+        std::ptrdiff_t out = 0;
+        for (const auto& runner : runners) {
+            out += std::count_if(
+                runner->arrivals.begin(), runner->arrivals.end(), [&](const auto& each) {
+                    return each.at > from &&
+                           each.prompt_parts.find(crashing_part) != std::string::npos;
+                });
+        }
+        return out;
+    }
+
+    /// Expects, without injected faults, that requests with the crashing part are soon rejected,
+    /// and that sound ones with the same first part are not.
+    void expect_quarantined_part(const std::string& fault_history)
+    {
+        pass_time(milliseconds{std::chrono::duration_cast<milliseconds>(contact_time)});
+        const auto began = steady_now();
+        int status = 0;
+        while (steady_now() - began < seconds{12}) {
+            status = send_request_with_crashing_part();
+            send_request();
+            pass_time(milliseconds{100});
+        }
+        EXPECT_EQ(status, quarantined_status) << fault_history;
+        std::vector<instant> ends;
+        for (const auto& runner : runners) {
+            std::copy_if(runner->ends.begin(), runner->ends.end(), std::back_inserter(ends),
+                         [&](instant at) { return at >= began; });
+        }
+        std::sort(ends.begin(), ends.end());
+        if (ends.size() >= max_crashed_by_part) {
+            const auto fifth = ends[max_crashed_by_part - 1];
+            EXPECT_LE(count_arrivals_with_part(fifth + contact_time), max_arrivals_after_part)
+                << fault_history << ends.size() << " crashes";
+        }
+    }
+
     [[nodiscard]] int served_total() const
     {
         int out = 0;
@@ -318,6 +388,7 @@
     std::mt19937_64 cut_random{GetParam()};
     bool has_pauses = GetParam() % 5 == 2;
     bool has_crashing_request = GetParam() % 3 == 1;
+    bool has_crashing_part = GetParam() % 4 < 2 && !has_crashing_request;
     /// Not with crashes, since the proxies accept connections to runners that are down, nor with
     /// pauses, which would count for the daemon that a request came from instead of the one that
     /// sent it to the runner.
@@ -361,6 +432,9 @@
         if (has_crashing_request) {
             send_crashing_request();
         }
+        if (has_crashing_part) {
+            send_request_with_crashing_part();
+        }
         ASSERT_FALSE(HasFailure()) << "seed " << GetParam();
     }
     for (const auto& proxy : proxies) {
@@ -383,6 +457,9 @@
     if (has_crashing_request) {
         expect_quarantine(fault_history);
     }
+    if (has_crashing_part) {
+        expect_quarantined_part(fault_history);
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, fleet_soak, testing::ValuesIn(seeds()));
