Ends of runners whose port stays open count again, with a proof that holds

Callers saw a request crash runner after runner where a supervisor keeps the listening sockets: 63 arrivals where 3 are allowed, since the leader counted no cut that is followed by a later incarnation. It had been switched off after a popular request was quarantined, whose three ends lay within 14 ms.

Cause of that: a connection that is made while a runner is down, and cut by whoever keeps its port, counted as its end; and a request that is cut at one runner is sent on a connection to another one that ended in the same moment.

Change: a cut proves an end only if a heartbeat of the incarnation arrived while the connection was open; ends closer than clocks agree (20 ms) count as one. The parts of a prompt are reported with cuts as well.

Tests touched: cuts in runner_incarnations_test are on connections older than the last heartbeat; that others prove nothing has a test of its own.

--- a/include/cedarpoint/fleet/health_report.h
+++ b/include/cedarpoint/fleet/health_report.h
@@ -43,8 +43,7 @@
     std::map<model_id, model_demand> demand;
     rate_limit_observations rate_limits;
     crash_histories crashes; ///< requests during which runners crashed
-    /// Requests whose connections were cut while it is not known whether the runner crashed. The
-    /// leader does not count them.
+    /// Requests whose connections were cut while it is not known whether the runner crashed.
     crash_histories cuts;
     /// Runners that have said in an answer that they leave, each with the start time of the process
     /// that said so. Reported for as long as the view shows them as accepting.
--- a/include/cedarpoint/quarantine/crash_detector.h
+++ b/include/cedarpoint/quarantine/crash_detector.h
@@ -25,8 +25,9 @@
 /// A connection that ends without an answer (a cut) does not prove a crash: the connection may have
 /// been reset or interrupted, or the answer malformed. The runner's address is therefore checked at
 /// once, and only a refused connection counts as a crash: the process is gone. If the address
-/// accepts the connection, the cut is reported separately from crashes; the leader does not count
-/// it. A runner that is leaving ends as planned; callers don't report its cuts here.
+/// accepts the connection, the cut is reported separately from crashes; the leader counts it once a
+/// later incarnation of the runner proves that it was one. A runner that is leaving ends as
+/// planned; callers don't report its cuts here.
 ///
 /// Every observation must reach the leader. Each is therefore reported until the leader of the
 /// current term has answered a report that contains it, so a new leader receives them all.
--- a/include/cedarpoint/quarantine/quarantine_controller.h
+++ b/include/cedarpoint/quarantine/quarantine_controller.h
@@ -31,8 +31,7 @@
     void clear();
     void on_report(const crash_histories& in);
     /// Adds cuts that the entry daemons could not prove to be crashes. Returns those that are now
-    /// known to be crashes: a later incarnation of the runner may have been seen already. Not
-    /// called by `fleet_leader` today: reported cuts are not counted.
+    /// known to be crashes: a later incarnation of the runner may have been seen already.
     crash_histories on_cuts(instant now, const crash_histories& in);
     /// Records the incarnation of the runner that the replicated log holds.
     void expect(const runner_id& runner, incarnation its_incarnation)
--- a/include/cedarpoint/quarantine/runner_incarnations.h
+++ b/include/cedarpoint/quarantine/runner_incarnations.h
@@ -31,11 +31,13 @@
     /// none.
     [[nodiscard]] std::optional<incarnation> incarnation_at(const runner_id& runner,
                                                             instant at) const;
-    /// Returns the incarnation that ended with a cut at `at`: no heartbeat of it arrived
-    /// afterwards, and one of a later incarnation, or another runner at its address, followed soon.
-    /// Empty while there is no such proof.
-    [[nodiscard]] std::optional<incarnation> incarnation_ended_by(const runner_id& runner,
-                                                                  instant at) const;
+    /// Returns the incarnation that ended with a cut at `at` of a connection made at
+    /// `connected_at`: a heartbeat of it arrived while the connection was open, none afterwards,
+    /// and one of a later incarnation, or another runner at its address, followed soon. A
+    /// connection that was made after the latest heartbeat may have been accepted, and cut, by
+    /// whoever keeps the port of a runner that is down. Empty while there is no such proof.
+    [[nodiscard]] std::optional<incarnation>
+    incarnation_ended_by(const runner_id& runner, instant connected_at, instant at) const;
 
 private:
     struct known_incarnation {
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -245,9 +245,8 @@
     }
     const auto made_at = clocks_.sent_at(now, follower, in.stamp_us());
     take_crashes(now, follower, decode_crashes(made_at, in.suspected()));
-    // `cuts` is not evaluated: it also contains connections that were made while the runner was
-    // down. A sound request that was sent over such connections of several runners would be taken
-    // for the cause of their ends.
+    report_crashes(now,
+                   quarantine_.on_cuts(now, seen_by(follower, decode_crashes(made_at, in.cuts()))));
     const auto confirmed = in.term() == term_ ? in.version() : 0;
     const auto from = followers_.on_report(now, follower, confirmed, in.behind(), view_.version());
     auto out = make_update(now, from);
--- a/src/quarantine/crash_detector.cpp
+++ b/src/quarantine/crash_detector.cpp
@@ -26,6 +26,15 @@
 /// cut was a crash.
 constexpr duration max_unproved_age = seconds{10};
 
+/// Adds an observation to the history of each possible cause.
+void add_observation(const possible_causes& causes, crash_observation seen, crash_histories& out)
+{
+    for (std::uint32_t position = 0; position < causes.size(); ++position) {
+        seen.position = position;
+        out[causes[position]].crashes.push_back(seen);
+    }
+}
+
 } // namespace
 
 crash_detector::crash_detector() : own_ledger_{max_causes} {}
@@ -59,13 +68,13 @@
             add_unproved_cut(now, std::move(each));
             continue;
         }
-        for (std::uint32_t position = 0; position < each.causes.size(); ++position) {
-            const auto& cause = each.causes[position];
-            each.crash.position = position;
-            own_ledger_.add(cause, each.crash);
-            note_change(now, cause);
-            out[cause].crashes.push_back(each.crash);
+        add_observation(each.causes, each.crash, out);
+    }
+    for (const auto& [cause, history] : out) {
+        for (const auto& crash : history.crashes) {
+            own_ledger_.add(cause, crash);
         }
+        note_change(now, cause);
     }
     return out;
 }
@@ -97,7 +106,7 @@
     for (auto& each : cuts_) {
         if (!each.is_confirmed) {
             each.is_reported = true;
-            out[each.causes.front()].crashes.push_back(each.crash);
+            add_observation(each.causes, each.crash, out);
         }
     }
     return out;
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -33,14 +33,16 @@
 using crash_pointers = std::vector<const crash_observation*>;
 
 /// Returns the longest sequence in which the request was sent to each runner after the previous
-/// runner had ended.
+/// runner had ended. Ends that are closer than `clock_error` count as one: a request that is cut at
+/// one runner may be sent on a connection to another one that has ended at the same time.
 crash_pointers find_sequence(crash_pointers crashes)
 {
     std::sort(crashes.begin(), crashes.end(),
               [](const auto* one, const auto* other) { return one->ended_at < other->ended_at; });
     crash_pointers out;
     for (const auto* each : crashes) {
-        if (out.empty() || each->sent_at >= out.back()->ended_at) {
+        if (out.empty() || (each->sent_at >= out.back()->ended_at &&
+                            each->ended_at > out.back()->ended_at + clock_error)) {
             out.push_back(each);
         }
     }
--- a/src/quarantine/quarantine_controller.cpp
+++ b/src/quarantine/quarantine_controller.cpp
@@ -55,6 +55,9 @@
 
 crash_histories quarantine_controller::on_cuts(instant now, const crash_histories& in)
 {
+    if (in.empty()) {
+        return {};
+    }
     cuts_.add(now, in);
     return take_proved(now);
 }
--- a/src/quarantine/runner_incarnations.cpp
+++ b/src/quarantine/runner_incarnations.cpp
@@ -15,6 +15,9 @@
 /// ended.
 constexpr duration heartbeat_transit = milliseconds{50};
 
+/// Largest error of the time of a connection that another daemon reports.
+constexpr duration clock_error = milliseconds{20};
+
 /// If the next incarnation is seen later than this after a cut, the runner may have ended at any
 /// time in between, so the cut is not proved to be a crash.
 constexpr duration max_restart_time = seconds{10};
@@ -76,6 +79,7 @@
 }
 
 std::optional<incarnation> runner_incarnations::incarnation_ended_by(const runner_id& runner,
+                                                                     instant connected_at,
                                                                      instant at) const
 {
     const auto found = runners_.find(runner);
@@ -84,7 +88,8 @@
     }
     const auto& [incarnations, replaced_at] = found->second;
     const auto own = find_incarnation(found->second, at);
-    if (own == incarnations.end() || own->last_heartbeat_at > at + heartbeat_transit) {
+    if (own == incarnations.end() || own->last_heartbeat_at > at + heartbeat_transit ||
+        own->last_heartbeat_at < connected_at + clock_error) {
         return {};
     }
     const auto next = std::next(own);
--- a/src/quarantine/unproved_cuts.cpp
+++ b/src/quarantine/unproved_cuts.cpp
@@ -7,8 +7,9 @@
 namespace cedarpoint {
 namespace {
 
-/// Enough for the requests of all entry daemons in flight at a few runners.
-constexpr std::size_t max_cuts = 1024;
+/// Enough for the requests of all entry daemons in flight at a few runners, and the parts of their
+/// prompts.
+constexpr std::size_t max_cuts = 2048;
 
 /// Longer than a runner takes to restart and send a heartbeat; see `runner_incarnations`.
 constexpr duration max_cut_age = seconds{12};
@@ -48,8 +49,10 @@
     crash_histories out;
     std::vector<cut> waiting;
     for (auto& each : cuts_) {
-        const auto its_incarnation =
-            incarnations.incarnation_ended_by(each.observation.runner, each.observation.ended_at);
+        // Without the time of the connection there is no proof.
+        const auto connected_at = each.observation.connected_at.value_or(each.observation.ended_at);
+        const auto its_incarnation = incarnations.incarnation_ended_by(
+            each.observation.runner, connected_at, each.observation.ended_at);
         if (!its_incarnation) {
             waiting.push_back(std::move(each));
             continue;
--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -85,6 +85,11 @@
     state_.clear();
     sequence_ = 0;
     ++start_ms_;
+    ++crashes_;
+    if (is_replaced) {
+        id_ = fmt::format("{}+{}", id_.substr(0, id_.find('+')), crashes_);
+        address_.port = 0;
+    }
     QTimer::singleShot(restart_delay, &timer_, [this] { begin_incarnation(); });
 }
 
@@ -211,8 +216,10 @@
     const auto has_text = [](std::string_view text, const std::string& part) {
         return !part.empty() && text.find(part) != std::string_view::npos;
     };
+    const auto parts = request.fields.get("X-Cedarpoint-Prompt-Prefix");
     return has_text(request.body, crash_trigger) ||
-           has_text(request.fields.get("X-Cedarpoint-Prompt-Prefix"), crash_part);
+           std::any_of(crash_parts.begin(), crash_parts.end(),
+                       [&](const auto& part) { return has_text(parts, part); });
 }
 
 void platform_runner::crash_under(const http_request& request,
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -49,18 +49,20 @@
     bool reports_not_executed = true; ///< refusals state that the request was not run
     /// Stops or restarts heartbeats. Requests are served all the time.
     void set_heartbeats_stopped(bool stopped);
-    milliseconds answer_time{0};      ///< time to answer a plain request
-    milliseconds event_gap{0};        ///< time between two events of a stream
-    int abandoned = 0;                ///< requests whose sender disconnected before the answer
-    int slots = 4;                    ///< reported in its heartbeats
-    std::string crash_trigger;        ///< a request with this text in its body crashes the runner
-    std::string crash_part;           ///< a request with this part in its prompt does, too
-    milliseconds crash_delay{40};     ///< from the start of such a request to the crash
-    milliseconds restart_delay{2500}; ///< from a crash to the restart under the same id
-    std::vector<instant> ends;        ///< times of its crashes
+    milliseconds answer_time{0}; ///< time to answer a plain request
+    milliseconds event_gap{0};   ///< time between two events of a stream
+    int abandoned = 0;           ///< requests whose sender disconnected before the answer
+    int slots = 4;               ///< reported in its heartbeats
+    std::string crash_trigger;   ///< a request with this text in its body crashes the runner
+    std::vector<std::string> crash_parts; ///< so does one with such a part in its prompt
+    milliseconds crash_delay{40};         ///< from the start of such a request to the crash
+    milliseconds restart_delay{2500};     ///< from a crash to the restart under the same id
+    std::vector<instant> ends;            ///< times of its crashes
     /// True if a supervisor keeps the listening socket open: connections that send a request while
     /// the runner is down are aborted.
     bool keeps_port_open = false;
+    /// True if another process takes its place after a crash, with an id and an address of its own.
+    bool is_replaced = false;
     /// Answers with neither a length nor chunks from now on, and ends each answer with its
     /// connection.
     void set_unframed();
@@ -104,6 +106,7 @@
     [[nodiscard]] std::string announcement_text();
 
     std::string id_;
+    int crashes_ = 0;
     std::string service_;
     std::vector<endpoint> controls_;
     std::size_t control_index_ = 0; ///< of the control daemon that receives the heartbeats
--- a/tests/quarantine/crash_ledger_test.cpp
+++ b/tests/quarantine/crash_ledger_test.cpp
@@ -99,6 +99,18 @@
     EXPECT_EQ(count(cause), 1);
 }
 
+// Guards against quarantining a request that lost one runner and was sent at once to others which
+// had ended in the same moment, on connections whose ends had not been read yet.
+TEST_F(crash_ledger_test, counts_ends_once_that_are_closer_than_clocks_agree)
+{
+    ledger.add(cause, crash("a", 0, 90));
+    ledger.add(cause, crash("b", 90, 91));
+    ledger.add(cause, crash("c", 91, 92));
+    EXPECT_EQ(count(cause), 1);
+    ledger.add(cause, crash("d", 92, 130));
+    EXPECT_EQ(count(cause), 2);
+}
+
 TEST_F(crash_ledger_test, merges_in_any_order_and_counts_what_several_daemons_saw_once)
 {
     ledger.add(cause, crash("b", 200, 250, "d-2"));
--- a/tests/quarantine/crashing_part_test.cpp
+++ b/tests/quarantine/crashing_part_test.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
+#include <functional>
 #include <gtest/gtest.h>
 #include <vector>
 
@@ -38,6 +39,7 @@
 
 const std::string common_part = "5c1e07a2";
 const std::string crashing_part = "badc0de5";
+const std::string second_crashing_part = "deadbea7";
 
 const std::string document = R"({"version":1,
     "routes":[{"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
@@ -59,7 +61,11 @@
     bool is_first_part = false;   ///< otherwise the crashing part follows the common one
     milliseconds answer_time{20}; ///< of a sound request
     bool loses_leader = false;    ///< after the fifth crash
-    bool is_unframed = false;     ///< answers have no length and end with their connections
+    bool keeps_port_open = false; ///< a supervisor keeps the listening sockets of runners
+    bool is_replaced = false;     ///< other runners take the places of crashed ones
+    bool has_second_part = false; ///< another part crashes runners at the same time
+    milliseconds restart_delay{2500};
+    bool is_unframed = false; ///< answers have no length and end with their connections
 };
 
 // GoogleTest looks up this function by its name.
@@ -82,7 +88,10 @@
             runners.back()->event_gap = GetParam().answer_time;
             runners.back()->slots = 16;
             runners.back()->stage = GetParam().stage;
-            runners.back()->crash_part = crashing_part;
+            runners.back()->crash_parts = {crashing_part, second_crashing_part};
+            runners.back()->restart_delay = GetParam().restart_delay;
+            runners.back()->keeps_port_open = GetParam().keeps_port_open;
+            runners.back()->is_replaced = GetParam().is_replaced;
             if (GetParam().is_unframed) {
                 runners.back()->set_unframed();
             }
@@ -101,13 +110,14 @@
         });
     }
 
-    std::unique_ptr<open_loop_callers> start_crashing(double per_second, const std::string& name)
+    std::unique_ptr<open_loop_callers> start_crashing(double per_second, const std::string& name,
+                                                      const std::string& part = crashing_part)
     {
         const bool is_first = GetParam().is_first_part;
-        return start(per_second, name, [is_first, name](std::size_t n) {
+        return start(per_second, name, [is_first, name, part](std::size_t n) {
             const auto own = fmt::format("{}{:x}:250", name == "again" ? "f" : "e", n);
-            return is_first ? fmt::format("{}:800,91bd3f{:02x}:410,{}", crashing_part, n % 10, own)
-                            : fmt::format("{}:800,{}:410,{}", common_part, crashing_part, own);
+            return is_first ? fmt::format("{}:800,91bd3f{:02x}:410,{}", part, n % 10, own)
+                            : fmt::format("{}:800,{}:410,{}", common_part, part, own);
         });
     }
 
@@ -121,32 +131,36 @@
         return out;
     }
 
-    /// Returns the number of requests with the crashing part that arrived at runners after `from`.
-    [[nodiscard]] std::ptrdiff_t count_arrivals(instant from) const
+    /// Returns when requests with the part arrived at runners, the earliest first.
+    [[nodiscard]] std::vector<instant> arrivals_with(const std::string& part) const
     {
-        std::ptrdiff_t out = 0;
+        std::vector<instant> out;
         for (const auto& runner : runners) {
-            out += std::count_if(
-                runner->arrivals.begin(), runner->arrivals.end(), [&](const auto& each) {
-                    return each.at > from &&
-                           each.prompt_parts.find(crashing_part) != std::string::npos;
-                });
+            for (const auto& each : runner->arrivals) {
+                if (each.prompt_parts.find(part) != std::string::npos) {
+                    out.push_back(each.at);
+                }
+            }
         }
+        std::sort(out.begin(), out.end());
         return out;
     }
 
-    void expect_guarantee() const
+    void expect_guarantee(const std::string& part = crashing_part) const
     {
-        const auto all = ends();
+        const auto all = arrivals_with(part);
         ASSERT_GE(all.size(), 3U) << "the part crashes the runners in this test";
         if (all.size() < crashes_before_guarantee) {
             return;
         }
-        const auto fifth = all[crashes_before_guarantee - 1];
-        fmt::print("{} crashes, {} arrivals after the fifth, the last crash {} ms after it\n",
-                   all.size(), count_arrivals(fifth), to_ms(all.back() - fifth));
-        EXPECT_LE(count_arrivals(fifth + contact_time), max_arrivals_after)
-            << all.size() << " crashes in all";
+        const auto fifth = all[crashes_before_guarantee - 1] + runners[0]->crash_delay;
+        const auto count_after = [&](instant from) {
+            return std::count_if(all.begin(), all.end(), [&](instant at) { return at > from; });
+        };
+        fmt::print("{} arrivals of {}, {} after the fifth crash, the last {} ms after it\n",
+                   all.size(), part, count_after(fifth), to_ms(all.back() - fifth));
+        EXPECT_LE(count_after(fifth + contact_time), max_arrivals_after)
+            << all.size() << " arrivals in all, " << ends().size() << " crashes";
     }
 
     static void expect_no_quarantine(const open_loop_callers& callers)
@@ -191,6 +205,8 @@
     const auto sound = start_sound(60);
     pass_time(seconds{1});
     auto crashing = start_crashing(10, "crashing");
+    const auto second =
+        GetParam().has_second_part ? start_crashing(6, "second", second_crashing_part) : nullptr;
     pass_time(seconds{2});
     if (GetParam().loses_leader) {
         const auto leader = fleet.leader();
@@ -208,6 +224,10 @@
     expect_no_quarantine(*sound);
 
     expect_no_success(*crashing);
+    if (second != nullptr) {
+        expect_guarantee(second_crashing_part);
+        expect_no_success(*second);
+    }
 
     // The callers stop, and send such requests again after a pause.
     crashing.reset();
@@ -245,6 +265,12 @@
                    .target = "/ask/x",
                    .stage = stage::in_stream,
                    .is_unframed = true},
+        crash_case{.name = "whose_port_stays_open",
+                   .net = 39,
+                   .keeps_port_open = true,
+                   .restart_delay = milliseconds{300}},
+        crash_case{.name = "and_are_replaced", .net = 44, .is_replaced = true},
+        crash_case{.name = "beside_a_second_part", .net = 45, .has_second_part = true},
         crash_case{.name = "at_30_entry_daemons", .net = 36, .entry_daemons = 30}),
     [](const auto& it) { return it.param.name; });
 
--- a/tests/quarantine/runner_incarnations_test.cpp
+++ b/tests/quarantine/runner_incarnations_test.cpp
@@ -24,20 +24,34 @@
     runner_incarnations incarnations;
     EXPECT_TRUE(incarnations.on_heartbeat(at(0), runner, first));
     EXPECT_FALSE(incarnations.on_heartbeat(at(1000), runner, first));
-    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(1500)), std::nullopt)
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(900), at(1500)), std::nullopt)
         << "no heartbeat since the cut";
     EXPECT_TRUE(incarnations.on_heartbeat(at(2000), runner, second));
-    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(1500)), first);
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(900), at(1500)), first);
 
     // A heartbeat of the same incarnation arrived after this cut, so it was a reset.
-    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(500)), std::nullopt);
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(-50), at(500)), std::nullopt);
     // This cut is in the current incarnation.
-    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(2500)), std::nullopt);
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(1900), at(2500)), std::nullopt);
     EXPECT_EQ(incarnations.incarnation_at(runner, at(2500)), second);
     EXPECT_EQ(incarnations.incarnation_at(runner, at(1500)), first);
     EXPECT_EQ(incarnations.incarnation_at(runner, at(-1)), std::nullopt);
 }
 
+// Guards against quarantining a sound request that was cut by whoever keeps the port of a runner
+// that is down.
+TEST(incarnations_of_a_runner, are_not_proved_to_end_by_connections_made_after_the_last_heartbeat)
+{
+    runner_incarnations incarnations;
+    incarnations.on_heartbeat(at(0), runner, first);
+    incarnations.on_heartbeat(at(1000), runner, first);
+    incarnations.on_heartbeat(at(2000), runner, second);
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(1200), at(1500)), std::nullopt);
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(990), at(1500)), std::nullopt)
+        << "the clocks of two daemons differ by more than this";
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(970), at(1500)), first);
+}
+
 TEST(incarnations_of_a_runner, do_not_change_with_a_late_heartbeat_of_an_earlier_one)
 {
     runner_incarnations incarnations;
@@ -51,7 +65,7 @@
     runner_incarnations incarnations;
     incarnations.on_heartbeat(at(0), runner, first);
     incarnations.on_heartbeat(at(60'000), runner, second);
-    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(1000)), std::nullopt);
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(-50), at(1000)), std::nullopt);
 }
 
 TEST(incarnations_of_a_runner, end_when_another_runner_starts_at_its_address)
@@ -59,8 +73,8 @@
     runner_incarnations incarnations;
     incarnations.on_heartbeat(at(0), runner, incarnation{});
     incarnations.on_replaced(at(700), runner);
-    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(500)), incarnation{});
-    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(800)), std::nullopt);
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(-50), at(500)), incarnation{});
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(-50), at(800)), std::nullopt);
 }
 
 TEST(incarnations_of_a_runner, are_known_to_a_new_leader_from_the_log)
@@ -70,7 +84,7 @@
     EXPECT_FALSE(incarnations.on_heartbeat(at(100), runner, first))
         << "the runner is in the same incarnation";
     EXPECT_TRUE(incarnations.on_heartbeat(at(900), runner, second));
-    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(500)), first);
+    EXPECT_EQ(incarnations.incarnation_ended_by(runner, at(-50), at(500)), first);
 }
 
 class cuts_that_wait_for_proof : public testing::Test {
@@ -100,7 +114,7 @@
 
 TEST_F(cuts_that_wait_for_proof, count_as_one_crash_of_each_incarnation)
 {
-    controller.on_cuts(at(120), cut(10, 100));
+    controller.on_cuts(at(120), cut(-50, 100));
     // Retries connect while the runner restarts and are cut as well, also those of other daemons.
     controller.on_cuts(at(220), cut(150, 200));
     controller.on_cuts(at(320), cut(250, 300, "d-2"));
@@ -108,7 +122,7 @@
     EXPECT_EQ(controller.on_heartbeat(at(600), runner, second).size(), 1U);
     EXPECT_EQ(count(), 1);
 
-    controller.on_cuts(at(720), cut(650, 700, "d-2"));
+    controller.on_cuts(at(720), cut(550, 700, "d-2"));
     controller.on_heartbeat(at(1200), runner, third);
     EXPECT_EQ(count(), 2);
 }
@@ -116,13 +130,13 @@
 TEST_F(cuts_that_wait_for_proof, count_also_if_they_are_reported_after_the_next_incarnation)
 {
     controller.on_heartbeat(at(150), runner, second); // the runner restarted at once
-    EXPECT_EQ(controller.on_cuts(at(300), cut(10, 100)).size(), 1U);
+    EXPECT_EQ(controller.on_cuts(at(300), cut(-50, 100)).size(), 1U);
     EXPECT_EQ(count(), 1);
 }
 
 TEST_F(cuts_that_wait_for_proof, are_the_same_crash_as_one_that_another_daemon_proved)
 {
-    auto refused = cut(10, 100);
+    auto refused = cut(-50, 100);
     controller.on_report(refused);
     controller.on_cuts(at(400), cut(150, 200, "d-2"));
     controller.on_heartbeat(at(600), runner, second);
@@ -131,7 +145,7 @@
 
 TEST_F(cuts_that_wait_for_proof, do_not_count_once_the_request_was_answered)
 {
-    controller.on_cuts(at(120), cut(10, 100));
+    controller.on_cuts(at(120), cut(-50, 100));
     crash_histories answer;
     answer[cut_request].answered_at = at(300);
     controller.on_report(answer);
@@ -152,9 +166,9 @@
 
 TEST_F(cuts_that_wait_for_proof, count_once_when_they_are_reported_again)
 {
-    controller.on_cuts(at(120), cut(10, 100));
+    controller.on_cuts(at(120), cut(-50, 100));
     controller.on_heartbeat(at(600), runner, second);
-    controller.on_cuts(at(620), cut(10, 100));
+    controller.on_cuts(at(620), cut(-50, 100));
     controller.on_heartbeat(at(700), runner, second);
     EXPECT_EQ(count(), 1);
 }
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -111,7 +111,7 @@
             runners.push_back(std::make_unique<platform_runner>(
                 fmt::format("s-{}", n), "shop", fleet.controls(), std::uint64_t{1000}));
             runners.back()->crash_trigger = crashing_body;
-            runners.back()->crash_part = crashing_part;
+            runners.back()->crash_parts = {crashing_part};
             runners.back()->restart_delay = milliseconds{500};
         }
         std::vector<endpoint> addresses;
