Read once more: comments, one place that reads the parts, the order of two functions

Cause: found when the change was read as a whole. The line of a cut attempt read the list of parts a second time; a comment was wrapped in the middle; an anonymous namespace was closed and opened again within one file.

Change: the line uses the possible causes that the request has already. No other behaviour changes.

--- a/include/cedarpoint/quarantine/crash_ledger.h
+++ b/include/cedarpoint/quarantine/crash_ledger.h
@@ -26,9 +26,10 @@
 ///    for example when a rack fails, count once for a request that was in flight at all of them.
 ///  - No runner ever answers it completely. Any complete answer clears a request, and the parts of
 ///    its prompt, of all earlier crashes.
-///  - A crash that involved a quarantined cause does not count against others. A quarantined
-///  request
-///    does not clear the parts of its prompt, since one of them may be the cause.
+///  - A crash that involved a quarantined cause does not count against others, except that one
+///  under
+///    a quarantined request still counts against the parts of its prompt: one of them may be the
+///    cause.
 class crash_ledger {
 public:
     /// Keeps at most `max_causes`. Evicts those without a recent crash first, then those with one
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -128,9 +128,9 @@
     void finish(const char* outcome, std::string_view cause);
     /// Returns the entry daemon that the latest attempt went through; empty if it went to a runner.
     [[nodiscard]] std::string peer_address() const;
-    void log_attempt(const attempt_verdict& verdict) const;
+    void log_attempt(const attempt_verdict& verdict);
     /// Returns the parts of the prompt that other requests may share, for the log.
-    [[nodiscard]] std::string describe_shared_parts() const;
+    [[nodiscard]] std::string describe_shared_parts();
     [[nodiscard]] bool is_stream() const;
 
     entry_context& context_;
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -186,7 +186,7 @@
                                                                  : std::string{};
 }
 
-void relay::log_attempt(const attempt_verdict& verdict) const
+void relay::log_attempt(const attempt_verdict& verdict)
 {
     log_line{"attempt"}
         .with("id", id_)
@@ -199,14 +199,13 @@
         .write();
 }
 
-std::string relay::describe_shared_parts() const
+std::string relay::describe_shared_parts()
 {
-    const auto& platform = context_.platform;
     std::vector<std::string_view> out;
-    const auto parts =
-        platform.read_shared_parts(request_.fields.get(platform.headers().prompt_parts));
-    for (const auto& part : parts) {
-        out.emplace_back(part.str());
+    for (const auto& cause : causes()) {
+        if (const auto* part = std::get_if<prompt_part>(&cause)) {
+            out.emplace_back(part->id.str());
+        }
     }
     return fmt::format("{}", fmt::join(out, ","));
 }
--- a/src/quarantine/find_crash_causes.cpp
+++ b/src/quarantine/find_crash_causes.cpp
@@ -46,19 +46,6 @@
            });
 }
 
-} // namespace
-
-bool has_stronger_rival(const crash_ledger& ledger, const crash_cause& cause,
-                        const std::set<crash_cause>& known)
-{
-    const int crashes = ledger.count_all(cause, known);
-    return is_challenged(ledger, cause, known, [&](const auto& /*other*/, int its_crashes) {
-        return its_crashes > crashes;
-    });
-}
-
-namespace {
-
 bool is_due(const crash_ledger& ledger, const crash_cause& cause,
             const std::set<crash_cause>& known)
 {
@@ -111,6 +98,15 @@
     });
 }
 
+bool has_stronger_rival(const crash_ledger& ledger, const crash_cause& cause,
+                        const std::set<crash_cause>& known)
+{
+    const int crashes = ledger.count_all(cause, known);
+    return is_challenged(ledger, cause, known, [&](const auto& /*other*/, int its_crashes) {
+        return its_crashes > crashes;
+    });
+}
+
 std::set<crash_cause> find_crash_causes(const crash_ledger& ledger,
                                         const std::set<crash_cause>& known)
 {
