review: case 1 goes on where it can't see the leader write; its folder is on a disk

The stop within a write is read from /proc; where that can't be read, the leader stops at any moment, and the order of events is brought about again until a read is too old or the time is over.

--- a/review/1/stale_leader.cpp
+++ b/review/1/stale_leader.cpp
@@ -4,6 +4,8 @@
 
 #include "../support/fleet.h"
 
+#include <sys/syscall.h>
+
 namespace {
 
 using namespace review;
@@ -78,23 +80,30 @@
     std::thread thread_;
 };
 
-/// Returns true if the stopped process is inside a write or a sync of a file.
-bool is_writing(pid_t pid)
+enum class write_state { writing, not_writing, unknown };
+
+/// Tells whether the stopped process is inside a sync of a file.
+write_state read_write_state(pid_t pid)
 {
     std::ifstream in{"/proc/" + std::to_string(pid) + "/syscall"};
-    std::string number;
-    in >> number;
-    return number == "74" || number == "75"; // fsync, fdatasync on x86-64
+    long number = -1;
+    if (!(in >> number)) {
+        return in.bad() || !in.is_open() ? write_state::unknown : write_state::not_writing;
+    }
+    return number == SYS_fsync || number == SYS_fdatasync ? write_state::writing
+                                                          : write_state::not_writing;
 }
 
-/// Stops the process at a moment when it writes to its disk.
-bool freeze_during_write(process& of)
+/// Stops the process, if possible while it writes to its disk. Returns whether that is certain.
+bool freeze(process& of)
 {
-    for (int n = 0; n < 2000; ++n) {
+    constexpr int max_tries = 2000;
+    for (int n = 0; n < max_tries; ++n) {
         of.send_signal(SIGSTOP);
         waitpid(of.pid(), nullptr, WUNTRACED);
-        if (is_writing(of.pid())) {
-            return true;
+        const auto state = read_write_state(of.pid());
+        if (state != write_state::not_writing || n + 1 == max_tries) {
+            return state == write_state::writing;
         }
         of.send_signal(SIGCONT);
         std::this_thread::sleep_for(std::chrono::microseconds(500 + 137 * (n % 17)));
@@ -180,14 +189,19 @@
         if (!has_trouble()) {
             return run_undisturbed();
         }
+        bool has_run = false;
         while (elapsed() < last_attempt_s) {
             if (try_once()) {
-                return judge();
+                has_run = has_run || was_writing_;
+                if (judge() == result::broken) {
+                    return result::broken;
+                }
             }
             sleep_ms(1500);
         }
-        record("no change was acknowledged while the leader stood still");
-        return result::not_run;
+        record(has_run ? "no read was too old"
+                       : "the leader was not seen to stand still in a write");
+        return has_run ? result::held : result::not_run;
     }
 
 private:
@@ -216,18 +230,16 @@
         change_series series{site_, version_};
         sleep_ms(300);
         auto& old_leader = site_.at(*leader);
-        if (!freeze_during_write(old_leader)) {
-            record("d-%d leads and was never found writing", *leader);
-            return false;
-        }
+        was_writing_ = freeze(old_leader);
         const double frozen_at = elapsed();
         site_.mesh_proxy(*leader).set_cut(true);
         series.stop();
         version_ = series.sent() + 1;
-        record("d-%d leads; it stands still and is cut off; version %llu was acknowledged before, "
-               "%llu sent",
-               *leader, (unsigned long long)series.acknowledged(),
-               (unsigned long long)series.sent());
+        record(
+            "d-%d leads; it stands still%s and is cut off; version %llu was acknowledged before, "
+            "%llu sent",
+            *leader, was_writing_ ? " in a write" : "", (unsigned long long)series.acknowledged(),
+            (unsigned long long)series.sent());
         const auto new_leader = put_at_others(*leader, frozen_at);
         if (new_leader) {
             changes_.add(version_);
@@ -289,6 +301,7 @@
         if (dark_ >= 0) {
             site_.start(dark_, false);
             record("d-%d has power again after %.1f s", dark_, elapsed() - dark_since_);
+            dark_ = -1;
         }
         old_reads += count_old_reads(site_, changes_, recovery_s);
         record("reads answered with a version that is too old: %d", old_reads);
@@ -299,6 +312,7 @@
     std::uint64_t version_ = 1000;
     acknowledged_changes changes_;
     double dark_since_ = 0;
+    bool was_writing_ = false; ///< as the leader was stopped in the latest attempt
     int dark_ = -1;
 };
 
--- a/review/support/fleet.h
+++ b/review/support/fleet.h
@@ -6,6 +6,9 @@
 #include "process.h"
 #include "proxy.h"
 
+#include <linux/magic.h>
+#include <sys/vfs.h>
+
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
@@ -26,8 +29,7 @@
     fleet(int entry_count, bool behind_proxies)
         : entry_count_{entry_count}, behind_proxies_{behind_proxies}
     {
-        const char* base = std::getenv("TMPDIR");
-        std::string name = std::string{base != nullptr ? base : "/tmp"} + "/review-XXXXXX";
+        std::string name = temporary_folder() + "/review-XXXXXX";
         folder_ = mkdtemp(name.data()) != nullptr ? name : "";
         net_ = 16 + static_cast<int>(getpid() % 200);
         choose_ports();
@@ -134,6 +136,15 @@
     }
 
 private:
+    /// Returns a folder on a disk, since control daemons sync what they store.
+    static std::string temporary_folder()
+    {
+        const char* given = std::getenv("TMPDIR");
+        const std::string out = given != nullptr ? given : "/tmp";
+        struct statfs about {};
+        const bool in_memory = statfs(out.c_str(), &about) == 0 && about.f_type == TMPFS_MAGIC;
+        return in_memory && access("/var/tmp", W_OK) == 0 ? "/var/tmp" : out;
+    }
     std::string ip(int kind, int n) const
     {
         return "127." + std::to_string(net_) + "." + std::to_string(kind) + "." +
