--- a/review/3/torn_answer.cpp
+++ b/review/3/torn_answer.cpp
@@ -13,7 +13,7 @@
 /// With the disruption, the link to the runner carries this much of a request until it is reset.
 constexpr std::size_t bytes_before_reset = 40'000;
 constexpr int client_count = 4;
-constexpr int requests_per_client = 10;
+constexpr int requests_per_client = 20;
 
 json make_configuration()
 {
