--- a/review/1/stale_leader.cpp
+++ b/review/1/stale_leader.cpp
@@ -272,7 +272,8 @@
     void lose_others(int old_leader, int new_leader)
     {
         dark_ = new_leader;
-        const int wiped = fleet::control_count - old_leader - new_leader;
+        constexpr int sum_of_numbers = 0 + 1 + 2;
+        const int wiped = sum_of_numbers - old_leader - new_leader;
         site_.at(wiped).kill_now();
         site_.at(dark_).kill_now();
         dark_since_ = elapsed();
