--- a/review/1/stale_leader.cpp
+++ b/review/1/stale_leader.cpp
@@ -14,7 +14,7 @@
 constexpr double recovery_s = 12.0;    ///< bounds.recoveryS
 constexpr double dark_s = 5.0;         ///< how long the third control daemon has no power
 constexpr double longest_freeze_s = 3.2;
-constexpr double last_attempt_s = 70.0; ///< no attempt begins later than this
+constexpr double last_attempt_s = 60.0; ///< no attempt begins later than this
 
 json make_configuration(std::uint64_t version)
 {
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,7 +7,7 @@
 [[ -x target/cedarpoint || -n "${CEDARPOINT:-}" ]] || export CEDARPOINT=build/cedarpoint
 export RECORD_FILE="$here/record.txt"
 review/build.sh || exit 2
-timeout -k 2 115 review/bin/torn_answer
+timeout -k 2 100 review/bin/torn_answer
 status=$?
 ((status <= 2)) || status=2
 exit "$status"
