--- a/review/1/stale_leader.cpp
+++ b/review/1/stale_leader.cpp
@@ -65,6 +65,7 @@
     {
         while (!stopping_) {
             const auto version = ++sent_;
+            record("version %llu is sent", (unsigned long long)version);
             const auto body = make_configuration(version).dump();
             const auto out = control_call(site_.controls(), "POST", "/cedarpoint/config/put", body);
             if (out.status == 200) {
@@ -254,6 +255,7 @@
     std::optional<int> put_at_others(int old_leader, double frozen_at)
     {
         const auto body = make_configuration(version_).dump();
+        record("version %llu is sent to the others", (unsigned long long)version_);
         while (elapsed() < frozen_at + longest_freeze_s - 0.6) {
             for (int n = 0; n < fleet::control_count; ++n) {
                 if (n != old_leader && call(site_.control(n), "POST", "/cedarpoint/config/put",
@@ -285,6 +287,7 @@
     bool put_next()
     {
         ++version_;
+        record("version %llu is sent", (unsigned long long)version_);
         if (!site_.put(make_configuration(version_), 3)) {
             record("version %llu was not acknowledged", (unsigned long long)version_);
             return false;
