consensus: a voter that lost its disk counts towards no quorum until it is admitted again

Cause: answers were counted by the address of a voter, though a daemon without its disk has forgotten its term, its votes and its entries. A leader that stood still in a slow write, and had been replaced meanwhile, took such a voter for its quorum and its lease.

Change: a member without stored state draws a storage id, which its messages carry and the log lists for each voter. Commit, lease, contact with a quorum and votes count the listed storage only. The leader demotes a voter that answers with another storage and promotes it once it has caught up, both as ordinary changes of one member. A lease is judged by the end of the latest write if the caller read the clock before.

--- a/include/cedarpoint/consensus/election_status.h
+++ b/include/cedarpoint/consensus/election_status.h
@@ -16,13 +16,21 @@
 /// Identifies a voter or learner of one log by the id of its daemon, which may have no disk.
 using member_id = id<struct member_tag>;
 
+/// Identifies what one member has stored since it last started without stored state. A member whose
+/// disk is lost gets a new one: it has forgotten its votes and entries, so its answers must not be
+/// mistaken for those of the earlier storage.
+enum class storage_id : std::uint64_t {};
+
+/// The storage of a member that has stored everything since the system started for the first time.
+constexpr storage_id first_storage{0};
+
 /// The reason why a member refuses to vote for a candidate.
 enum class vote_refusal {
     none,                ///< the vote is granted
     follows_leader,      ///< it leads, or received an append within an election timeout
     lease_may_run,       ///< a lease granted before its restart may not have expired
     candidate_behind,    ///< the candidate's log is older than the member's
-    may_have_lost_state, ///< it may have lost stored state and has not caught up
+    may_have_lost_state, ///< the candidate's log does not list its storage as a voter's
     old_term,            ///< the candidate's term is too old
     voted_already        ///< it voted for another candidate in this term, or is no follower
 };
@@ -51,7 +59,7 @@
     std::uint64_t term = 0;
     std::uint64_t last_term = 0; ///< of the last entry
     std::uint64_t last_index = 0;
-    bool whole = false; ///< it holds all state that it ever stored
+    bool whole = false; ///< the log lists its storage as a voter's
     bool voter = false;
     duration until_election{};
     duration until_vote{}; ///< the time for which it still refuses all votes
--- a/include/cedarpoint/consensus/membership_policy.h
+++ b/include/cedarpoint/consensus/membership_policy.h
@@ -8,10 +8,11 @@
 namespace cedarpoint {
 
 // Selects the voters of a log whose control daemons may be added, lost or replaced. The leader
-// changes one member at a time, in this order: it promotes a learner while there are too few
-// voters; it demotes an unresponsive voter that a learner can replace; it removes an unresponsive
-// learner. A daemon that is not a member asks to join and becomes a learner. A voter that is lost
-// permanently is thus replaced, so that the log can tolerate the next loss.
+// changes one member at a time, in this order: it demotes a voter that has lost its storage; it
+// promotes a learner while there are too few voters; it demotes an unresponsive voter that a
+// learner can replace; it removes an unresponsive learner. A daemon that is not a member asks to
+// join and becomes a learner. A voter that is lost permanently is thus replaced, so that the log
+// can tolerate the next loss.
 
 /// Returns the number of voters with which a log tolerates `losses` simultaneous losses.
 [[nodiscard]] constexpr std::size_t voters_for(std::size_t losses)
@@ -19,6 +20,10 @@
     return 2 * losses + 1;
 }
 
+/// Returns the voter that the leader should demote to learner now, because its storage is lost;
+/// empty if there is none. It is promoted again once it has caught up.
+[[nodiscard]] std::optional<member_id> next_lost_storage(const raft_node& leader);
+
 /// Returns the learner that the leader should promote to voter now; empty if there is none. Only a
 /// learner whose log is nearly up to date is promoted, and only while there are fewer voters than
 /// wanted. An odd number of voters becomes even only if a second learner is ready to be promoted
@@ -46,4 +51,10 @@
 [[nodiscard]] std::optional<membership_change>
 next_membership_change(instant now, const raft_node& leader, std::size_t wanted_voters);
 
+/// Returns the change that the leader of a log with a fixed list of members should make now: it
+/// demotes a voter that has lost its storage, and promotes it once it has caught up. `configured`
+/// lists the members with their roles.
+[[nodiscard]] std::optional<membership_change>
+next_storage_replacement(instant now, const raft_node& leader, const wire::membership& configured);
+
 } // namespace cedarpoint
--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,7 +21,7 @@
 enum class start_mode {
     unknown, ///< new, or its disk was lost: it may elect a log's first leader only with all voters
     first,   ///< the whole system starts for the first time: no member has voted or stored anything
-    later    ///< the system has run before: it votes only after it has caught up with a leader
+    later    ///< the system has run before: without stored state it waits to be admitted
 };
 
 /// Intervals and limits of one log.
@@ -70,6 +69,11 @@
 
 /// One member of one replicated log: elections with pre-vote, replication, snapshots, membership
 /// changes one at a time, leader lease and grants to followers.
+///
+/// A voter is a daemon together with the storage with which it was admitted. A daemon that lost its
+/// disk has another storage: its votes and acknowledgements count towards no quorum, as if the
+/// voter were down, until the other voters have demoted it and then admitted the new storage. Both
+/// are committed changes of one member, so a leader that has been replaced can't complete them.
 /// Owns: the log after the last snapshot, the snapshot and the hard state, in memory.
 /// Relies on: its owner, which calls `take_output` after each call and processes the output; clocks
 /// that drift apart by at most `raft_options::drift`. Performs no I/O; time is an argument.
@@ -78,21 +82,23 @@
     enum class role { follower, pre_candidate, candidate, leader };
 
     /// A member without state may be new, or may have lost its disk and with it its votes and
-    /// entries. It therefore does not vote until it has caught up with a leader. The exception is
+    /// entries. It therefore takes a new storage id, which the log does not list. The exception is
     /// the first leader of a log, which needs the votes of all voters: they prove that none of them
-    /// has stored anything. `bootstrap` is the membership of a log that has no entries.
+    /// has stored anything, and its first entry lists their storage. `bootstrap` is the membership
+    /// of a log that has no entries.
     raft_node(instant now, member_id self, const wire::membership& bootstrap, raft_state state,
               raft_options options, std::uint64_t seed);
 
     void tick(instant now);
-    /// Records the duration of a write of this member's state; slow writes lengthen its election
-    /// timeouts.
+    /// Records a write of this member's state, which ended at `now`; slow writes lengthen its
+    /// election timeouts.
     void note_write(instant now, duration took);
     void receive(instant now, const member_id& from, const wire::raft_message& message);
     /// Appends a command. Returns its index; empty if this member is not the leader.
     std::optional<std::uint64_t> propose(instant now, std::string command);
     /// Adds, promotes, demotes or removes one member. Returns false if this member does not lead,
-    /// has not committed an entry of its own term, or an earlier change is not committed yet.
+    /// has not committed an entry of its own term, an earlier change is not committed yet, or a
+    /// voter that has lost its storage would be promoted before it is demoted.
     bool change_membership(instant now, const member_id& member, bool present, bool voter);
     /// Replaces the snapshot by `state`, the state machine's state after entry `index`, and removes
     /// the entries up to `index`.
@@ -118,6 +124,11 @@
     [[nodiscard]] const wire::membership& members() const { return members_; }
     [[nodiscard]] bool is_member(const member_id& it) const;
     [[nodiscard]] bool is_voter(const member_id& it) const;
+    /// Returns true if this member is a voter with its present storage.
+    [[nodiscard]] bool is_admitted() const;
+    /// Leader only: returns true for a voter whose latest answer came from another storage than the
+    /// one with which it was admitted.
+    [[nodiscard]] bool has_lost_storage(const member_id& voter) const;
     /// Leader only: returns the last index known to be stored on the member; 0 if unknown.
     [[nodiscard]] std::uint64_t match_of(const member_id& it) const;
     /// Leader only: returns the time since it sent the latest append that the member answered, or
@@ -136,7 +147,8 @@
         std::uint64_t next = 1;
         std::uint64_t match = 0;
         bool probing = true; ///< the last matching index is unknown; `next` does not advance
-        std::optional<instant> acked; ///< when the latest answered append was sent
+        std::optional<storage_id> storage; ///< of the latest answer, to which the rest belongs
+        std::optional<instant> acked;      ///< when the latest answered append was sent
         std::int64_t follower_stamp = 0;
         std::optional<instant> snapshot_sent;
     };
@@ -150,7 +162,20 @@
     /// a leader sends nothing during a write. Leases use the election timeout without the
     /// extension.
     [[nodiscard]] duration extended_election_timeout() const;
-    void count_vote(instant now, const member_id& from);
+    void count_vote(instant now, const member_id& from, storage_id storage);
+    /// Returns true for an election of the first leader among members that may be new or may have
+    /// lost their disks, which needs the votes of all.
+    [[nodiscard]] bool needs_all_votes() const;
+    [[nodiscard]] storage_id own_storage() const { return storage_id{hard_.storage()}; }
+    /// Returns the storage with which the voter was admitted; empty if it is no voter.
+    [[nodiscard]] std::optional<storage_id> admitted_storage(const member_id& voter) const;
+    /// Leader only: returns the storage that the member answered with last; until it has answered,
+    /// the one with which it was admitted.
+    [[nodiscard]] storage_id latest_storage(const member_id& member) const;
+    /// Returns the progress of a voter that answers with its admitted storage; null otherwise.
+    [[nodiscard]] const progress* admitted_progress(const wire::member& voter) const;
+    void choose_storage(std::uint64_t seed);
+    void note_admission();
 
     void on_append(instant now, const member_id& from, const wire::raft_message& in);
     void on_append_reply(instant now, const member_id& from, const wire::raft_message& in);
@@ -181,7 +206,6 @@
     [[nodiscard]] vote_refusal evaluate_vote_request(instant now, const member_id& from,
                                                      const wire::raft_message& in) const;
     [[nodiscard]] std::size_t election_quorum() const;
-    void note_caught_up(instant now, const wire::raft_message& in);
     [[nodiscard]] bool is_up_to_date(const wire::raft_message& in) const;
     [[nodiscard]] std::uint64_t last_term() const;
     [[nodiscard]] std::optional<std::uint64_t> term_at(std::uint64_t index) const;
@@ -210,11 +234,12 @@
     member_id leader_;
     std::uint64_t commit_ = 0;
     std::uint64_t term_start_ = 0; ///< on a leader: the index of the first entry of its term
-    std::set<member_id> votes_;
+    std::map<member_id, storage_id> votes_;          ///< the voters that granted one, by storage
     std::map<member_id, election_contact> contacts_; ///< of members only
     election_contact non_member_contact_;            ///< of all other senders together
     std::map<member_id, progress> progress_;
     recent_maximum slowest_write_;
+    instant latest_write_end_;
     instant election_at_;
     instant heartbeat_at_;
     instant leader_since_;
--- a/include/cedarpoint/consensus/replicated_log.h
+++ b/include/cedarpoint/consensus/replicated_log.h
@@ -74,6 +74,8 @@
     bool change_membership(instant now, const member_id& member, bool present, bool voter);
 
     [[nodiscard]] const raft_node& raft() const { return raft_; }
+    /// Returns the members with which the log begins, as configured.
+    [[nodiscard]] const wire::membership& bootstrap() const { return options_.bootstrap; }
     /// Returns the permanent failure after which the process should end; empty if there is none.
     [[nodiscard]] const std::optional<reason>& failure() const { return failure_; }
     /// Returns why the latest disk write failed; empty if it succeeded.
--- a/include/cedarpoint/control/control_plane.h
+++ b/include/cedarpoint/control/control_plane.h
@@ -127,6 +127,9 @@
     [[nodiscard]] std::vector<daemon_id> daemons_of(const std::string& log) const;
     [[nodiscard]] std::string domain_log_name() const;
 
+    /// If this daemon leads the log, demotes a voter that has lost its storage or promotes it
+    /// again.
+    static void replace_lost_storage(instant now, replicated_log& log);
     /// Runs a step of the group controller if this daemon holds the domain's lease.
     void run_controller(instant now);
     void propose_group(instant now, const group_proposal& it);
--- a/src/consensus/membership_policy.cpp
+++ b/src/consensus/membership_policy.cpp
@@ -59,6 +59,16 @@
 
 } // namespace
 
+std::optional<member_id> next_lost_storage(const raft_node& leader)
+{
+    for (const auto& each : leader.members().members()) {
+        if (const member_id member{each.id()}; leader.has_lost_storage(member)) {
+            return member;
+        }
+    }
+    return {};
+}
+
 std::optional<member_id> next_promotion(instant now, const raft_node& leader,
                                         std::size_t wanted_voters)
 {
@@ -89,6 +99,9 @@
                                                         std::size_t wanted_voters)
 {
     using kind_t = membership_change::kind_t;
+    if (const auto member = next_lost_storage(leader)) {
+        return membership_change{kind_t::demote, *member};
+    }
     if (const auto member = next_promotion(now, leader, wanted_voters)) {
         return membership_change{kind_t::promote, *member};
     }
@@ -101,4 +114,21 @@
     return {};
 }
 
+std::optional<membership_change> next_storage_replacement(instant now, const raft_node& leader,
+                                                          const wire::membership& configured)
+{
+    using kind_t = membership_change::kind_t;
+    if (const auto member = next_lost_storage(leader)) {
+        return membership_change{kind_t::demote, *member};
+    }
+    for (const auto& each : configured.members()) {
+        const member_id member{each.id()};
+        if (each.voter() && leader.is_member(member) && !leader.is_voter(member) &&
+            follows_closely(now, leader, member)) {
+            return membership_change{kind_t::promote, member};
+        }
+    }
+    return {};
+}
+
 } // namespace cedarpoint
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -34,6 +34,7 @@
 {
     advance_commit(hard_.commit());
     refresh_members();
+    choose_storage(seed);
     reset_election_timer(now);
     if (hard_.term() > 0) {
         // Before its restart this voter may have answered a leader whose lease has not expired yet.
@@ -43,8 +44,6 @@
         election_at_ = no_vote_until_ + short_delay();
     }
     if (options_.start == start_mode::first && hard_.term() == 0 && last_index() == 0) {
-        hard_.set_whole(true);
-        save_hard_state();
         // No leader can exist yet; only the start of the other voters has to be awaited.
         std::uniform_int_distribution<std::int64_t> spread(0, options_.election_timeout.count());
         election_at_ =
@@ -57,6 +56,26 @@
     }
 }
 
+void raft_node::choose_storage(std::uint64_t seed)
+{
+    const bool is_first =
+        options_.start == start_mode::first && hard_.term() == 0 && last_index() == 0;
+    if (is_first) {
+        hard_.set_storage(static_cast<std::uint64_t>(first_storage));
+        hard_.set_whole(true);
+        save_hard_state();
+        return;
+    }
+    const bool may_have_lost_state = !hard_.whole() && own_storage() == first_storage;
+    if (!may_have_lost_state) {
+        return;
+    }
+    std::mt19937_64 source{~seed}; // separate from the generator of the timeouts
+    std::uniform_int_distribution<std::uint64_t> any{1};
+    hard_.set_storage(any(source));
+    save_hard_state();
+}
+
 // --- the log ------------------------------------------------------------------------------------
 
 std::uint64_t raft_node::last_index() const
@@ -145,6 +164,7 @@
 {
     wire::storage_batch out;
     *out.mutable_state() = hard_;
+    out.mutable_state()->set_commit(commit_);
     for (const auto& it : log_) {
         *out.add_entries() = it;
     }
@@ -166,6 +186,52 @@
                        [&](const wire::member& e) { return e.id() == it.str() && e.voter(); });
 }
 
+std::optional<storage_id> raft_node::admitted_storage(const member_id& voter) const
+{
+    for (const auto& it : members_.members()) {
+        if (it.id() == voter.str() && it.voter()) {
+            return storage_id{it.storage()};
+        }
+    }
+    return {};
+}
+
+storage_id raft_node::latest_storage(const member_id& member) const
+{
+    const auto found = progress_.find(member);
+    const auto answered = found == progress_.end() ? std::nullopt : found->second.storage;
+    return answered ? *answered : admitted_storage(member).value_or(first_storage);
+}
+
+bool raft_node::is_admitted() const
+{
+    return admitted_storage(self_) == own_storage();
+}
+
+bool raft_node::has_lost_storage(const member_id& voter) const
+{
+    const auto admitted = admitted_storage(voter);
+    const auto found = progress_.find(voter);
+    return admitted && found != progress_.end() && found->second.storage &&
+           found->second.storage != admitted;
+}
+
+const raft_node::progress* raft_node::admitted_progress(const wire::member& voter) const
+{
+    const auto found = progress_.find(member_id{voter.id()});
+    const bool counts =
+        found != progress_.end() && found->second.storage == storage_id{voter.storage()};
+    return counts ? &found->second : nullptr;
+}
+
+void raft_node::note_admission()
+{
+    if (!hard_.whole() && is_admitted()) {
+        hard_.set_whole(true);
+        save_hard_state();
+    }
+}
+
 std::size_t raft_node::quorum() const
 {
     const auto& all = members_.members();
@@ -202,6 +268,11 @@
     if (role_ != role::leader || members_index_ > commit_ || commit_ < term_start_) {
         return false;
     }
+    // A voter that lost its storage has to be demoted first: to replace the one storage by the
+    // other would change two voters at once.
+    if (present && voter && has_lost_storage(member)) {
+        return false;
+    }
     wire::log_entry entry;
     entry.set_term(hard_.term());
     entry.set_index(last_index() + 1);
@@ -214,6 +285,7 @@
         auto* it = entry.mutable_members()->add_members();
         it->set_id(member.str());
         it->set_voter(voter);
+        it->set_storage(static_cast<std::uint64_t>(latest_storage(member)));
     }
     append_entry(std::move(entry));
     std::erase_if(progress_, [&](const auto& it) { return !present && it.first == member; });
@@ -232,6 +304,7 @@
 
 void raft_node::note_write(instant now, duration took)
 {
+    latest_write_end_ = std::max(latest_write_end_, now);
     slowest_write_.add(now,
                        took < options_.election_timeout / quick_write_divisor ? duration{} : took);
 }
@@ -268,8 +341,7 @@
     }
     if (now >= election_at_) {
         reset_election_timer(now);
-        const bool may_begin = last_index() == 0 && options_.start != start_mode::later;
-        if (is_voter(self_) && (hard_.whole() || may_begin)) {
+        if (needs_all_votes() ? is_voter(self_) : is_admitted()) {
             start_pre_vote(now);
         }
     }
@@ -286,9 +358,8 @@
             acked.push_back(now);
             continue;
         }
-        const auto found = progress_.find(member_id{it.id()});
-        acked.push_back(found != progress_.end() && found->second.acked ? *found->second.acked
-                                                                        : leader_since_);
+        const auto* answers = admitted_progress(it);
+        acked.push_back(answers != nullptr && answers->acked ? *answers->acked : leader_since_);
     }
     std::sort(acked.begin(), acked.end(), std::greater<>{});
     return acked.size() < quorum() ? leader_since_ : acked[quorum() - 1];
@@ -304,7 +375,9 @@
     if (role_ != role::leader || commit_ < term_start_) {
         return false;
     }
-    return now < lease_basis(now) + options_.election_timeout - options_.drift;
+    // The caller may have read the clock before a slow write.
+    const auto latest = std::max(now, latest_write_end_);
+    return latest < lease_basis(latest) + options_.election_timeout - options_.drift;
 }
 
 std::optional<instant> raft_node::granted_at(instant now) const
@@ -315,9 +388,14 @@
     return commit_ >= granted_commit_ ? granted_ : std::nullopt;
 }
 
+bool raft_node::needs_all_votes() const
+{
+    return last_index() == 0 && options_.start == start_mode::unknown;
+}
+
 std::size_t raft_node::election_quorum() const
 {
-    if (last_index() > 0 || options_.start == start_mode::first) {
+    if (!needs_all_votes()) {
         return quorum();
     }
     const auto& all = members_.members();
@@ -325,13 +403,4 @@
         std::count_if(all.begin(), all.end(), [](const auto& e) { return e.voter(); }));
 }
 
-void raft_node::note_caught_up(instant now, const msg& in)
-{
-    if (!hard_.whole() && in.commit() > 0 && commit_ >= in.commit()) {
-        hard_.set_whole(true);
-        save_hard_state();
-        no_vote_until_ = now + options_.election_timeout; // an earlier vote may be in flight
-    }
-}
-
 } // namespace cedarpoint
--- a/src/consensus/raft_node_elections.cpp
+++ b/src/consensus/raft_node_elections.cpp
@@ -28,7 +28,7 @@
     leader_ = {};
     votes_.clear();
     broadcast_vote(msg::pre_vote, hard_.term() + 1);
-    count_vote(now, self_);
+    count_vote(now, self_, own_storage());
 }
 
 void raft_node::start_election(instant now)
@@ -36,19 +36,19 @@
     role_ = role::candidate;
     hard_.set_term(hard_.term() + 1);
     hard_.set_vote(self_.str());
-    hard_.set_whole(true);
     save_hard_state();
     votes_.clear();
     broadcast_vote(msg::vote, hard_.term());
-    count_vote(now, self_);
+    count_vote(now, self_, own_storage());
 }
 
-void raft_node::count_vote(instant now, const member_id& from)
+void raft_node::count_vote(instant now, const member_id& from, storage_id storage)
 {
-    if (!is_voter(from)) {
+    const auto admitted = admitted_storage(from);
+    if (!admitted || (!needs_all_votes() && admitted != storage)) {
         return;
     }
-    votes_.insert(from);
+    votes_[from] = storage;
     if (votes_.size() < election_quorum()) {
         return;
     }
@@ -71,9 +71,15 @@
     entry.set_index(last_index() + 1);
     if (last_index() == 0) {
         *entry.mutable_members() = members_; // after a restart only the log lists the members
+        for (auto& it : *entry.mutable_members()->mutable_members()) {
+            if (const auto found = votes_.find(member_id{it.id()}); found != votes_.end()) {
+                it.set_storage(static_cast<std::uint64_t>(found->second));
+            }
+        }
     }
     term_start_ = entry.index();
     append_entry(std::move(entry));
+    note_admission();
     broadcast_append(now);
     advance_leader_commit();
 }
@@ -86,6 +92,7 @@
     for (const auto& it : members_.members()) {
         if (it.voter() && it.id() != self_.str()) {
             ++contacts_[member_id{it.id()}].votes_requested;
+            out.set_voter_storage(it.storage());
             send(member_id{it.id()}, out);
         }
     }
@@ -120,9 +127,9 @@
         return vote_refusal::candidate_behind;
     }
     // A voter that may have lost stored state may vote only for the first leader of an empty log.
-    const bool begins_log =
-        options_.start != start_mode::later && in.last_index() == 0 && last_index() == 0;
-    return hard_.whole() || begins_log ? vote_refusal::none : vote_refusal::may_have_lost_state;
+    const bool begins_log = needs_all_votes() && in.last_index() == 0;
+    const bool counts = storage_id{in.voter_storage()} == own_storage();
+    return counts || begins_log ? vote_refusal::none : vote_refusal::may_have_lost_state;
 }
 
 vote_refusal raft_node::evaluate_vote_request(instant now, const member_id& from,
@@ -164,7 +171,6 @@
     const bool grant = contact.latest_answer == vote_refusal::none;
     if (grant) {
         hard_.set_vote(from.str());
-        hard_.set_whole(true);
         save_hard_state();
         reset_election_timer(now);
     }
@@ -185,7 +191,7 @@
     // A granted pre-vote carries the voter's own term, which may be older than this member's.
     const bool current = in.kind() == msg::pre_vote_reply || in.term() == hard_.term();
     if (in.ok() && role_ == asked && current) {
-        count_vote(now, from);
+        count_vote(now, from, storage_id{in.storage()});
     }
 }
 
@@ -198,7 +204,7 @@
     out.term = hard_.term();
     out.last_term = last_term();
     out.last_index = last_index();
-    out.whole = hard_.whole();
+    out.whole = is_admitted();
     out.voter = is_voter(self_);
     out.until_election = election_at_ - now;
     out.until_vote = std::max(no_vote_until_ - now, duration{});
--- a/src/consensus/raft_node_replication.cpp
+++ b/src/consensus/raft_node_replication.cpp
@@ -8,6 +8,7 @@
 
 void raft_node::send(const member_id& to, msg message)
 {
+    message.set_storage(hard_.storage());
     out_.messages.push_back({to, std::move(message)});
 }
 
@@ -144,7 +145,7 @@
     }
     const auto match = in.prev_index() + static_cast<std::uint64_t>(in.entries_size());
     advance_commit(std::min(in.commit(), std::max(match, commit_)));
-    note_caught_up(now, in);
+    note_admission();
     note_grant(now, in);
     reply_append(now, from, in, true);
 }
@@ -198,6 +199,16 @@
     }
     auto& it = found->second;
     const auto sent = from_stamp(in.leader_stamp());
+    if (const storage_id storage{in.storage()}; it.storage != storage) {
+        if (it.acked && sent <= *it.acked) {
+            return; // a late answer of an earlier storage
+        }
+        // Nothing that another storage has acknowledged is known to be stored in this one.
+        it.storage = storage;
+        it.acked.reset();
+        it.match = 0;
+        it.probing = true;
+    }
     it.acked = it.acked ? std::max(*it.acked, sent) : sent;
     it.follower_stamp = in.follower_stamp();
     if (!in.ok()) {
@@ -225,9 +236,15 @@
 {
     std::vector<std::uint64_t> matched;
     for (const auto& it : members_.members()) {
-        if (it.voter()) {
-            matched.push_back(match_of(member_id{it.id()}));
+        if (!it.voter()) {
+            continue;
+        }
+        if (it.id() == self_.str()) {
+            matched.push_back(last_index());
+            continue;
         }
+        const auto* answers = admitted_progress(it);
+        matched.push_back(answers == nullptr ? 0 : answers->match);
     }
     std::sort(matched.begin(), matched.end(), std::greater<>{});
     if (matched.size() < quorum()) {
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -2,6 +2,7 @@
 
 #include "control/control_plane_priv.h"
 
+#include "cedarpoint/consensus/membership_policy.h"
 #include "cedarpoint/core/hash.h"
 
 #include <algorithm>
@@ -168,8 +169,10 @@
 void control_plane::tick(instant now)
 {
     domain_log_->tick(now);
+    replace_lost_storage(now, *domain_log_);
     if (root_log_ != nullptr) {
         root_log_->tick(now);
+        replace_lost_storage(now, *root_log_);
     }
     client_.tick(now);
     share_reports(now);
@@ -185,6 +188,18 @@
     was_ready_ = was_ready_ || granted_at(now).has_value();
 }
 
+void control_plane::replace_lost_storage(instant now, replicated_log& log)
+{
+    if (!log.raft().holds_lease(now)) {
+        return;
+    }
+    if (const auto change = next_storage_replacement(now, log.raft(), log.bootstrap())) {
+        // Fails while an earlier change is not committed; the next tick tries again.
+        const bool promotes = change->kind == membership_change::kind_t::promote;
+        log.change_membership(now, change->member, true, promotes);
+    }
+}
+
 void control_plane::run_controller(instant now)
 {
     const auto& raft = domain_log_->raft();
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -117,7 +117,8 @@
         execute(now, step);
     }
     drop_lost_followers(now);
-    if (now >= next_refresh_) {
+    // A write of a step may have taken longer than the lease.
+    if (now >= next_refresh_ && leads(now)) {
         push_view(now);
     }
 }
--- a/src/control_daemon/log_membership.cpp
+++ b/src/control_daemon/log_membership.cpp
@@ -40,6 +40,9 @@
         change_member(now, next.member, true, true);
         return;
     case membership_change::kind_t::demote:
+        if (log_.raft().has_lost_storage(next.member)) {
+            log_line("member_storage_lost").with("member", next.member.str()).write();
+        }
         change_member(now, next.member, true, false);
         // Check again at once to promote a learner: until then the log tolerates one loss less.
         next_check_ = now;
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -88,6 +88,15 @@
     }
 }
 
+/// Returns false if the snapshot on which the log was built is missing or an older one: such a
+/// member would vote and acknowledge as if it still held the entries in between.
+bool is_contiguous(const raft_state& state)
+{
+    const auto base = state.snapshot.index();
+    const bool follows = state.entries.empty() || state.entries.front().index() == base + 1;
+    return follows && state.hard.commit() <= base + state.entries.size();
+}
+
 } // namespace
 
 log_store::log_store(file_system& files, const std::string& folder)
@@ -105,6 +114,11 @@
     if (!out->read_snapshot(state, why) || !out->read_log(state, why)) {
         return {};
     }
+    if (!is_contiguous(state)) {
+        why = {"read", folder,
+               "entries before those of the log are missing: restore the data folder"};
+        return {};
+    }
     return out;
 }
 
--- a/tests/storage/log_store_test.cpp
+++ b/tests/storage/log_store_test.cpp
@@ -67,6 +67,40 @@
     }
 }
 
+// Guards against a member that acknowledges and votes as if it held the entries of a snapshot that
+// its folder has lost.
+TEST(a_log, whose_snapshot_is_missing_or_older_is_refused)
+{
+    memory_files files;
+    raft_state state;
+    reason why;
+    const auto it = log_store::open(files, "data", state, why);
+    ASSERT_NE(it, nullptr);
+    const auto save = [&](std::uint64_t index, const wire::storage_batch& rest) {
+        wire::log_snapshot snapshot;
+        snapshot.set_index(index);
+        snapshot.set_term(1);
+        ASSERT_TRUE(it->save_snapshot(snapshot, rest, why));
+    };
+    save(2, batch_of(3, 4));
+    const auto older = files.files().at("data/snapshot");
+    auto rest = batch_of(8, 9);
+    save(7, rest);
+    EXPECT_EQ(entries_at_opening(files, why), 2);
+
+    files.files()["data/snapshot"] = older;
+    EXPECT_EQ(entries_at_opening(files, why), -1) << "entries 3 to 7 are missing";
+    files.files().erase("data/snapshot");
+    EXPECT_EQ(entries_at_opening(files, why), -1);
+
+    rest.clear_entries();
+    rest.mutable_state()->set_commit(7);
+    save(7, rest);
+    EXPECT_EQ(entries_at_opening(files, why), 0);
+    files.files().erase("data/snapshot");
+    EXPECT_EQ(entries_at_opening(files, why), -1) << "the commit index is past the log's end";
+}
+
 TEST(a_log, damaged_in_the_middle_is_refused_with_the_place)
 {
     memory_files files;
