io: a reset that a write finds is not an orderly end

Cause: send() reports a reset once; the kernel then ends reads like those of an orderly close, and flush() dropped the error. upstream_call had the same fault by QTcpSocket, which reports a reset as an orderly end.

Change: stream_socket keeps the failure of a write and reports the end as a reset after the earlier bytes were read; EPIPE is left to the reader, since the peer's close arrived before. upstream_call uses stream_socket.

--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -76,6 +76,9 @@
 
 void stream_socket::write(std::string_view bytes)
 {
+    if (was_reset_) {
+        return;
+    }
     out_.append(bytes);
     if (connected_) {
         flush();
@@ -86,15 +89,28 @@
 {
     while (!out_.empty()) {
         const auto count = ::send(descriptor_, out_.data(), out_.size(), MSG_NOSIGNAL);
-        if (count < 0 && errno == EINTR) {
+        if (count >= 0) {
+            out_.erase(0, static_cast<std::size_t>(count));
+            continue;
+        }
+        if (errno == EINTR) {
             continue;
         }
-        if (count < 0) {
-            break; // buffer full, or connection broken: reads still return earlier bytes
+        if (errno != EAGAIN) {
+            on_send_failed(errno);
         }
-        out_.erase(0, static_cast<std::size_t>(count));
+        break;
     }
-    writer_->setEnabled(!out_.empty() && errno == EAGAIN);
+    writer_->setEnabled(!out_.empty());
+}
+
+void stream_socket::on_send_failed(int error)
+{
+    // The bytes that arrived before are still read. The error is reported only here: after it the
+    // kernel ends them like those of an orderly close. EPIPE is no reset: the peer closed the
+    // connection before it rejected the bytes, so all that it sent has arrived.
+    was_reset_ = error != EPIPE;
+    out_.clear();
 }
 
 void stream_socket::on_readable()
@@ -108,7 +124,7 @@
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
-    end(count == 0 ? socket_end::orderly : socket_end::reset);
+    end(count == 0 && !was_reset_ ? socket_end::orderly : socket_end::reset);
 }
 
 void stream_socket::set_reading(bool reading)
--- a/src/io/stream_socket.h
+++ b/src/io/stream_socket.h
@@ -49,6 +49,7 @@
     void on_writable();
     void on_readable();
     void flush();
+    void on_send_failed(int error);
     void end(socket_end how);
 
     handlers handlers_;
@@ -57,6 +58,7 @@
     std::string out_;
     int descriptor_ = -1;
     bool connected_ = false;
+    bool was_reset_ = false; ///< a write has reported that the connection is broken
 };
 
 } // namespace cedarpoint
--- a/src/io/upstream_call.cpp
+++ b/src/io/upstream_call.cpp
@@ -1,15 +1,10 @@
 #include "io/upstream_call.h"
 
-#include <QHostAddress>
-
 namespace cedarpoint {
 namespace {
 
 /// Largest valid head of an answer, in bytes.
 constexpr std::size_t max_answer_head = 65536;
-/// Bytes read ahead of the caller. The bound slows down runners that send faster than the caller
-/// reads.
-constexpr qint64 read_buffer = 65536;
 
 std::string serialize(const http_request& request)
 {
@@ -30,33 +25,21 @@
 upstream_call::upstream_call(endpoint to, const http_request& request, call_options options,
                              handlers handlers)
     : to_{std::move(to)}, bytes_{serialize(request)}, options_{options},
-      handlers_{std::move(handlers)}, parser_{max_answer_head, request.method == "HEAD"}
+      handlers_{std::move(handlers)}, socket_{{[this] { on_connected(); },
+                                               [this](std::string_view fresh) { read(fresh); },
+                                               [this](socket_end how) { on_closed(how); }}},
+      parser_{max_answer_head, request.method == "HEAD"}
 {
-    socket_.setReadBufferSize(read_buffer);
     timer_.setSingleShot(true);
-    connect(&socket_, &QTcpSocket::connected, this, [this] { on_connected(); });
-    connect(&socket_, &QTcpSocket::readyRead, this, [this] { read(); });
-    connect(&socket_, &QTcpSocket::disconnected, this, [this] { on_closed(); });
-    connect(&socket_, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError) {
-        if (!sending_) {
-            end(call_end::unsent, "connect", socket_.errorString().toStdString());
-        }
-        else if (socket_.error() != QAbstractSocket::RemoteHostClosedError) {
-            end(call_end::cut, "read", socket_.errorString().toStdString());
-        }
-    });
     connect(&timer_, &QTimer::timeout, this, [this] { on_timeout(); });
 }
 
-upstream_call::~upstream_call()
-{
-    socket_.disconnect(this);
-}
+upstream_call::~upstream_call() = default;
 
 void upstream_call::start()
 {
     timer_.start(static_cast<int>(options_.connect_timeout.count()));
-    socket_.connectToHost(QHostAddress{QString::fromStdString(to_.ip)}, to_.port);
+    socket_.connect_to(to_);
 }
 
 void upstream_call::on_connected()
@@ -65,12 +48,11 @@
         return;
     }
     sending_ = true;
-    socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
     start_idle_timer();
     if (handlers_.on_sending) {
         handlers_.on_sending();
     }
-    socket_.write(bytes_.data(), static_cast<qint64>(bytes_.size()));
+    socket_.write(bytes_);
     bytes_.clear();
     bytes_.shrink_to_fit();
 }
@@ -97,6 +79,7 @@
 void upstream_call::pause()
 {
     paused_ = true;
+    socket_.set_reading(false);
     timer_.stop();
 }
 
@@ -106,36 +89,21 @@
         return;
     }
     paused_ = false;
+    socket_.set_reading(true);
     start_idle_timer();
-    QMetaObject::invokeMethod(
-        this,
-        [this] {
-            read();
-            if (socket_.state() == QAbstractSocket::UnconnectedState) {
-                on_closed();
-            }
-        },
-        Qt::QueuedConnection);
 }
 
 void upstream_call::cancel()
 {
     ended_ = true;
     timer_.stop();
-    socket_.abort();
+    socket_.reset();
 }
 
-void upstream_call::read()
+void upstream_call::read(std::string_view fresh)
 {
-    if (paused_ || ended_) {
-        return;
-    }
-    const auto fresh = socket_.readAll();
-    if (fresh.isEmpty()) {
-        return;
-    }
     expired_half_timeouts_ = 0; // cheaper than restarting the timer for each token
-    parser_.put({fresh.constData(), static_cast<std::size_t>(fresh.size())});
+    parser_.put(fresh);
     if (parser_.is_head_done() && !head_seen_) {
         head_seen_ = true;
         handlers_.on_head(parser_.head());
@@ -157,23 +125,29 @@
     }
 }
 
-void upstream_call::on_closed()
+void upstream_call::on_closed(socket_end how)
 {
-    if (ended_ || paused_) {
-        return; // buffered bytes are read by `resume`
-    }
-    read();
-    if (ended_ || paused_) {
+    if (!sending_) {
+        // Queued, because `start` may still run.
+        QMetaObject::invokeMethod(
+            this,
+            [this, how] {
+                const bool refused = how == socket_end::refused;
+                end(call_end::unsent, "connect", refused ? "refused" : "broken");
+            },
+            Qt::QueuedConnection);
         return;
     }
-    if (head_seen_) {
+    // Without a length an answer ends with its connection, but only with one that was closed.
+    if (head_seen_ && how == socket_end::orderly) {
         parser_.put_eof();
+        if (parser_.is_done()) {
+            end(call_end::complete, "", "");
+            return;
+        }
     }
-    if (head_seen_ && parser_.is_done()) {
-        end(call_end::complete, "", "");
-        return;
-    }
-    end(sending_ ? call_end::cut : call_end::unsent, "read", "the runner closed the connection");
+    end(call_end::cut, "read",
+        how == socket_end::orderly ? "the runner closed the connection" : "reset");
 }
 
 void upstream_call::end(call_end how, const char* step, const std::string& text)
@@ -183,7 +157,7 @@
     }
     ended_ = true;
     timer_.stop();
-    socket_.abort();
+    socket_.close();
     handlers_.on_end(how, {step, to_.str(), text});
 }
 
--- a/src/io/upstream_call.h
+++ b/src/io/upstream_call.h
@@ -5,12 +5,13 @@
 #include "cedarpoint/core/time.h"
 #include "io/http_message.h"
 #include "io/http_parser.h"
+#include "io/stream_socket.h"
 
-#include <QTcpSocket>
 #include <QTimer>
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace cedarpoint {
 
@@ -56,15 +57,15 @@
     void on_connected();
     void on_timeout();
     void start_idle_timer();
-    void read();
-    void on_closed();
+    void read(std::string_view fresh);
+    void on_closed(socket_end how);
     void end(call_end how, const char* step, const std::string& text);
 
     endpoint to_;
     std::string bytes_;
     call_options options_;
     handlers handlers_;
-    QTcpSocket socket_;
+    stream_socket socket_;
     QTimer timer_;
     http_response_parser parser_;
     bool sending_ = false;
