io: an aborted answer without chunks ends with a reset

Callers of HTTP/1.0 saw a complete answer where a stream was broken off, or after they had read nothing for two minutes: such an answer has neither a length nor chunks, and abort() closed the connection in order.

Change: abort() resets the connection unless the answer is chunked; the time-out of slow callers uses it too.

Measured: an_answer_without_a_length.that_is_aborted_ends_with_a_reset failed before and passes.

--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -4,6 +4,8 @@
 #include "io/listen_step.h"
 #include "io/socket_state.h"
 
+#include <sys/socket.h>
+
 #include <fmt/format.h>
 
 namespace cedarpoint {
@@ -173,6 +175,12 @@
 
 void http_connection::abort()
 {
+    if (!chunked_) {
+        // The end of the connection is the end of the answer, unless it is a reset.
+        const ::linger at_once{1, 0};
+        ::setsockopt(static_cast<int>(socket_.socketDescriptor()), SOL_SOCKET, SO_LINGER, &at_once,
+                     sizeof at_once);
+    }
     socket_.abort();
 }
 
@@ -238,7 +246,7 @@
         timer_.start();
         return;
     }
-    socket_.abort();
+    abort();
 }
 
 void http_connection::on_disconnected()
--- a/tests/io/torn_connection_test.cpp
+++ b/tests/io/torn_connection_test.cpp
@@ -2,6 +2,7 @@
 // only the way in which the connection ends tells from a whole one.
 
 #include "daemon/site.h"
+#include "io/http_listener.h"
 #include "io/stream_socket.h"
 #include "io/upstream_call.h"
 
@@ -136,5 +137,32 @@
     EXPECT_EQ(closed.body, "half");
 }
 
+// Guards against an aborted answer that looks complete to a caller of HTTP/1.0, whose answers have
+// neither a length nor chunks.
+TEST(an_answer_without_a_length, that_is_aborted_ends_with_a_reset)
+{
+    std::shared_ptr<http_reply> reply;
+    http_listener listener{{}, [&](const http_request&, const std::shared_ptr<http_reply>& fresh) {
+                               reply = fresh;
+                               reply->begin({200, {}});
+                               reply->write("half");
+                           }};
+    reason why;
+    ASSERT_TRUE(listener.start({"127.0.0.1", 0}, why)) << why.str();
+    std::string received;
+    std::optional<socket_end> end;
+    bool connected = false;
+    stream_socket caller{{[&] { connected = true; },
+                          [&](std::string_view fresh) { received += fresh; },
+                          [&](socket_end how) { end = how; }}};
+    caller.connect_to(listener.address());
+    ASSERT_TRUE(wait_until([&] { return connected; }));
+    caller.write("GET / HTTP/1.0\r\n\r\n");
+    ASSERT_TRUE(wait_until([&] { return received.ends_with("half"); }));
+    reply->abort();
+    ASSERT_TRUE(wait_until([&] { return end.has_value(); }));
+    EXPECT_EQ(*end, socket_end::reset);
+}
+
 } // namespace
 } // namespace cedarpoint
