entry: an open connection is no sign that a runner still runs

Cause: after such an answer any other connection that was still open counted as a sign of life.

Change: only a new connection that the runner accepts counts.

--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -10,9 +10,9 @@
 namespace cedarpoint {
 namespace {
 
-/// Time from the end of a connection until the other connections of a crashed runner have ended as
-/// well.
-constexpr int crash_settle_ms = 20;
+/// Delay before the check whether a runner still accepts connections. A process that ends closes
+/// its sockets one after the other, and the listener may be the last.
+constexpr milliseconds listener_close_delay{20};
 
 } // namespace
 
@@ -28,8 +28,6 @@
         const auto self = shared_from_this();
         handlers_.on_stalled();
     });
-    check_timer_.setSingleShot(true);
-    check_timer_.setTimerType(Qt::PreciseTimer);
 }
 
 runner_attempt::~runner_attempt() = default;
@@ -81,7 +79,7 @@
         release();
     }
     checks_runner_ = false;
-    check_timer_.stop();
+    probe_.reset();
 }
 
 void runner_attempt::pause(bool paused)
@@ -191,19 +189,8 @@
 void runner_attempt::check_runner()
 {
     checks_runner_ = true;
-    QObject::connect(&check_timer_, &QTimer::timeout, [this, ended_at = steady_now()] {
-        const auto self = shared_from_this();
-        on_check_due(ended_at);
-    });
-    check_timer_.start(crash_settle_ms);
-}
-
-void runner_attempt::on_check_due(instant ended_at)
-{
-    if (context_.pool.has_open_since(to_.address, ended_at)) {
-        finish(exchange_end::complete, {});
-        return;
-    }
+    // Other open connections prove nothing: their ends may still be on their way. Only a process
+    // that runs, or its supervisor, accepts a new one.
     probe_ = std::make_unique<connect_probe>(to_.address, [this](connect_probe::result how) {
         // Queued, because the end of the attempt may destroy the probe.
         QTimer::singleShot(0, [weak = weak_from_this(), how] {
@@ -211,15 +198,28 @@
             if (self == nullptr || !self->checks_runner_) {
                 return;
             }
-            if (how == connect_probe::result::refused) {
-                self->finish(exchange_end::cut, {"read", self->to_.address.str(),
-                                                 "the runner ended with its connection"});
-                return;
-            }
-            self->finish(exchange_end::complete, {});
+            self->on_checked(how);
         });
     });
-    probe_->start();
+    probe_->start(listener_close_delay);
+}
+
+void runner_attempt::on_checked(connect_probe::result how)
+{
+    switch (how) {
+    case connect_probe::result::connected:
+        finish(exchange_end::complete, {});
+        return;
+    case connect_probe::result::refused:
+        finish(exchange_end::cut,
+               {"read", to_.address.str(), "the runner ended with its connection"});
+        return;
+    case connect_probe::result::failed:
+        // Nothing tells half of an answer from the whole.
+        finish(exchange_end::cut,
+               {"read", to_.address.str(), "the runner is not reached after its answer"});
+        return;
+    }
 }
 
 void runner_attempt::finish(exchange_end how, const reason& why)
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -24,7 +24,7 @@
 /// passes what it observes to a recorder. Makes no decision about retries.
 ///
 /// An answer without a length may end with its connection, and so does the answer of a runner that
-/// crashes. Such an answer counts as complete only after it is known that the runner still runs.
+/// crashes. Such an answer counts as complete only after the runner has accepted a new connection.
 class runner_attempt final : public std::enable_shared_from_this<runner_attempt> {
 public:
     /// Where the request is sent.
@@ -108,7 +108,7 @@
     void on_exchange_end(exchange_end how, const reason& why);
     /// Finds out whether the runner still runs after its answer has ended with the connection.
     void check_runner();
-    void on_check_due(instant ended_at);
+    void on_checked(connect_probe::result how);
     void finish(exchange_end how, const reason& why);
     [[nodiscard]] exchange_handlers make_exchange_handlers();
     [[nodiscard]] attempt_verdict judge(exchange_end how, const reason& why);
@@ -139,7 +139,6 @@
     bool was_unreachable_ = false;
     bool was_unanswered_ = false;
     QTimer stall_timer_;
-    QTimer check_timer_;
 };
 
 } // namespace cedarpoint
--- a/src/io/runner_pool.cpp
+++ b/src/io/runner_pool.cpp
@@ -79,22 +79,6 @@
     }
 }
 
-bool runner_pool::has_open_since(const endpoint& to, instant at) const
-{
-    const auto found = connections_.find(to);
-    if (found == connections_.end()) {
-        return false;
-    }
-    const auto is_open = [&](const runner_connection& it) {
-        return it.is_open() && it.connected_at() < at;
-    };
-    const auto& [idle, busy] = found->second;
-    return std::any_of(idle.begin(), idle.end(),
-                       [&](const auto& each) { return is_open(*each); }) ||
-           std::any_of(busy.begin(), busy.end(),
-                       [&](const auto& each) { return is_open(*each.second); });
-}
-
 std::size_t runner_pool::count(const endpoint& to) const
 {
     const auto found = connections_.find(to);
--- a/src/io/runner_pool.h
+++ b/src/io/runner_pool.h
@@ -33,8 +33,6 @@
     /// Returns the number of connections to one address, busy and idle.
     [[nodiscard]] std::size_t count(const endpoint& to) const;
     [[nodiscard]] std::size_t count() const;
-    /// Returns true if a connection to the address that was established before `at` is still open.
-    [[nodiscard]] bool has_open_since(const endpoint& to, instant at) const;
     [[nodiscard]] std::uint64_t opened() const { return opened_; }
 
 private:
