--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -179,6 +179,9 @@
 
     void on_append(instant now, const member_id& from, const wire::raft_message& in);
     void on_append_reply(instant now, const member_id& from, const wire::raft_message& in);
+    /// Records which storage answered an append that was sent at `sent`. Returns false if the
+    /// answer is from a storage that has been replaced since.
+    static bool note_storage(progress& it, storage_id storage, instant sent);
     void on_vote(instant now, const member_id& from, const wire::raft_message& in);
     void on_pre_vote(instant now, const member_id& from, const wire::raft_message& in);
     void on_vote_reply(instant now, const member_id& from, const wire::raft_message& in);
--- a/src/consensus/raft_node_replication.cpp
+++ b/src/consensus/raft_node_replication.cpp
@@ -187,6 +187,22 @@
     reply_append(now, from, in, true);
 }
 
+bool raft_node::note_storage(progress& it, storage_id storage, instant sent)
+{
+    if (it.storage == storage) {
+        return true;
+    }
+    if (it.acked && sent <= *it.acked) {
+        return false; // a late answer of an earlier storage
+    }
+    // Nothing that another storage has acknowledged is known to be stored in this one.
+    it.storage = storage;
+    it.acked.reset();
+    it.match = 0;
+    it.probing = true;
+    return true;
+}
+
 void raft_node::on_append_reply(instant now, const member_id& from, const msg& in)
 {
     if (in.term() > hard_.term()) {
@@ -199,15 +215,8 @@
     }
     auto& it = found->second;
     const auto sent = from_stamp(in.leader_stamp());
-    if (const storage_id storage{in.storage()}; it.storage != storage) {
-        if (it.acked && sent <= *it.acked) {
-            return; // a late answer of an earlier storage
-        }
-        // Nothing that another storage has acknowledged is known to be stored in this one.
-        it.storage = storage;
-        it.acked.reset();
-        it.match = 0;
-        it.probing = true;
+    if (!note_storage(it, storage_id{in.storage()}, sent)) {
+        return;
     }
     it.acked = it.acked ? std::max(*it.acked, sent) : sent;
     it.follower_stamp = in.follower_stamp();
--- a/tests/consensus/log_cluster.cpp
+++ b/tests/consensus/log_cluster.cpp
@@ -214,12 +214,13 @@
     }
     auto& host = at(member);
     const int command = ++commands_;
-    const bool taken = host.log->propose(
-        now_, std::to_string(command), [this, command, &host](std::optional<std::string> answer) {
-            if (answer) {
-                acknowledged_.emplace_back(now_ + host.files->waited(), command);
-            }
-        });
+    const bool taken =
+        host.log->propose(now_, std::to_string(command),
+                          [this, command, &host](const std::optional<std::string>& answer) {
+                              if (answer) {
+                                  acknowledged_.emplace_back(now_ + host.files->waited(), command);
+                              }
+                          });
     if (host.log->raft().holds_lease(now_)) {
         read(member); // in the same step, so that the time was read before the write
     }
