--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -174,7 +174,11 @@
     [[nodiscard]] storage_id latest_storage(const member_id& member) const;
     /// Returns the progress of a voter that answers with its admitted storage; null otherwise.
     [[nodiscard]] const progress* admitted_progress(const wire::member& voter) const;
+    /// Returns true for a member that starts together with the whole system and has stored nothing.
+    [[nodiscard]] bool is_first_start() const;
+    /// Gives a member that starts without stored state a storage id.
     void choose_storage(std::uint64_t seed);
+    /// Stores that a quorum has admitted this storage, once it has.
     void note_admission();
 
     void on_append(instant now, const member_id& from, const wire::raft_message& in);
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -43,7 +43,7 @@
         no_vote_until_ = now + options_.election_timeout;
         election_at_ = no_vote_until_ + short_delay();
     }
-    if (options_.start == start_mode::first && hard_.term() == 0 && last_index() == 0) {
+    if (is_first_start()) {
         // No leader can exist yet; only the start of the other voters has to be awaited.
         std::uniform_int_distribution<std::int64_t> spread(0, options_.election_timeout.count());
         election_at_ =
@@ -56,11 +56,14 @@
     }
 }
 
+bool raft_node::is_first_start() const
+{
+    return options_.start == start_mode::first && hard_.term() == 0 && last_index() == 0;
+}
+
 void raft_node::choose_storage(std::uint64_t seed)
 {
-    const bool is_first =
-        options_.start == start_mode::first && hard_.term() == 0 && last_index() == 0;
-    if (is_first) {
+    if (is_first_start()) {
         hard_.set_storage(static_cast<std::uint64_t>(first_storage));
         hard_.set_whole(true);
         save_hard_state();
