--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -206,13 +206,14 @@
     }
 
     void reply(const member_id& from, msg::kind_t kind, std::uint64_t term, bool ok,
-               std::uint64_t match)
+               std::uint64_t match, std::uint64_t storage = 0)
     {
         msg in;
         in.set_kind(kind);
         in.set_term(term);
         in.set_ok(ok);
         in.set_match(match);
+        in.set_storage(storage);
         in.set_leader_stamp(now.time_since_epoch().count());
         it->receive(now, from, in);
     }
@@ -383,54 +384,38 @@
     EXPECT_TRUE(node.take_output().messages.empty());
 }
 
-/// Makes `from` answer with a storage that the log does not list.
-msg from_new_storage(msg in)
-{
-    in.set_storage(77);
-    return in;
-}
+/// A storage that the log does not list.
+constexpr std::uint64_t new_storage = 77;
 
 // Guards against a quorum that includes a voter which lost its disk and so may have promised
 // another leader otherwise.
 TEST(a_voter_that_lost_its_disk, counts_neither_for_commits_nor_for_a_lease_nor_in_elections)
 {
     leader_with_an_old_entry at;
-    msg stored;
-    stored.set_kind(msg::append_reply);
-    stored.set_term(4);
-    stored.set_ok(true);
-    stored.set_match(3);
-    stored.set_leader_stamp(at.now.time_since_epoch().count());
-    at.it->receive(at.now, b, from_new_storage(stored));
+    at.reply(b, msg::append_reply, 4, true, 3, new_storage);
     EXPECT_EQ(at.it->commit(), 0U);
     EXPECT_TRUE(at.it->has_lost_storage(b));
-    at.it->receive(at.now, c, stored);
+    at.reply(c, msg::append_reply, 4, true, 3);
     EXPECT_EQ(at.it->commit(), 3U);
 
-    const auto later = at.now + milliseconds{800};
-    stored.set_leader_stamp(later.time_since_epoch().count());
-    at.it->receive(later, b, from_new_storage(stored));
-    EXPECT_FALSE(at.it->holds_lease(at.now + milliseconds{900}));
-    at.it->tick(at.now + milliseconds{1000});
+    const auto answered = at.now;
+    at.now += milliseconds{800};
+    at.reply(b, msg::append_reply, 4, true, 3, new_storage);
+    EXPECT_FALSE(at.it->holds_lease(answered + milliseconds{900}));
+    at.it->tick(answered + milliseconds{1000});
     EXPECT_FALSE(at.it->is_leader());
 
-    at.now += milliseconds{1000};
+    at.now = answered + milliseconds{1000};
     while (at.it->at() != raft_node::role::pre_candidate) {
         at.step();
     }
-    msg vote;
-    vote.set_kind(msg::pre_vote_reply);
-    vote.set_term(4);
-    vote.set_ok(true);
-    at.it->receive(at.now, b, from_new_storage(vote));
+    at.reply(b, msg::pre_vote_reply, 4, true, 0, new_storage);
     EXPECT_EQ(at.it->at(), raft_node::role::pre_candidate);
-    at.it->receive(at.now, c, vote);
+    at.reply(c, msg::pre_vote_reply, 4, true, 0);
     ASSERT_EQ(at.it->at(), raft_node::role::candidate);
-    vote.set_kind(msg::vote_reply);
-    vote.set_term(5);
-    at.it->receive(at.now, b, from_new_storage(vote));
+    at.reply(b, msg::vote_reply, 5, true, 0, new_storage);
     EXPECT_EQ(at.it->at(), raft_node::role::candidate);
-    at.it->receive(at.now, c, vote);
+    at.reply(c, msg::vote_reply, 5, true, 0);
     EXPECT_TRUE(at.it->is_leader());
 }
 
@@ -439,13 +424,7 @@
 {
     leader_with_an_old_entry at;
     at.reply(c, msg::append_reply, 4, true, 3);
-    msg stored;
-    stored.set_kind(msg::append_reply);
-    stored.set_term(4);
-    stored.set_ok(true);
-    stored.set_match(3);
-    stored.set_leader_stamp(at.now.time_since_epoch().count());
-    at.it->receive(at.now, b, from_new_storage(stored));
+    at.reply(b, msg::append_reply, 4, true, 3, new_storage);
     EXPECT_FALSE(at.it->change_membership(at.now, b, true, true));
     ASSERT_EQ(next_lost_storage(*at.it), b);
     ASSERT_TRUE(at.it->change_membership(at.now, b, true, false));
@@ -460,13 +439,8 @@
 {
     leader_with_an_old_entry at;
     at.reply(b, msg::append_reply, 4, true, 3);
-    msg late;
-    late.set_kind(msg::append_reply);
-    late.set_term(4);
-    late.set_ok(true);
-    late.set_match(3);
-    late.set_leader_stamp((at.now - milliseconds{5}).time_since_epoch().count());
-    at.it->receive(at.now, b, from_new_storage(late));
+    at.now -= milliseconds{5}; // an answer to an append that was sent before
+    at.reply(b, msg::append_reply, 4, true, 3, new_storage);
     EXPECT_FALSE(at.it->has_lost_storage(b));
 }
 
