--- a/tests/soak/streams_around_changes_test.cpp
+++ b/tests/soak/streams_around_changes_test.cpp
@@ -51,9 +51,11 @@
                        version, routes);
 }
 
-class streams_around_changes : public testing::Test {
+class streams_of_a_fleet : public testing::Test {
 protected:
-    streams_around_changes()
+    /// `net`: see fleet_processes::options.
+    streams_of_a_fleet(int net, const std::string& log_name)
+        : fleet{{.net = net, .entry_daemons = entry_count, .log_name = log_name}}
     {
         fleet.start_all();
         for (int n = 0; n < runner_count; ++n) {
@@ -103,12 +105,22 @@
         return out;
     }
 
-    fleet_processes fleet{{.net = 48, .entry_daemons = entry_count, .log_name = "streams"}};
+    fleet_processes fleet;
     std::vector<std::unique_ptr<platform_runner>> runners;
     std::unique_ptr<open_loop_callers> callers;
     int version = 0;
 };
 
+class streams_around_changes : public streams_of_a_fleet {
+protected:
+    streams_around_changes() : streams_of_a_fleet{48, "streams-changes"} {}
+};
+
+class streams_at_the_end_of_all_processes : public streams_of_a_fleet {
+protected:
+    streams_at_the_end_of_all_processes() : streams_of_a_fleet{49, "streams-end"} {}
+};
+
 // Guards against a change that cuts streams, alone, in a series, large, repeated or refused, and
 // while control daemons are killed.
 TEST_F(streams_around_changes, are_cut_by_no_change)
@@ -142,7 +154,7 @@
 
 // Shows what the end of all processes right after an acknowledgement looks like: the streams that
 // were in flight are cut at that moment, and no others.
-TEST_F(streams_around_changes, are_cut_by_the_end_of_all_processes_only_while_in_flight)
+TEST_F(streams_at_the_end_of_all_processes, are_cut_at_that_moment_only)
 {
     EXPECT_TRUE(put_next());
     const auto killed = steady_now();
