--- a/tests/consensus/lost_storage_test.cpp
+++ b/tests/consensus/lost_storage_test.cpp
@@ -19,8 +19,7 @@
 using testing_support::log_form;
 using testing_support::number_from_environment;
 
-/// Elections of members whose writes were slow wait for up to 16 election timeouts.
-constexpr duration recovery_limit = seconds{60};
+constexpr duration recovery_limit = seconds{20};
 
 class lost_storage : public testing::TestWithParam<log_form> {
 protected:
