soak: a SIGHUP right after a start waits until the daemon can handle it

The soak can send SIGHUP within a millisecond of a start, and until a process has its signalfd the default action of SIGHUP ends it.

Change: the fixture starts daemons with SIGHUP blocked, as a supervisor does; the signal stays pending and the program takes it from its signalfd. No fault is left out.

--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -143,6 +143,16 @@
         return fmt::format("cut off entry daemon {} in way {}; ", entry, choice);
     }
 
+    /// Expects that each daemon runs: one that ended did so by itself, since the faults start again
+    /// what they end.
+    void expect_all_running(const std::string& fault_history)
+    {
+        for (int index = 0; index < fleet.count(); ++index) {
+            EXPECT_TRUE(fleet.at(index).is_running())
+                << "daemon " << index << " has ended: " << fault_history;
+        }
+    }
+
     /// Makes one runner reject one entry daemon with a pause. Uses its own random generator, so
     /// that the other random choices of a seed do not change.
     void request_pause()
@@ -437,6 +447,7 @@
         }
         ASSERT_FALSE(HasFailure()) << "seed " << GetParam();
     }
+    expect_all_running(fault_history);
     for (const auto& proxy : proxies) {
         proxy->set_delay(0);
     }
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -9,7 +9,9 @@
 
 namespace cedarpoint::testing_support {
 
-/// A fleet daemon that runs as a process of the real program. The destructor kills it.
+/// A fleet daemon that runs as a process of the real program. The destructor kills it. A SIGHUP
+/// that comes before the program can handle it waits, as under a supervisor that blocks it at the
+/// start: its default action would end the process.
 class daemon_process {
 public:
     /// Environment variables that are added to those of the test.
@@ -25,6 +27,7 @@
         process_.setProcessEnvironment(environment);
         process_.setProcessChannelMode(QProcess::MergedChannels);
         process_.setStandardOutputFile(QString::fromStdString(log_file), QIODevice::Append);
+        process_.setChildProcessModifier(block_reload_signal);
         process_.start(BINARY_DIR "/cedarpoint",
                        {"fleet", "--settings", QString::fromStdString(settings_file)});
         process_.waitForStarted();
@@ -47,6 +50,14 @@
     [[nodiscard]] bool is_running() const { return process_.state() == QProcess::Running; }
 
 private:
+    static void block_reload_signal()
+    {
+        sigset_t set;
+        sigemptyset(&set);
+        sigaddset(&set, SIGHUP);
+        sigprocmask(SIG_BLOCK, &set, nullptr);
+    }
+
     QProcess process_;
 };
 
