ids hold only text; bytes that are no text end no leader and blind no follower

Cause: the id of a heartbeat (from its path) and the model of a request (from a header) could be any bytes. Protobuf writes a string that is not UTF-8 and then refuses the whole message, so one such heartbeat made every update unreadable for all entry daemons, and one such request of a caller made all reports of its entry daemon unreadable for the leader, which took it for gone. mesh::drain dropped both without a line; JSON written with the library's defaults throws.

Change: an id holds only text by its type. Messages that can't be read are logged with the sender and counted, and a follower asks for the whole view after one. Protobuf's errors go to the log instead of stderr.

--- a/include/cedarpoint/core/ids.h
+++ b/include/cedarpoint/core/ids.h
@@ -1,19 +1,31 @@
 #pragma once
 
+#include "cedarpoint/core/text.h"
+
 #include <compare>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace cedarpoint {
 
 /// A textual identifier. `Tag` gives each kind of id a type of its own: ids of different kinds can
-/// be neither compared nor converted.
+/// be neither compared nor converted. It can hold only text, because a message between daemons with
+/// other bytes in one id could not be read at all.
 template <class Tag>
 class id {
 public:
     id() = default;
-    explicit id(std::string value) : value_{std::move(value)} {}
+    /// Bytes that are no text become U+FFFD. Where an id selects something, use `read`.
+    explicit id(std::string value) : value_{to_text(std::move(value))} {}
+    /// Returns the id, or nothing if `bytes` are empty or no text.
+    [[nodiscard]] static std::optional<id> read(std::string_view bytes)
+    {
+        return bytes.empty() || !is_text(bytes) ? std::nullopt
+                                                : std::optional{id{std::string{bytes}}};
+    }
 
     [[nodiscard]] const std::string& str() const { return value_; }
     [[nodiscard]] bool empty() const { return value_.empty(); }
--- a/include/cedarpoint/fleet/control_call.h
+++ b/include/cedarpoint/fleet/control_call.h
@@ -25,7 +25,7 @@
 /// A call and its arguments.
 struct parsed_call {
     control_call call = control_call::unknown;
-    runner_id runner;  ///< the calling runner, if a runner calls
+    runner_id runner;  ///< the calling runner, if a runner calls; empty if its id is no text
     crash_cause cause; ///< the cause whose quarantine is lifted
 };
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -5,6 +5,7 @@
 #include "cedarpoint/config/json_reader.h"
 #include "cedarpoint/config/settings.h"
 #include "cedarpoint/core/http_status.h"
+#include "cedarpoint/core/json_text.h"
 #include "cli/exit_code.h"
 #include "cli/operator_client.h"
 #include "cli/settings_file.h"
@@ -42,7 +43,7 @@
         }
     }
     else {
-        fmt::print(stderr, "refused: {}\n", it.body.dump());
+        fmt::print(stderr, "refused: {}\n", write_json(it.body));
     }
     return to_int(it.status == http_status::service_unavailable ? exit_code::unreachable
                                                                 : exit_code::refused);
@@ -192,7 +193,7 @@
     if (!it) {
         return report_unreachable(why);
     }
-    fmt::print("{}", as_json ? it->body.dump(json_indent) + "\n" : format_status(it->body));
+    fmt::print("{}", as_json ? write_json(it->body, json_indent) + "\n" : format_status(it->body));
     return to_int(exit_code::done);
 }
 
@@ -215,7 +216,7 @@
 {
     reason why;
     const json body{{"kind", request.kind}, {"id", request.id}, {"draining", request.draining}};
-    const auto it = operator_client{daemon}.post("/v1/drain", body.dump(), why);
+    const auto it = operator_client{daemon}.post("/v1/drain", write_json(body), why);
     if (!it) {
         return report_unreachable(why);
     }
--- a/src/control_daemon/control_api.cpp
+++ b/src/control_daemon/control_api.cpp
@@ -1,6 +1,7 @@
 #include "control_daemon/control_api.h"
 
 #include "cedarpoint/core/http_status.h"
+#include "cedarpoint/core/json_text.h"
 #include "io/clock.h"
 #include "io/crash_log.h"
 #include "io/header_rules.h"
@@ -108,12 +109,25 @@
         lift_quarantine(parsed.cause, reply);
         break;
     default:
-        handle_departure(parsed.runner, true, platform_.read_departing_incarnation(request.body),
-                         reply);
+        handle_deregistration(parsed.runner, request, reply);
         break;
     }
 }
 
+void control_api::handle_deregistration(const runner_id& runner, const http_request& request,
+                                        const reply_ptr& reply)
+{
+    if (runner.empty()) {
+        log_line("deregistration_refused").with("target", request.target).write();
+        metrics_.count_call(std::string{name_of(control_call::deregister)},
+                            http_status::bad_request);
+        answer(reply, http_status::bad_request,
+               R"({"error":"the runner's id is missing or no text"})");
+        return;
+    }
+    handle_departure(runner, true, platform_.read_departing_incarnation(request.body), reply);
+}
+
 void control_api::put_configuration(const http_request& request, const reply_ptr& reply)
 {
     reason why;
@@ -169,6 +183,7 @@
     if (!read) {
         log_line("heartbeat_refused")
             .with("runner", runner.str())
+            .with("target", request.target)
             .with("reason", why.str())
             .write();
         metrics_.count_call(std::string{name_of(control_call::heartbeat)},
@@ -241,7 +256,7 @@
         }
         out.push_back(std::move(each));
     }
-    answer(reply, http_status::ok, out.dump());
+    answer(reply, http_status::ok, write_json(out));
 }
 
 void control_api::lift_quarantine(const crash_cause& cause, const reply_ptr& reply)
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -109,6 +109,7 @@
       provisional_views_{platform_, state_}, mesh_{
                                                  [this](const wire::envelope& in) { receive(in); }}
 {
+    mesh_.on_unreadable = [this] { metrics_.count_unreadable_message(); };
     leader_.set_event_handler(log_group);
     leader_.on_unreadable_configuration = log_unreadable;
     leader_.on_crashes = log_crashes;
--- a/src/control_daemon/control_metrics.cpp
+++ b/src/control_daemon/control_metrics.cpp
@@ -15,6 +15,8 @@
                                      "Orders to runners, by kind and result")},
       groups_{registry_.add_gauges("cedarpoint_planned_groups",
                                    "Groups in the leader's plan, by phase")},
+      unreadable_messages_{registry_.add_counter("cedarpoint_unreadable_messages_total",
+                                                 "Messages of other daemons that can't be read")},
       commit_{registry_.add_histogram("cedarpoint_commit_seconds", "From a proposal to its commit",
                                       commit_bounds)},
       leader_{registry_.add_gauge("cedarpoint_leader", "1 while this daemon leads")},
--- a/src/control_daemon/control_metrics.h
+++ b/src/control_daemon/control_metrics.h
@@ -14,6 +14,8 @@
 
     void count_call(const std::string& call, int status);
     void count_order(const std::string& kind, const std::string& result);
+    /// Counts a message of another daemon that can't be read.
+    void count_unreadable_message() { unreadable_messages_.Increment(); }
     void observe_commit(duration since_proposal);
     void set_leader(bool leads) { leader_.Set(leads ? 1 : 0); }
     void set_disk_refuses(bool refuses) { disk_refuses_.Set(refuses ? 1 : 0); }
@@ -27,6 +29,7 @@
     prometheus::Family<prometheus::Counter>& calls_;
     prometheus::Family<prometheus::Counter>& orders_;
     prometheus::Family<prometheus::Gauge>& groups_;
+    prometheus::Counter& unreadable_messages_;
     prometheus::Histogram& commit_;
     prometheus::Gauge& leader_;
     prometheus::Gauge& version_;
--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller_gateway.h"
 
 #include "cedarpoint/core/http_status.h"
+#include "cedarpoint/core/json_text.h"
 #include "daemon/engine_headers.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
@@ -148,7 +149,7 @@
     }
     http_head head{200, {}};
     head.fields.add("Content-Type", "application/json");
-    reply.send(std::move(head), nlohmann::json{{"object", "list"}, {"data", data}}.dump());
+    reply.send(std::move(head), write_json(nlohmann::json{{"object", "list"}, {"data", data}}));
 }
 
 void caller_gateway::perform(const actions& all)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -106,6 +106,7 @@
         }
         control_->receive(steady_now(), in);
     });
+    mesh_->on_unreadable = [this] { metrics_.count_unreadable_message(); };
     return mesh_->start(settings_, secret, why);
 }
 
--- a/src/daemon/daemon_metrics.cpp
+++ b/src/daemon/daemon_metrics.cpp
@@ -10,6 +10,8 @@
       groups_{registry_.add_gauges("cedarpoint_groups", "Groups of this failure domain, by state")},
       requests_{registry_.add_counter("cedarpoint_requests_total", "Requests read whole")},
       events_{registry_.add_counter("cedarpoint_stream_events_total", "Events passed to callers")},
+      unreadable_messages_{registry_.add_counter("cedarpoint_unreadable_messages_total",
+                                                 "Messages of other daemons that can't be read")},
       in_flight_{
           registry_.add_gauge("cedarpoint_requests_in_flight", "Requests without a final answer")},
       queued_{registry_.add_gauge("cedarpoint_requests_queued", "Requests that wait for a slot")},
--- a/src/daemon/daemon_metrics.h
+++ b/src/daemon/daemon_metrics.h
@@ -18,6 +18,8 @@
     void count_refusal(error_code code);
     void count_step(const std::string& step);
     void count_event() { events_.Increment(); }
+    /// Counts a message of another daemon that can't be read.
+    void count_unreadable_message() { unreadable_messages_.Increment(); }
     void set_in_flight(double n) { in_flight_.Set(n); }
     void set_queued(double n) { queued_.Set(n); }
     void set_connections(double n) { connections_.Set(n); }
@@ -37,6 +39,7 @@
     prometheus::Family<prometheus::Gauge>& groups_;
     prometheus::Counter& requests_;
     prometheus::Counter& events_;
+    prometheus::Counter& unreadable_messages_;
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& queued_;
     prometheus::Gauge& connections_;
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -3,6 +3,7 @@
 #include "cedarpoint/config/json_reader.h"
 #include "cedarpoint/config/plan.h"
 #include "cedarpoint/core/http_status.h"
+#include "cedarpoint/core/json_text.h"
 #include "cedarpoint/core/secret.h"
 #include "daemon/daemon.h"
 #include "daemon/status_report.h"
@@ -35,7 +36,7 @@
 {
     http_head head{status, {}};
     head.fields.add("Content-Type", "application/json");
-    reply.send(std::move(head), body.dump(2, ' ', false, json::error_handler_t::replace) + "\n");
+    reply.send(std::move(head), write_json(body, 2) + "\n");
 }
 
 void answer_text(http_reply& reply, int status, const char* type, const std::string& body)
--- a/src/daemon/runner_client.cpp
+++ b/src/daemon/runner_client.cpp
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/config/json_reader.h"
 #include "cedarpoint/core/http_status.h"
+#include "cedarpoint/core/json_text.h"
 #include "io/log_line.h"
 
 #include <nlohmann/json.hpp>
@@ -135,7 +136,7 @@
                               {"version", it.version},
                               {"adapters", it.adapters},
                               {"role", std::string{name_of(it.role)}}};
-    http_request request{"POST", "/engine/orders", {}, body.dump()};
+    http_request request{"POST", "/engine/orders", {}, write_json(body)};
     request.fields.add("Host", it.address.str());
     request.fields.add("Content-Type", "application/json");
     log_line("order")
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -77,6 +77,10 @@
       mesh_{[this](const wire::envelope& in) { follower_.receive(steady_now(), in); }},
       suspensions_{steady_now(), timer_now()}
 {
+    mesh_.on_unreadable = [this] {
+        context_.metrics.count_unreadable_message();
+        follower_.on_unreadable_message();
+    };
 }
 
 entry_daemon::~entry_daemon()
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -54,6 +54,8 @@
               .add_counters("cedarpoint_unreadable_signals_total",
                             "Headers in which a runner says something that can't be read")
               .Add({})},
+      unreadable_messages_{registry_.add_counter("cedarpoint_unreadable_messages_total",
+                                                 "Messages of other daemons that can't be read")},
       suspected_requests_{registry_.add_gauge("cedarpoint_suspected_requests",
                                               "Requests under which runners have ended")},
       quarantined_requests_{registry_.add_gauge("cedarpoint_quarantined_requests",
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -43,6 +43,8 @@
     void set_paths(double failing, bool cut_off);
     /// Counts an answer with a runner's signal (rate limit, pause or leave) that can't be parsed.
     void count_unreadable_signal() { unreadable_signals_.Increment(); }
+    /// Counts a message of another daemon that can't be read.
+    void count_unreadable_message() { unreadable_messages_.Increment(); }
 
     [[nodiscard]] std::string text() const { return registry_.text(); }
 
@@ -64,6 +66,7 @@
     prometheus::Gauge& leaving_runners_;
     prometheus::Counter& held_sends_;
     prometheus::Counter& unreadable_signals_;
+    prometheus::Counter& unreadable_messages_;
     prometheus::Gauge& suspected_requests_;
     prometheus::Gauge& quarantined_requests_;
     prometheus::Counter& runner_ends_;
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -55,9 +55,9 @@
     wire::envelope out;
     auto& follow = *out.mutable_follow();
     follow.set_term(view_.term());
-    follow.set_version(view_.version());
+    follow.set_version(needs_whole_view_ ? 0 : view_.version());
     follow.set_failure_domain(failure_domain_);
-    follow.set_behind(behind_);
+    follow.set_behind(behind_ || needs_whole_view_);
     follow.set_stamp_us(now.time_since_epoch().count());
     const auto report = hooks_.make_report();
     encode(report, follow);
@@ -118,6 +118,7 @@
         return;
     }
     behind_ = false;
+    needs_whole_view_ = false;
     hooks_.on_view(outcome);
 }
 
--- a/src/entry/fleet_follower.h
+++ b/src/entry/fleet_follower.h
@@ -36,6 +36,9 @@
     /// Sends a report with the next tick instead of at the end of the interval.
     void report_soon() { next_report_ = {}; }
     void receive(instant now, const wire::envelope& in);
+    /// Records that a message could not be read. It may have been an update, and the next ones may
+    /// repeat what made it unreadable, so reports ask for the whole view until an update applies.
+    void on_unreadable_message() { needs_whole_view_ = true; }
 
     [[nodiscard]] const view_copy& view() const { return view_; }
     /// Returns how many entry daemons follow the leader, including this one; 0 while not known.
@@ -57,7 +60,8 @@
     instant leader_active_at_;
     instant next_report_;
     view_copy view_;
-    bool behind_ = true;        ///< earlier updates are missing: the latest did not fit the copy
+    bool behind_ = true; ///< earlier updates are missing: the latest did not fit the copy
+    bool needs_whole_view_ = false;
     std::size_t followers_ = 0; ///< 0: not known yet
 };
 
--- a/src/io/log_line.cpp
+++ b/src/io/log_line.cpp
@@ -1,5 +1,7 @@
 #include "io/log_line.h"
 
+#include "cedarpoint/core/json_text.h"
+#include "cedarpoint/core/text.h"
 #include "io/clock.h"
 #include "io/log_sink.h"
 
@@ -29,7 +31,7 @@
 
 bool needs_quotes(const std::string& text)
 {
-    return text.find_first_of(" \"=\n\r\t") != std::string::npos;
+    return text.find_first_of(" \"=\n\r\t") != std::string::npos || !is_text(text);
 }
 
 } // namespace
@@ -45,10 +47,7 @@
     for (const auto& [name, value] : fields_) {
         if (!value.empty()) {
             out += " " + name + "=" +
-                   (needs_quotes(value)
-                        ? nlohmann::json(value).dump(-1, ' ', false,
-                                                     nlohmann::json::error_handler_t::replace)
-                        : value);
+                   (needs_quotes(value) ? write_json(nlohmann::json(value)) : value);
         }
     }
     return out;
@@ -62,7 +61,7 @@
             out[name] = value;
         }
     }
-    return out.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    return write_json(out);
 }
 
 void log_line::write() const
--- a/src/io/mesh.cpp
+++ b/src/io/mesh.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <google/protobuf/stubs/logging.h>
 #include <vector>
 
 namespace cedarpoint {
@@ -43,6 +44,20 @@
     return in.num() == EADDRINUSE ? listen_in_use_step : listen_step;
 }
 
+/// Returns the address that the message came from, without a port; "?" if ZeroMQ knows none.
+std::string ip_of_sender(const zmq::message_t& message)
+{
+    const char* out = zmq_msg_gets(message.handle(), "Peer-Address");
+    return out == nullptr ? "?" : out;
+}
+
+/// Protobuf writes its errors to stderr unless it has a handler.
+void log_protobuf_error(google::protobuf::LogLevel /*level*/, const char* /*file*/, int /*line*/,
+                        const std::string& text)
+{
+    log_line("protobuf_error").with("reason", text).write();
+}
+
 std::string tcp(const endpoint& it)
 {
     return "tcp://" + it.str();
@@ -50,7 +65,10 @@
 
 } // namespace
 
-mesh::mesh(handler handler) : handler_{std::move(handler)} {}
+mesh::mesh(handler handler) : handler_{std::move(handler)}
+{
+    google::protobuf::SetLogHandler(log_protobuf_error);
+}
 
 mesh::~mesh()
 {
@@ -232,16 +250,30 @@
                 break;
             }
         }
-        wire::envelope in;
-        const bool read = in.ParseFromArray(body.data(), static_cast<int>(body.size()));
-        if (read && (accepts_unknown_peers_ || peer_addresses_.contains(daemon_id{in.from()}))) {
-            bytes_in_ += body.size();
-            handler_(in);
-        }
+        handle_message(body);
     }
     draining_ = false;
 }
 
+void mesh::handle_message(const zmq::message_t& body)
+{
+    wire::envelope in;
+    if (!in.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        log_line("message_unreadable")
+            .with("sender", ip_of_sender(body))
+            .with("bytes", body.size())
+            .write();
+        if (on_unreadable) {
+            on_unreadable();
+        }
+        return;
+    }
+    if (accepts_unknown_peers_ || peer_addresses_.contains(daemon_id{in.from()})) {
+        bytes_in_ += body.size();
+        handler_(in);
+    }
+}
+
 void mesh::answer_handshakes()
 {
     if (zap_socket_ == nullptr) {
--- a/src/io/mesh.h
+++ b/src/io/mesh.h
@@ -31,6 +31,9 @@
     /// Listens at `at` for daemons that are not listed in the settings. Messages from any sender
     /// are accepted, and the id of a daemon is its address.
     bool start_unauthenticated(const endpoint& at, reason& why);
+    /// Called for each message that can't be read.
+    std::function<void()> on_unreadable;
+
     /// Connects to a daemon whose id is its address.
     void add_peer(const daemon_id& peer);
     void remove_peer(const daemon_id& peer);
@@ -61,6 +64,7 @@
     /// connect again after bytes that break the protocol.
     void reopen_if_stuck(instant now, peer& it);
     void watch_inbox();
+    void handle_message(const zmq::message_t& body);
     void answer_handshakes();
 
     handler handler_;
--- a/src/request/refusal.cpp
+++ b/src/request/refusal.cpp
@@ -1,5 +1,7 @@
 #include "cedarpoint/request/refusal.h"
 
+#include "cedarpoint/core/json_text.h"
+
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -71,8 +73,7 @@
     if (it.retry_after) {
         error["retry_after_ms"] = it.retry_after->count();
     }
-    return nlohmann::json{{"error", std::move(error)}}.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return write_json(nlohmann::json{{"error", std::move(error)}});
 }
 
 } // namespace cedarpoint
--- a/tests/fleet/fleet_leader_test.cpp
+++ b/tests/fleet/fleet_leader_test.cpp
@@ -152,9 +152,16 @@
         *in.mutable_update() = update;
         follower.receive(start, in);
     }
+    /// Returns the report that the follower sends at `at`.
+    wire::fleet_follow report(instant at)
+    {
+        follower.tick(at);
+        return sent.follow();
+    }
     int views = 0;
+    wire::envelope sent; ///< the latest report
     fleet_follower follower{settings(),
-                            {[](const daemon_id&, const wire::envelope&) {},
+                            {[this](const daemon_id&, const wire::envelope& out) { sent = out; },
                              [] { return health_report{}; },
                              [this](view_copy::outcome) { ++views; },
                              [](const wire::fleet_update&) {}, [](const daemon_id&, bool) {}}};
@@ -190,6 +197,29 @@
     EXPECT_EQ(follower.view().configuration()->revision(), 5U);
 }
 
+// Guards against a follower that waits for ever for updates that it can read: a delta may repeat
+// the removal of what made an earlier one unreadable, a whole view does not.
+TEST_F(a_follower_without_a_leader, asks_for_the_whole_view_after_a_message_that_it_cannot_read)
+{
+    wire::fleet_update update;
+    update.set_term(2);
+    update.set_leading(true);
+    update.set_reset(true);
+    update.set_to(4);
+    receive_update(update);
+    EXPECT_EQ(report(start + seconds{1}).version(), 4U);
+    EXPECT_FALSE(report(start + seconds{1}).behind());
+
+    follower.on_unreadable_message();
+    EXPECT_EQ(report(start + seconds{2}).version(), 0U);
+    EXPECT_TRUE(report(start + seconds{2}).behind());
+
+    update.set_to(5);
+    receive_update(update);
+    EXPECT_EQ(report(start + seconds{3}).version(), 5U);
+    EXPECT_FALSE(report(start + seconds{3}).behind());
+}
+
 announcement heartbeat_of(const std::string& id, const std::string& service, std::uint64_t sequence)
 {
     announcement out;
--- a/tests/io/mesh_test.cpp
+++ b/tests/io/mesh_test.cpp
@@ -99,6 +99,25 @@
     }));
 }
 
+// Guards against messages that are dropped without a trace: one with bytes that are no text in
+// any of its strings can't be read at all.
+TEST(daemons, count_a_message_that_cannot_be_read_and_go_on)
+{
+    daemon_pair it{{}, {}};
+    int unreadable = 0;
+    it.a.on_unreadable = [&] { ++unreadable; };
+    EXPECT_TRUE(wait_until([&] {
+        it.b.send(daemon_id{"a"}, envelope_from("\xff\xfe"));
+        it.a.drain();
+        return unreadable > 0;
+    }));
+    EXPECT_EQ(it.received_by_a, 0);
+    EXPECT_TRUE(wait_until([&] {
+        it.exchange_messages();
+        return it.received_by_a > 0;
+    }));
+}
+
 TEST(daemons, with_the_fleets_keys_exchange_messages)
 {
     const auto keys = make_keys();
--- a/tests/platform/platform_adapter_test.cpp
+++ b/tests/platform/platform_adapter_test.cpp
@@ -244,6 +244,40 @@
     EXPECT_EQ(read(many + "0:1").size(), 32U);
 }
 
+// Guards against ids that make every message with them unreadable.
+TEST(a_call, whose_id_is_no_text_names_nobody)
+{
+    const auto& platform = installed_platform();
+    for (const std::string id : {"", "i-\xff\xfe", "\xc3", "\xed\xa0\x80"}) {
+        for (const std::string action : {"/heartbeat", "/deregister"}) {
+            const auto call = platform.read_call("POST", "/cedarpoint/instances/" + id + action);
+            EXPECT_NE(call.call, control_call::unknown);
+            EXPECT_TRUE(call.runner.empty());
+        }
+        for (const auto& cause : {"part/" + id + "x/", "part/\xff" + id + "/ab"}) {
+            EXPECT_EQ(platform.read_call("POST", "/cedarpoint/quarantine/" + cause + "/lift").call,
+                      control_call::unknown);
+        }
+    }
+    EXPECT_EQ(platform.read_call("POST", "/cedarpoint/instances/é/heartbeat").runner.str(), "é");
+    reason why;
+    const std::string body = R"({"service":"s","address":"1.1.1.1:1","zone":"z","version":"v1",)"
+                             R"("slots":6,"state":"ready","coldRemainingMs":0,"sequence":1})";
+    EXPECT_TRUE(platform.read_announcement(runner_id{"i"}, body, why)) << why.str();
+    EXPECT_FALSE(platform.read_announcement(runner_id{}, body, why));
+}
+
+// Guards against an exception that ends a leader while it plans a group.
+TEST(an_order, can_be_written_whatever_bytes_its_ids_were_made_of)
+{
+    group_order order;
+    order.kind = order_kind::join;
+    order.group = group_id{"i-\xff.1"};
+    order.model = model_id{"\xfe"};
+    order.members = {runner_id{"i-\xff"}};
+    EXPECT_EQ(json::parse(installed_platform().write_order(order)).at("members").at(0), "i-\uFFFD");
+}
+
 TEST(an_order, contains_its_fencing_token_and_its_group)
 {
     group_order order;
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -3,7 +3,8 @@
 // crashes each runner that runs it; in some of the others different requests do that, with one part
 // in their prompts. Every second seed simulates suspended machines instead of
 // stopped processes. In every fifth seed runners reject entry daemons with a pause. In some
-// of the other seeds entry daemons are cut off from all runners. Manual run:
+// of the other seeds entry daemons are cut off from all runners. In every third seed runners and
+// callers send bytes that are no text. Manual run:
 //     SOAK_FIRST=100 SOAK_COUNT=50 build/cedarpoint_tests --gtest_filter='*fleet_soak*'
 // Add each seed that fails to `regression_seeds`, with its cause.
 
@@ -143,6 +144,30 @@
         return fmt::format("cut off entry daemon {} in way {}; ", entry, choice);
     }
 
+    /// Sends bytes that are no text where a runner and a caller name something. Uses its own random
+    /// generator, so that the other random choices of a seed do not change.
+    void send_bytes_that_are_no_text()
+    {
+        std::string bytes = "n-\xff";
+        for (auto n = 1 + text_random() % 3; n > 0; --n) {
+            bytes.push_back(static_cast<char>(0x80 + text_random() % 0x80));
+        }
+        const auto* service = text_random() % 2 == 0 ? "pool" : "shop";
+        const auto heartbeat = fmt::format(
+            R"({{"service":"{}","address":"127.0.0.1:9","zone":"z","version":"v1","slots":4,)"
+            R"("state":"ready","coldRemainingMs":0,"sequence":1}})",
+            service);
+        const auto& control = fleet.controls()[text_random() % fleet.controls().size()];
+        const auto answer =
+            call(control, "POST", "/cedarpoint/instances/" + bytes + "/heartbeat", "", heartbeat);
+        EXPECT_NE(answer.head.status, 200) << "registers a runner whose id is no text";
+        const auto entry = fleet.entries()[text_random() % entry_count];
+        call(entry, "POST", "/ask/x",
+             "X-Cedarpoint-Request-Id: " + bytes + "\r\nX-Cedarpoint-Model: " + bytes +
+                 "\r\nX-Cedarpoint-Deadline-Ms: 200\r\n",
+             "why");
+    }
+
     /// Expects that each daemon runs: one that ended did so by itself, since the faults start again
     /// what they end.
     void expect_all_running(const std::string& fault_history)
@@ -396,8 +421,10 @@
     std::mt19937_64 pause_random{GetParam()};
     int net;
     std::mt19937_64 cut_random{GetParam()};
+    std::mt19937_64 text_random{GetParam()};
     bool has_pauses = GetParam() % 5 == 2;
     bool has_crashing_request = GetParam() % 3 == 1;
+    bool has_bytes_that_are_no_text = GetParam() % 3 == 0;
     bool has_crashing_part = GetParam() % 4 < 2 && !has_crashing_request;
     /// Not with crashes, since the proxies accept connections to runners that are down, nor with
     /// pauses, which would count for the daemon that a request came from instead of the one that
@@ -439,6 +466,9 @@
         send_request();
         send_request();
         expect_no_request_within_pauses();
+        if (has_bytes_that_are_no_text) {
+            send_bytes_that_are_no_text();
+        }
         if (has_crashing_request) {
             send_crashing_request();
         }
