--- a/src/core/text.cpp
+++ b/src/core/text.cpp
@@ -1,5 +1,7 @@
 #include "cedarpoint/core/text.h"
 
+#include "cedarpoint/core/json_text.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -21,8 +23,7 @@
         return bytes;
     }
     using nlohmann::json;
-    const auto quoted = json(std::move(bytes)).dump(-1, ' ', false, json::error_handler_t::replace);
-    return json::parse(quoted).get<std::string>();
+    return json::parse(write_json(json(std::move(bytes)))).get<std::string>();
 }
 
 bool is_text(std::string_view bytes)
