entry: a peer runs no request by a configuration older than the sender's

Cause: a request that an entry daemon sends through another one was admitted again there by that daemon's configuration, and did not carry the version by which it had been admitted first. A peer cut off from control ran it by the old service after callers had seen the new version.

Change: the request carries the version. A peer with an older one waits up to 300 ms for the change, which between daemons in touch arrives in that time, then answers that no runner has got it, with a result of its own; the sender tries another peer or refuses with 503.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -279,6 +279,7 @@
     context_.peers.update(steady_now(), content.entry_daemons);
     context_.crashes.set_leader_counts(steady_now(), std::move(content.crashes));
     for (const auto& each : std::vector(requests_.begin(), requests_.end())) {
+        each->on_configuration_changed();
         each->on_targets_changed();
     }
     log_line("view")
--- a/src/entry/forwarded_request.cpp
+++ b/src/entry/forwarded_request.cpp
@@ -1,5 +1,6 @@
 #include "entry/forwarded_request.h"
 
+#include "cedarpoint/core/parse_integer.h"
 #include "entry/request_bytes.h"
 #include "io/header_rules.h"
 
@@ -16,7 +17,8 @@
 constexpr std::string_view result_field = "Cedarpoint-Forward-Result";
 constexpr std::string_view runner_field = "Cedarpoint-Forward-Runner";
 
-constexpr std::array<std::string_view, 4> result_names{"runner", "sent", "not-sent", "unreachable"};
+constexpr std::array<std::string_view, 5> result_names{"runner", "sent", "not-sent", "unreachable",
+                                                       "outdated"};
 
 } // namespace
 
@@ -34,8 +36,12 @@
     }
     fields.add(std::string{forward_excluded_field}, fmt::format("{}", fmt::join(excluded, ",")));
     fields.add(std::string{forward_sender_field}, added.sender);
-    const std::array<std::string_view, 4> removed{names.deadline_ms, names.resume_after,
-                                                  forward_excluded_field, forward_sender_field};
+    if (added.version > 0) {
+        fields.add(std::string{forward_version_field}, std::to_string(added.version));
+    }
+    const std::array<std::string_view, 5> removed{names.deadline_ms, names.resume_after,
+                                                  forward_excluded_field, forward_sender_field,
+                                                  forward_version_field};
     return serialize(from, fields, removed);
 }
 
@@ -56,6 +62,12 @@
     return in.fields.get(forward_sender_field);
 }
 
+std::uint64_t read_version(const http_request& in)
+{
+    const auto out = parse_integer(in.fields.get(forward_version_field)).value_or(0);
+    return static_cast<std::uint64_t>(std::max(out, std::int64_t{0}));
+}
+
 void add_forward_fields(http_head& head, forward_result result, const runner_id& runner)
 {
     head = without_forward_fields(head); // a runner's answer has none that mean anything
@@ -75,6 +87,11 @@
                                        : static_cast<forward_result>(found - result_names.begin());
 }
 
+bool was_sent_to_none(forward_result result)
+{
+    return result != forward_result::from_runner && result != forward_result::sent;
+}
+
 runner_id read_forward_runner(const http_head& head)
 {
     return runner_id{std::string{head.fields.get(runner_field)}};
--- a/src/entry/peer_recorder.cpp
+++ b/src/entry/peer_recorder.cpp
@@ -19,7 +19,8 @@
 void peer_recorder::on_head(instant now, const http_head& head, bool /*is_authentic*/)
 {
     has_answered_ = true;
-    if (read_forward_result(head) == forward_result::unreachable) {
+    const auto result = read_forward_result(head);
+    if (result == forward_result::unreachable || result == forward_result::outdated) {
         peers_.on_failure(now, peer_);
     }
     else {
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -86,6 +86,15 @@
         return;
     }
     reply_->on_caller_disconnected = [this] { on_caller_gone(); };
+    if (lacks_configuration()) {
+        await_configuration();
+        return;
+    }
+    begin();
+}
+
+void relay::begin()
+{
     if (!admit_request()) {
         return;
     }
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -49,6 +49,9 @@
     /// Called when the view has changed. If the group that is answering is no longer in the view,
     /// retries at another runner at once, if that is allowed.
     void on_targets_changed();
+    /// Called when this daemon has installed another configuration. A request that waits for it
+    /// goes on.
+    void on_configuration_changed();
     /// Called when this daemon turns out to be cut off from all runners. Retries through another
     /// entry daemon at once, if that is allowed.
     void on_cut_off();
@@ -57,6 +60,8 @@
     void on_resumed(instant now);
 
 private:
+    /// Admits the request and makes its first attempt.
+    void begin();
     void count_first_attempt(instant now);
     void start_deadline_timer(instant now);
     [[nodiscard]] bool has_time_to_send(instant now) const;
@@ -78,6 +83,10 @@
     [[nodiscard]] std::unique_ptr<attempt_recorder>
     make_recorder(const runner_attempt::destination& to);
     [[nodiscard]] std::string make_forwarded_request() const;
+    /// Returns true if another entry daemon has admitted the request by a newer configuration than
+    /// this one's.
+    [[nodiscard]] bool lacks_configuration() const;
+    void await_configuration();
     /// Records what the other entry daemon's answer says of an attempt through it.
     void record_forwarded_end(const attempt_verdict& verdict);
     [[nodiscard]] bool is_for_peer() const { return source_ == request_source::entry_daemon; }
@@ -138,7 +147,7 @@
     http_request request_;
     std::shared_ptr<http_reply> reply_;
     end_handler on_end_;
-    std::shared_ptr<const route_table> routes_; ///< in force when the request arrived
+    std::shared_ptr<const route_table> routes_; ///< in force when the request was admitted
     std::string id_;
     instant arrived_;
     admission admission_;
@@ -157,6 +166,7 @@
     std::optional<http_head> failed_answer_head_; ///< of the latest complete 4xx or 5xx answer
     std::string failed_answer_body_;
     QTimer deadline_timer_;
+    QTimer configuration_timer_; ///< runs while the request waits for a configuration
     bool ended_ = false;
 };
 
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -153,6 +153,7 @@
     }
     ended_ = true;
     deadline_timer_.stop();
+    configuration_timer_.stop();
     reply_->on_caller_disconnected = nullptr;
     reply_->on_drained = nullptr;
     // The text after a colon names a peer. As a label value it would create a time series for each.
--- a/src/entry/relay_forwarding.cpp
+++ b/src/entry/relay_forwarding.cpp
@@ -14,6 +14,10 @@
 /// them read the same list of runners.
 constexpr std::size_t max_peers_per_request = 2;
 
+/// A request waits this long for the configuration that the sending daemon has: between daemons
+/// that hear the leader, a change arrives within this time.
+constexpr milliseconds max_configuration_wait{300};
+
 } // namespace
 
 std::optional<runner_attempt::destination> relay::choose_peer(instant now) const
@@ -30,6 +34,33 @@
         .address = peer->address, .runner = {}, .group = {}, .is_entry_daemon = true};
 }
 
+bool relay::lacks_configuration() const
+{
+    return is_for_peer() && (routes_ == nullptr ? 0 : routes_->version()) < read_version(request_);
+}
+
+void relay::await_configuration()
+{
+    QObject::connect(&configuration_timer_, &QTimer::timeout, [this] {
+        const auto self = shared_from_this();
+        answer(local_reply::not_run, "this daemon's configuration is older than the sender's");
+    });
+    configuration_timer_.setSingleShot(true);
+    configuration_timer_.start(max_configuration_wait);
+}
+
+void relay::on_configuration_changed()
+{
+    if (ended_ || !configuration_timer_.isActive()) {
+        return;
+    }
+    routes_ = context_.routes;
+    if (!lacks_configuration()) {
+        configuration_timer_.stop();
+        begin();
+    }
+}
+
 std::unique_ptr<attempt_recorder> relay::make_recorder(const runner_attempt::destination& to)
 {
     if (to.is_entry_daemon) {
@@ -49,16 +80,14 @@
         added.excluded.insert(runner);
     }
     added.sender = context_.name;
+    added.version = routes_->version();
     return serialize(request_, added, context_.platform.headers());
 }
 
 void relay::record_forwarded_end(const attempt_verdict& verdict)
 {
-    if (attempt_->is_complete()) {
-        const auto result = read_forward_result(attempt_->head());
-        if (result == forward_result::not_sent || result == forward_result::unreachable) {
-            --facts_.sent; // no runner has got it
-        }
+    if (attempt_->is_complete() && was_sent_to_none(read_forward_result(attempt_->head()))) {
+        --facts_.sent;
     }
     if (!attempt_->runner().empty()) {
         tried_.insert(attempt_->runner());
@@ -102,6 +131,9 @@
     if (facts_.sent > 0) {
         return forward_result::sent;
     }
+    if (lacks_configuration()) {
+        return forward_result::outdated;
+    }
     // A daemon that has just started knows no runner.
     const bool reaches_none =
         routes_ == nullptr || unreachable_ > 0 || context_.targets.paths().cut();
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -260,6 +260,9 @@
     case forward_result::unreachable:
         return {attempt_outcome::not_run, target_effect::none,
                 "the other entry daemon reaches no runner"};
+    case forward_result::outdated:
+        return {attempt_outcome::not_run, target_effect::none,
+                "the other entry daemon's configuration is older"};
     default:
         // A status that promises that the request has not run is also true for the caller.
         return promises_not_run(head_->status)
--- a/src/entry/runner_request.cpp
+++ b/src/entry/runner_request.cpp
@@ -23,9 +23,10 @@
         fields.add(names.resume_after, added.resume_after);
     }
     // Set by this daemon, or not for runners to see.
-    const std::array<std::string_view, 8> removed{
-        names.deadline_ms,  names.priority,  names.account,          names.expected_runner,
-        names.resume_after, "Authorization", forward_excluded_field, forward_sender_field};
+    const std::array<std::string_view, 9> removed{
+        names.deadline_ms,      names.priority,       names.account,
+        names.expected_runner,  names.resume_after,   "Authorization",
+        forward_excluded_field, forward_sender_field, forward_version_field};
     return serialize(from, fields, removed);
 }
 
--- a/tests/entry/forwarded_request_test.cpp
+++ b/tests/entry/forwarded_request_test.cpp
@@ -51,12 +51,34 @@
     EXPECT_EQ(read_sender(received), "entry-1");
 }
 
+TEST(a_forwarded_request, states_the_configuration_by_which_it_was_admitted)
+{
+    auto added = daemon_fields();
+    added.version = 7;
+    auto forged = caller_request();
+    forged.fields.add("Cedarpoint-Forward-Version", "1");
+    const auto bytes = serialize(forged, added, installed_platform().headers());
+    EXPECT_NE(bytes.find("Cedarpoint-Forward-Version: 7\r\n"), std::string::npos) << bytes;
+    EXPECT_EQ(bytes.find("Cedarpoint-Forward-Version: 1\r\n"), std::string::npos) << bytes;
+
+    http_request received;
+    EXPECT_EQ(read_version(received), 0U) << "from a daemon of an earlier version";
+    received.fields.add("Cedarpoint-Forward-Version", "7");
+    EXPECT_EQ(read_version(received), 7U);
+    for (const auto* wrong : {"", "x", "7x", "-1"}) {
+        http_request other;
+        other.fields.add("Cedarpoint-Forward-Version", wrong);
+        EXPECT_EQ(read_version(other), 0U) << wrong;
+    }
+}
+
 TEST(a_forwarded_request, shows_runners_nothing_of_the_way_it_took)
 {
     runner_request added;
     added.expected_runner = runner_id{"i-1"};
     auto request = caller_request();
     request.fields.add("Cedarpoint-Forward-Sender", "entry-1");
+    request.fields.add("Cedarpoint-Forward-Version", "7");
     const auto bytes = serialize(request, added, installed_platform().headers());
     EXPECT_EQ(bytes.find("Forward"), std::string::npos) << bytes;
 }
@@ -88,5 +110,17 @@
     EXPECT_EQ(read_forward_result(head), forward_result::sent);
 }
 
+TEST_F(an_answer_to_another_entry_daemon, that_no_runner_has_got_says_why)
+{
+    for (const auto why :
+         {forward_result::not_sent, forward_result::unreachable, forward_result::outdated}) {
+        add_forward_fields(head, why, {});
+        EXPECT_EQ(read_forward_result(head), why);
+        EXPECT_TRUE(was_sent_to_none(why));
+    }
+    EXPECT_FALSE(was_sent_to_none(forward_result::from_runner));
+    EXPECT_FALSE(was_sent_to_none(forward_result::sent));
+}
+
 } // namespace
 } // namespace cedarpoint
