consensus: an election with slow disks survives a lost request for a vote

Its slow writes had lengthened its election timeout to 4 s, drawn up to 8 s. Its pre-vote was refused because its term was old, and it waited 6.8 s; then its request for a vote was delayed, and the next was more than 4 s away. Not the cause: the demotion of the lost storage, which waits for a leader.

Change: the extension holds for what takes a write. Pre-votes are repeated after the plain election timeout, and within twice that after a refusal for an old term; a candidate repeats its requests each election timeout to those that have not granted their vote.

--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -157,7 +157,7 @@
     void start_pre_vote(instant now);
     void start_election(instant now);
     void become_leader(instant now);
-    void reset_election_timer(instant now);
+    void reset_election_timer(instant now, duration timeout);
     /// Returns the election timeout, extended while the disk is slow: a vote takes two writes, and
     /// a leader sends nothing during a write. Leases use the election timeout without the
     /// extension.
@@ -197,7 +197,8 @@
     void send_append(instant now, const member_id& to);
     void send_snapshot(instant now, const member_id& to, progress& it);
     void broadcast_append(instant now);
-    void broadcast_vote(wire::raft_message::kind_t kind, std::uint64_t term);
+    /// Requests votes of the voters that have not granted theirs yet.
+    void broadcast_vote(instant now, wire::raft_message::kind_t kind, std::uint64_t term);
     void append_entry(wire::log_entry entry);
     void truncate_from(std::uint64_t index);
     void advance_commit(std::uint64_t to);
@@ -248,6 +249,7 @@
     recent_maximum slowest_write_;
     instant latest_write_end_;
     instant election_at_;
+    instant vote_repeat_at_; ///< of a candidate; `instant::max()`: not before the next election
     instant heartbeat_at_;
     instant leader_since_;
     std::optional<instant> leader_contact_at_;
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -35,7 +35,7 @@
     advance_commit(hard_.commit());
     refresh_members();
     choose_storage(seed);
-    reset_election_timer(now);
+    reset_election_timer(now, options_.election_timeout);
     if (hard_.term() > 0) {
         // Before its restart this voter may have answered a leader whose lease has not expired yet.
         // After an election timeout that lease has expired unless a heartbeat arrived, so an
@@ -56,29 +56,6 @@
     }
 }
 
-bool raft_node::is_first_start() const
-{
-    return options_.start == start_mode::first && hard_.term() == 0 && last_index() == 0;
-}
-
-void raft_node::choose_storage(std::uint64_t seed)
-{
-    if (is_first_start()) {
-        hard_.set_storage(static_cast<std::uint64_t>(first_storage));
-        hard_.set_whole(true);
-        save_hard_state();
-        return;
-    }
-    const bool may_have_lost_state = !hard_.whole() && own_storage() == first_storage;
-    if (!may_have_lost_state) {
-        return;
-    }
-    std::mt19937_64 source{~seed}; // separate from the generator of the timeouts
-    std::uniform_int_distribution<std::uint64_t> any{1};
-    hard_.set_storage(any(source));
-    save_hard_state();
-}
-
 // --- the log ------------------------------------------------------------------------------------
 
 std::uint64_t raft_node::last_index() const
@@ -189,52 +166,6 @@
                        [&](const wire::member& e) { return e.id() == it.str() && e.voter(); });
 }
 
-std::optional<storage_id> raft_node::admitted_storage(const member_id& voter) const
-{
-    for (const auto& it : members_.members()) {
-        if (it.id() == voter.str() && it.voter()) {
-            return storage_id{it.storage()};
-        }
-    }
-    return {};
-}
-
-storage_id raft_node::latest_storage(const member_id& member) const
-{
-    const auto found = progress_.find(member);
-    const auto answered = found == progress_.end() ? std::nullopt : found->second.storage;
-    return answered ? *answered : admitted_storage(member).value_or(first_storage);
-}
-
-bool raft_node::is_admitted() const
-{
-    return admitted_storage(self_) == own_storage();
-}
-
-bool raft_node::has_lost_storage(const member_id& voter) const
-{
-    const auto admitted = admitted_storage(voter);
-    const auto found = progress_.find(voter);
-    return admitted && found != progress_.end() && found->second.storage &&
-           found->second.storage != admitted;
-}
-
-const raft_node::progress* raft_node::admitted_progress(const wire::member& voter) const
-{
-    const auto found = progress_.find(member_id{voter.id()});
-    const bool counts =
-        found != progress_.end() && found->second.storage == storage_id{voter.storage()};
-    return counts ? &found->second : nullptr;
-}
-
-void raft_node::note_admission()
-{
-    if (!hard_.whole() && is_admitted()) {
-        hard_.set_whole(true);
-        save_hard_state();
-    }
-}
-
 std::size_t raft_node::quorum() const
 {
     const auto& all = members_.members();
@@ -299,10 +230,10 @@
 
 // --- time ---------------------------------------------------------------------------------------
 
-void raft_node::reset_election_timer(instant now)
+void raft_node::reset_election_timer(instant now, duration timeout)
 {
-    std::uniform_int_distribution<std::int64_t> spread(0, extended_election_timeout().count());
-    election_at_ = now + extended_election_timeout() + duration{spread(random_)};
+    std::uniform_int_distribution<std::int64_t> spread(0, timeout.count());
+    election_at_ = now + timeout + duration{spread(random_)};
 }
 
 void raft_node::note_write(instant now, duration took)
@@ -343,11 +274,15 @@
         leader_ = {};
     }
     if (now >= election_at_) {
-        reset_election_timer(now);
+        // Without the extension: a pre-vote takes no write.
+        reset_election_timer(now, options_.election_timeout);
         if (needs_all_votes() ? is_voter(self_) : is_admitted()) {
             start_pre_vote(now);
         }
     }
+    else if (role_ == role::candidate && now >= vote_repeat_at_) {
+        broadcast_vote(now, msg::vote, hard_.term());
+    }
 }
 
 instant raft_node::lease_basis(instant now) const
--- a/src/consensus/raft_node_elections.cpp
+++ b/src/consensus/raft_node_elections.cpp
@@ -19,7 +19,7 @@
     leader_ = leader;
     votes_.clear();
     progress_.clear();
-    reset_election_timer(now);
+    reset_election_timer(now, extended_election_timeout());
 }
 
 void raft_node::start_pre_vote(instant now)
@@ -27,7 +27,7 @@
     role_ = role::pre_candidate;
     leader_ = {};
     votes_.clear();
-    broadcast_vote(msg::pre_vote, hard_.term() + 1);
+    broadcast_vote(now, msg::pre_vote, hard_.term() + 1);
     count_vote(now, self_, own_storage());
 }
 
@@ -38,7 +38,8 @@
     hard_.set_vote(self_.str());
     save_hard_state();
     votes_.clear();
-    broadcast_vote(msg::vote, hard_.term());
+    election_at_ += extended_election_timeout() - options_.election_timeout;
+    broadcast_vote(now, msg::vote, hard_.term());
     count_vote(now, self_, own_storage());
 }
 
@@ -84,13 +85,18 @@
     advance_leader_commit();
 }
 
-void raft_node::broadcast_vote(msg::kind_t kind, std::uint64_t term)
+void raft_node::broadcast_vote(instant now, msg::kind_t kind, std::uint64_t term)
 {
+    // Only while another answer can still come before the next election.
+    vote_repeat_at_ = now + options_.election_timeout;
+    if (vote_repeat_at_ + options_.election_timeout > election_at_) {
+        vote_repeat_at_ = instant::max();
+    }
     auto out = make(kind, term);
     out.set_last_index(last_index());
     out.set_last_term(last_term());
     for (const auto& it : members_.members()) {
-        if (it.voter() && it.id() != self_.str()) {
+        if (it.voter() && it.id() != self_.str() && !votes_.contains(member_id{it.id()})) {
             ++contacts_[member_id{it.id()}].votes_requested;
             out.set_voter_storage(it.storage());
             send(member_id{it.id()}, out);
@@ -172,7 +178,7 @@
     if (grant) {
         hard_.set_vote(from.str());
         save_hard_state();
-        reset_election_timer(now);
+        reset_election_timer(now, extended_election_timeout());
     }
     auto out = make(msg::vote_reply, hard_.term());
     out.set_ok(grant);
@@ -183,6 +189,10 @@
 {
     if (in.term() > hard_.term()) {
         become_follower(now, in.term(), {});
+        if (in.kind() == msg::pre_vote_reply) {
+            // It asked in an old term and knows no leader, so it asks again soon.
+            election_at_ = std::min(election_at_, now + 2 * options_.election_timeout);
+        }
         return;
     }
     auto& contact = contact_of(from);
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -4,6 +4,7 @@
 #include "cedarpoint/consensus/raft_node.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace cedarpoint {
 namespace {
@@ -259,6 +260,72 @@
     EXPECT_TRUE(at.it->is_leader());
 }
 
+/// A member that has lost its lead; its disk is slow, so that its votes take long.
+class candidate_with_a_slow_disk : public leader_with_an_old_entry {
+public:
+    candidate_with_a_slow_disk()
+    {
+        it->note_write(now, seconds{4});
+        now += seconds{20};
+        step();
+        EXPECT_EQ(it->at(), raft_node::role::follower);
+        wait_for_pre_vote();
+    }
+    void wait_for_pre_vote()
+    {
+        while (it->at() != raft_node::role::pre_candidate) {
+            step();
+        }
+        (void)it->take_output();
+    }
+    /// Returns the members that are sent a request of this kind within an election timeout.
+    std::set<member_id> asked(msg::kind_t kind)
+    {
+        std::set<member_id> out;
+        const auto timeout = raft_options{}.election_timeout;
+        for (const auto end = now + timeout; now < end;) {
+            step();
+            for (const auto& each : it->take_output().messages) {
+                if (each.message.kind() == kind) {
+                    out.insert(each.to);
+                }
+            }
+        }
+        return out;
+    }
+};
+
+// Guards against a log that stays without a leader for many election timeouts, because a request
+// for a vote was lost and the only candidate that can win waits for its slow disk.
+TEST(a_slow_disk, lets_a_candidate_repeat_its_requests_meanwhile)
+{
+    candidate_with_a_slow_disk at;
+    at.reply(b, msg::pre_vote_reply, 4, true, 0);
+    ASSERT_EQ(at.it->at(), raft_node::role::candidate);
+    const auto term = at.it->term();
+    (void)at.it->take_output();
+    EXPECT_EQ(at.asked(msg::vote), (std::set{b, c}));
+    EXPECT_EQ(at.asked(msg::vote), (std::set{b, c}));
+    EXPECT_EQ(at.it->term(), term) << "the election goes on";
+    at.reply(b, msg::vote_reply, term, true, 0);
+    EXPECT_TRUE(at.it->is_leader());
+}
+
+// Guards against the same after a pre-vote that was refused because its term was old, and after one
+// that got no answer: neither takes a write.
+TEST(a_slow_disk, does_not_delay_pre_votes)
+{
+    candidate_with_a_slow_disk at;
+    const auto asked_at = at.now;
+    at.reply(b, msg::pre_vote_reply, 9, false, 0);
+    EXPECT_EQ(at.it->at(), raft_node::role::follower);
+    at.wait_for_pre_vote();
+    EXPECT_LE(at.now - asked_at, 2 * raft_options{}.election_timeout + milliseconds{10});
+    const auto first = at.asked(msg::pre_vote);
+    const auto second = at.asked(msg::pre_vote);
+    EXPECT_TRUE(first == (std::set{b, c}) || second == (std::set{b, c}));
+}
+
 TEST(a_slow_disk, no_longer_counts_after_two_minutes)
 {
     leader_with_an_old_entry at;
