--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -157,6 +157,7 @@
     void start_pre_vote(instant now);
     void start_election(instant now);
     void become_leader(instant now);
+    /// Starts the next election after one to two times `timeout`, drawn at random.
     void reset_election_timer(instant now, duration timeout);
     /// Returns the election timeout, extended while the disk is slow: a vote takes two writes, and
     /// a leader sends nothing during a write. Leases use the election timeout without the
@@ -197,7 +198,7 @@
     void send_append(instant now, const member_id& to);
     void send_snapshot(instant now, const member_id& to, progress& it);
     void broadcast_append(instant now);
-    /// Requests votes of the voters that have not granted theirs yet.
+    /// Requests votes or pre-votes of the voters that have not granted theirs yet.
     void broadcast_vote(instant now, wire::raft_message::kind_t kind, std::uint64_t term);
     void append_entry(wire::log_entry entry);
     void truncate_from(std::uint64_t index);
--- a/src/consensus/raft_node_elections.cpp
+++ b/src/consensus/raft_node_elections.cpp
@@ -38,7 +38,7 @@
     hard_.set_vote(self_.str());
     save_hard_state();
     votes_.clear();
-    election_at_ += extended_election_timeout() - options_.election_timeout;
+    election_at_ += extended_election_timeout() - options_.election_timeout; // a vote takes writes
     broadcast_vote(now, msg::vote, hard_.term());
     count_vote(now, self_, own_storage());
 }
@@ -87,7 +87,7 @@
 
 void raft_node::broadcast_vote(instant now, msg::kind_t kind, std::uint64_t term)
 {
-    // Only while another answer can still come before the next election.
+    // A request may be lost. It is repeated while its answer can come before the next election.
     vote_repeat_at_ = now + options_.election_timeout;
     if (vote_repeat_at_ + options_.election_timeout > election_at_) {
         vote_repeat_at_ = instant::max();
--- a/src/control_daemon/control_api.h
+++ b/src/control_daemon/control_api.h
@@ -53,11 +53,11 @@
                           const reply_ptr& reply);
     void list_quarantine(const reply_ptr& reply);
     void lift_quarantine(const crash_cause& cause, const reply_ptr& reply);
+    void handle_deregistration(const runner_id& runner, const http_request& request,
+                               const reply_ptr& reply);
     /// Proposes a runner's departure to the log. `gone`: the runner terminates; otherwise it
     /// drains. `reported_incarnation`: the runner's start time as stated in the call; 0 if it
     /// states none.
-    void handle_deregistration(const runner_id& runner, const http_request& request,
-                               const reply_ptr& reply);
     void handle_departure(const runner_id& runner, bool gone, incarnation reported_incarnation,
                           const reply_ptr& reply);
 
--- a/tests/runner_signals/paused_fleet_test.cpp
+++ b/tests/runner_signals/paused_fleet_test.cpp
@@ -138,6 +138,8 @@
         int late = 0;
         /// At `from` or later, from any daemon.
         int after = 0;
+        /// Those at `from` or later: the daemon, and when it came.
+        std::string described;
     };
     [[nodiscard]] leave_count count_after_leave(std::size_t runner, instant left_at,
                                                 instant from) const
@@ -150,7 +152,12 @@
             }
             const auto first = informed_at.emplace(each.sender, each.at).first->second;
             out.late += each.at - first > drain_time ? 1 : 0;
-            out.after += each.at >= from ? 1 : 0;
+            if (each.at >= from) {
+                ++out.after;
+                out.described +=
+                    fmt::format("entry daemon {} at {} ms, {} ms after its first; ", each.sender,
+                                to_ms(each.at - from), to_ms(each.at - first));
+            }
         }
         return out;
     }
@@ -288,7 +295,8 @@
     const auto leader_back_at = steady_now();
     pass_time(seconds{6});
     for (const std::size_t n : {0U, 1U}) {
-        EXPECT_EQ(count_after_leave(n, left_at, leader_back_at).after, 0) << n;
+        const auto seen = count_after_leave(n, left_at, leader_back_at);
+        EXPECT_EQ(seen.after, 0) << n << ": " << seen.described;
     }
 }
 
