--- a/tests/platform/platform_adapter_test.cpp
+++ b/tests/platform/platform_adapter_test.cpp
@@ -249,14 +249,18 @@
 {
     const auto& platform = installed_platform();
     for (const std::string id : {"", "i-\xff\xfe", "\xc3", "\xed\xa0\x80"}) {
-        for (const std::string action : {"/heartbeat", "/deregister"}) {
-            const auto call = platform.read_call("POST", "/cedarpoint/instances/" + id + action);
+        for (const auto* action : {"heartbeat", "deregister"}) {
+            const auto call =
+                platform.read_call("POST", fmt::format("/cedarpoint/instances/{}/{}", id, action));
             EXPECT_NE(call.call, control_call::unknown);
             EXPECT_TRUE(call.runner.empty());
         }
-        for (const auto& cause : {"part/" + id + "x/", "part/\xff" + id + "/ab"}) {
-            EXPECT_EQ(platform.read_call("POST", "/cedarpoint/quarantine/" + cause + "/lift").call,
-                      control_call::unknown);
+        for (const auto* cause : {"part/{}x/", "part/\xff{}/ab"}) {
+            const auto named = fmt::format(fmt::runtime(cause), id);
+            EXPECT_EQ(
+                platform.read_call("POST", fmt::format("/cedarpoint/quarantine/{}/lift", named))
+                    .call,
+                control_call::unknown);
         }
     }
     EXPECT_EQ(platform.read_call("POST", "/cedarpoint/instances/é/heartbeat").runner.str(), "é");
