io, tests: one function for the reset of a connection, one for a heartbeat

Cause, found on reading the whole change again: http_connection::abort set SO_LINGER as stream_socket::reset already did, and a new test and two old ones did it once more; two new test files had their own pass_time; two new tests wrote the same heartbeat.

Change: reset_on_close in io/socket_state, pass_time of daemon/site.h and complete_heartbeat beside platform_runner serve all of them.

--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -4,8 +4,6 @@
 #include "io/listen_step.h"
 #include "io/socket_state.h"
 
-#include <sys/socket.h>
-
 #include <fmt/format.h>
 
 namespace cedarpoint {
@@ -177,9 +175,7 @@
 {
     if (!chunked_) {
         // The end of the connection is the end of the answer, unless it is a reset.
-        const ::linger at_once{1, 0};
-        ::setsockopt(static_cast<int>(socket_.socketDescriptor()), SOL_SOCKET, SO_LINGER, &at_once,
-                     sizeof at_once);
+        reset_on_close(static_cast<int>(socket_.socketDescriptor()));
     }
     socket_.abort();
 }
--- a/src/io/socket_state.cpp
+++ b/src/io/socket_state.cpp
@@ -37,4 +37,10 @@
     return out;
 }
 
+void reset_on_close(int descriptor)
+{
+    const ::linger at_once{1, 0};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 } // namespace cedarpoint
--- a/src/io/socket_state.h
+++ b/src/io/socket_state.h
@@ -13,4 +13,7 @@
 
 [[nodiscard]] socket_state read_socket_state(int descriptor);
 
+/// Makes the close of a connection a reset, which the peer can't take for an orderly end.
+void reset_on_close(int descriptor);
+
 } // namespace cedarpoint
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -1,5 +1,7 @@
 #include "io/stream_socket.h"
 
+#include "io/socket_state.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -148,8 +150,7 @@
 void stream_socket::reset()
 {
     if (descriptor_ >= 0) {
-        const linger at_once{1, 0};
-        ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        reset_on_close(descriptor_);
     }
     close();
 }
--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -22,6 +22,13 @@
 
 } // namespace
 
+std::string complete_heartbeat(const std::string& service)
+{
+    return fmt::format(R"({{"service":"{}","address":"127.0.0.1:9","zone":"z","version":"v1",)"
+                       R"("slots":6,"state":"ready","coldRemainingMs":0,"sequence":1}})",
+                       service);
+}
+
 platform_runner::platform_runner(std::string id, std::string service,
                                  std::vector<endpoint> controls, std::uint64_t start_ms,
                                  std::uint64_t sequence)
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -20,6 +20,9 @@
 /// Interval between heartbeats of the tests' runners.
 inline constexpr milliseconds runner_heartbeat{150};
 
+/// Returns the body of a complete heartbeat of a runner at an address that nobody listens at.
+[[nodiscard]] std::string complete_heartbeat(const std::string& service);
+
 /// A runner that speaks the platform's protocol: sends heartbeats, accepts orders and answers
 /// requests with three events or a plain text.
 class platform_runner {
--- a/tests/fleet/unreadable_bytes_test.cpp
+++ b/tests/fleet/unreadable_bytes_test.cpp
@@ -15,7 +15,9 @@
 namespace {
 
 using testing_support::call;
+using testing_support::complete_heartbeat;
 using testing_support::fleet_processes;
+using testing_support::pass_time;
 using testing_support::platform_runner;
 using testing_support::wait_until;
 
@@ -40,14 +42,6 @@
                        version, service);
 }
 
-/// A complete heartbeat of a runner that nobody listens for.
-std::string heartbeat_of(const std::string& service)
-{
-    return fmt::format(R"({{"service":"{}","address":"127.0.0.1:9","zone":"z","version":"v1",)"
-                       R"("slots":6,"state":"ready","coldRemainingMs":0,"sequence":1}})",
-                       service);
-}
-
 class bytes_that_are_no_text : public testing::Test {
 protected:
     /// `net`: see fleet_processes::options.
@@ -63,11 +57,6 @@
         ASSERT_TRUE(wait_until([&] { return engine.is_open(); }));
     }
 
-    static void pass(duration time)
-    {
-        wait_until([until = steady_now() + time] { return steady_now() >= until; });
-    }
-
     /// Sends a call to the leading control daemon and returns the status of its answer.
     [[nodiscard]] int post_to_leader(const std::string& target, const std::string& body) const
     {
@@ -82,7 +71,7 @@
         EXPECT_TRUE(fleet.leader()) << fleet.describe_controls();
         const int served_before = new_shop.served();
         ASSERT_TRUE(fleet.put(document(++version, "new-shop")));
-        pass(apply_time);
+        pass_time(apply_time);
         for (const auto& entry : fleet.entries()) {
             EXPECT_EQ(
                 call(entry, "GET", "/safe/x", "X-Cedarpoint-Request-Id: r\r\n", "").head.status,
@@ -112,17 +101,18 @@
 {
     const auto runner = "/cedarpoint/instances/" + no_text;
     for (const auto* service : {"old-shop", "pool"}) {
-        EXPECT_EQ(post_to_leader(runner + "/heartbeat", heartbeat_of(service)), bad_request);
-        pass(seconds{1});
+        EXPECT_EQ(post_to_leader(runner + "/heartbeat", complete_heartbeat(service)), bad_request);
+        pass_time(seconds{1});
         expect_change_is_applied();
     }
-    EXPECT_EQ(post_to_leader("/cedarpoint/instances//heartbeat", heartbeat_of("pool")), bad_request)
+    EXPECT_EQ(post_to_leader("/cedarpoint/instances//heartbeat", complete_heartbeat("pool")),
+              bad_request)
         << "no id at all";
     EXPECT_EQ(post_to_leader(runner + "/deregister", ""), bad_request);
     EXPECT_EQ(post_to_leader("/cedarpoint/quarantine/part/" + no_text + "/ab/lift", ""), 404);
     EXPECT_EQ(post_to_leader("/cedarpoint/config/put", R"({"version":"\xff)" + no_text + "\"}"),
               bad_request);
-    EXPECT_EQ(post_to_leader("/cedarpoint/instances/e-2/heartbeat", heartbeat_of(no_text)),
+    EXPECT_EQ(post_to_leader("/cedarpoint/instances/e-2/heartbeat", complete_heartbeat(no_text)),
               bad_request);
     expect_change_is_applied();
 }
@@ -149,7 +139,7 @@
         EXPECT_EQ(plain.head.fields.get("X-Cedarpoint-Request-Id"), no_text)
             << "the caller gets its id back as it sent it";
     }
-    pass(follower_timeout);
+    pass_time(follower_timeout);
     expect_change_is_applied();
 }
 
--- a/tests/io/runner_connection_test.cpp
+++ b/tests/io/runner_connection_test.cpp
@@ -3,13 +3,13 @@
 #include "daemon/site.h"
 #include "io/log_sink.h"
 #include "io/runner_pool.h"
+#include "io/socket_state.h"
 
 #include <QTcpServer>
 #include <QTcpSocket>
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
@@ -47,9 +47,7 @@
         socket->write(answers_[next_++].c_str());
         socket->flush();
         if (reset_after) {
-            const linger zero_linger{1, 0};
-            const auto descriptor = static_cast<int>(socket->socketDescriptor());
-            ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &zero_linger, sizeof zero_linger);
+            reset_on_close(static_cast<int>(socket->socketDescriptor()));
             socket->abort();
         }
         else if (close_after) {
--- a/tests/io/torn_connection_test.cpp
+++ b/tests/io/torn_connection_test.cpp
@@ -3,6 +3,7 @@
 
 #include "daemon/site.h"
 #include "io/http_listener.h"
+#include "io/socket_state.h"
 #include "io/stream_socket.h"
 #include "io/upstream_call.h"
 
@@ -10,7 +11,6 @@
 #include <QTcpSocket>
 
 #include <gtest/gtest.h>
-#include <sys/socket.h>
 #include <thread>
 
 namespace cedarpoint {
@@ -22,9 +22,7 @@
 
 void reset_connection(QTcpSocket& of)
 {
-    const ::linger at_once{1, 0};
-    ::setsockopt(static_cast<int>(of.socketDescriptor()), SOL_SOCKET, SO_LINGER, &at_once,
-                 sizeof at_once);
+    reset_on_close(static_cast<int>(of.socketDescriptor()));
     of.abort();
 }
 
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -153,13 +153,9 @@
             bytes.push_back(static_cast<char>(0x80 + text_random() % 0x80));
         }
         const auto* service = text_random() % 2 == 0 ? "pool" : "shop";
-        const auto heartbeat = fmt::format(
-            R"({{"service":"{}","address":"127.0.0.1:9","zone":"z","version":"v1","slots":4,)"
-            R"("state":"ready","coldRemainingMs":0,"sequence":1}})",
-            service);
         const auto& control = fleet.controls()[text_random() % fleet.controls().size()];
-        const auto answer =
-            call(control, "POST", "/cedarpoint/instances/" + bytes + "/heartbeat", "", heartbeat);
+        const auto answer = call(control, "POST", "/cedarpoint/instances/" + bytes + "/heartbeat",
+                                 "", testing_support::complete_heartbeat(service));
         EXPECT_NE(answer.head.status, 200) << "registers a runner whose id is no text";
         const auto entry = fleet.entries()[text_random() % entry_count];
         call(entry, "POST", "/ask/x",
--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/soak/loopback_proxy.cpp
@@ -1,5 +1,7 @@
 #include "soak/loopback_proxy.h"
 
+#include "io/socket_state.h"
+
 #include <QTimer>
 
 #include <deque>
@@ -143,9 +145,7 @@
     for (const auto& it : std::exchange(connections_, {})) {
         for (auto* socket : {it->caller_socket, &it->target_socket}) {
             socket->disconnect();
-            const linger zero_linger{1, 0};
-            ::setsockopt(static_cast<int>(socket->socketDescriptor()), SOL_SOCKET, SO_LINGER,
-                         &zero_linger, sizeof zero_linger);
+            reset_on_close(static_cast<int>(socket->socketDescriptor()));
             socket->abort();
         }
         it->caller_socket->deleteLater();
--- a/tests/soak/streams_around_changes_test.cpp
+++ b/tests/soak/streams_around_changes_test.cpp
@@ -22,6 +22,7 @@
 using testing_support::fleet_processes;
 using testing_support::number_from_environment;
 using testing_support::open_loop_callers;
+using testing_support::pass_time;
 using testing_support::platform_runner;
 using testing_support::wait_until;
 
@@ -70,7 +71,7 @@
                        return each->is_open();
                    }) == runner_count / 3;
         }));
-        pass(seconds{1});
+        pass_time(seconds{1});
         callers = std::make_unique<open_loop_callers>(
             fleet.entries(), static_cast<double>(number_from_environment("STREAMS_PER_SECOND", 80)),
             "s", [](std::size_t) {
@@ -81,11 +82,7 @@
                 out.body = "why";
                 return out;
             });
-        pass(seconds{4});
-    }
-    static void pass(duration time)
-    {
-        wait_until([until = steady_now() + time] { return steady_now() >= until; });
+        pass_time(seconds{4});
     }
     bool put_next() { return fleet.put(document(++version)); }
     void put_invalid() const
@@ -140,10 +137,10 @@
                 fleet.start(control, false);
             }
         }
-        pass(milliseconds{400});
+        pass_time(milliseconds{400});
     }
     callers->stop();
-    pass(seconds{4});
+    pass_time(seconds{4});
     EXPECT_TRUE(cut_before(steady_now()).empty()) << cut_before(steady_now()).size();
     const auto served = std::count_if(callers->results.begin(), callers->results.end(),
                                       [](const auto& it) { return it.status == 200; });
@@ -161,7 +158,7 @@
     for (int n = 0; n < fleet.count(); ++n) {
         fleet.at(n).signal(SIGKILL);
     }
-    pass(notice_time);
+    pass_time(notice_time);
     callers->stop();
     const auto in_flight = cut_before(killed).size();
     for (const auto& each : cut_before(killed)) {
@@ -172,7 +169,7 @@
     for (int n = 0; n < fleet.count(); ++n) {
         fleet.start(n, false);
     }
-    pass(seconds{4});
+    pass_time(seconds{4});
     EXPECT_EQ(cut_before(killed).size(), in_flight) << "all are cut at once";
     std::printf("%zu streams in flight were cut\n", in_flight);
 }
