entry: a stream that the daemon aborts is logged as broken_off

Cause: abort() reports a disconnected caller before it returns, so the request had ended as caller_gone when broken_off was to be written. Case 2 of docs/OPERATIONS.md and the alert on cedarpoint_requests_total{outcome="broken_off"} rest on a value that was never written then, and no log told a lost stream from a caller that had left.

Change: the handler is detached before the abort. The tests' runner can fall silent.

Measured: a_stream.that_the_daemon_aborts_is_counted_as_broken_off fails without the change (broken_off 0, caller_gone 1) and passes with it.

--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -89,6 +89,8 @@
 
 void relay::abort_stream(const std::string& why)
 {
+    // The abort reports a disconnected caller, which is no reason for the end of this request.
+    reply_->on_caller_disconnected = nullptr;
     reply_->abort();
     finish("broken_off", why);
 }
--- /dev/null
+++ b/tests/entry/silent_runner_test.cpp
@@ -0,0 +1,140 @@
+// Runners that are sound and send nothing on any connection for about a second.
+
+#include "daemon/site.h"
+#include "fleet/fleet_site.h"
+#include "io/clock.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cedarpoint {
+namespace {
+
+using testing_support::call;
+using testing_support::fleet_site;
+using testing_support::http_answer;
+using testing_support::pass_time;
+using testing_support::platform_runner;
+using testing_support::wait_until;
+
+/// A silence that is no sign of a fault.
+constexpr milliseconds silence{1200};
+
+const std::string document = R"({"version":1,
+    "routes":[{"name":"stream","host":"h.example","pathPrefix":"/ask/","kind":"streaming",
+               "timeoutMs":6000,"service":"pool","maxAttempts":2,"resumable":true,"public":true,
+               "targetLatencyMs":300,"targetGapMs":200}],
+    "services":[{"name":"pool","engine":{"slots":8,"loadsPerS":100,"loads_at_once":50,
+                 "formMs":10,"models":[{"name":"small","size":1,"share":1,"loadS":0.5,
+                 "warmS":0.1}]}}]})";
+
+std::string events(int from, int until)
+{
+    std::string out;
+    for (int n = from; n <= until; ++n) {
+        out += fmt::format("id: {0}\ndata: token {0}\n\n", n);
+    }
+    return out;
+}
+
+/// Counts the lines of a metric whose labels contain `label`.
+double value_of(const std::string& text, const std::string& name, const std::string& label)
+{
+    double out = 0;
+    for (auto at = text.find(name + "{"); at != std::string::npos;
+         at = text.find(name + "{", at + 1)) {
+        const auto line = text.substr(at, text.find('\n', at) - at);
+        if (line.find(label) != std::string::npos) {
+            out += std::stod(line.substr(line.rfind(' ')));
+        }
+    }
+    return out;
+}
+
+/// Two runners, each a group of its own, and streams of six events.
+class a_stream : public testing::Test {
+protected:
+    static constexpr int event_count = 6;
+
+    void SetUp() override
+    {
+        ASSERT_EQ(site.put(document), 200);
+        for (const auto* id : {"i-1", "i-2"}) {
+            runners.push_back(std::make_unique<platform_runner>(id, "pool", site.controls()));
+            runners.back()->events = event_count;
+        }
+        ASSERT_TRUE(wait_until([&] {
+            return std::all_of(runners.begin(), runners.end(),
+                               [](const auto& each) { return each->is_open(); });
+        }));
+        ASSERT_TRUE(wait_until([&] { return ask().end == exchange_end::complete; }));
+        pass_time(milliseconds{400});
+        for (auto& each : runners) {
+            each->event_gap = milliseconds{80};
+            each->arrivals.clear();
+        }
+    }
+    http_answer ask() { return call(site.callers(), "POST", "/ask/x", headers, "why"); }
+    /// Gives the daemon so many requests that its retry budget allows another attempt.
+    void earn_retries()
+    {
+        for (auto& each : runners) {
+            each->event_gap = milliseconds{0};
+        }
+        for (int n = 0; n < 20; ++n) {
+            EXPECT_EQ(ask().end, exchange_end::complete);
+        }
+        for (auto& each : runners) {
+            each->event_gap = milliseconds{80};
+            each->arrivals.clear();
+        }
+    }
+    /// Calls `step` with the runner that serves the next stream and the other one, once the stream
+    /// has begun, and returns the answer.
+    template <typename Step>
+    http_answer ask_and(Step step)
+    {
+        QTimer poll;
+        bool done = false;
+        QObject::connect(&poll, &QTimer::timeout, [&] {
+            for (std::size_t n = 0; n < runners.size() && !done; ++n) {
+                if (!runners[n]->arrivals.empty()) {
+                    done = true;
+                    first = runners[n].get();
+                    second = runners[1 - n].get();
+                    QTimer::singleShot(120, [this, step] { step(*first, *second); });
+                }
+            }
+        });
+        poll.start(5);
+        return ask();
+    }
+    [[nodiscard]] std::string metrics()
+    {
+        return call(site.metrics(), "GET", "/metrics", "", "").body;
+    }
+
+    const std::string headers = "X-Cedarpoint-Request-Id: r1\r\nX-Cedarpoint-Deadline-Ms: 6000\r\n"
+                                "X-Cedarpoint-Model: small\r\n";
+    fleet_site site;
+    std::vector<std::unique_ptr<platform_runner>> runners;
+    platform_runner* first = nullptr;  ///< got the stream
+    platform_runner* second = nullptr; ///< the other one
+};
+
+// Guards against a log and a metric that name the caller as the one who ended an aborted stream.
+TEST_F(a_stream, that_the_daemon_aborts_is_counted_as_broken_off)
+{
+    const auto answer = ask_and([](platform_runner& first, platform_runner&) { first.crash(); });
+    EXPECT_EQ(answer.end, exchange_end::cut);
+    const auto text = metrics();
+    EXPECT_EQ(value_of(text, "cedarpoint_requests_total", R"(outcome="broken_off")"), 1);
+    EXPECT_EQ(value_of(text, "cedarpoint_requests_total", R"(outcome="caller_gone")"), 0);
+}
+
+} // namespace
+} // namespace cedarpoint
--- a/tests/fleet/fleet_site.cpp
+++ b/tests/fleet/fleet_site.cpp
@@ -96,6 +96,7 @@
     entry_settings_.address = {"127.0.0.21", mesh_port};
     entry_settings_.callers = endpoint{"127.0.0.21", free_port()};
     entry_settings_.ready = endpoint{"127.0.0.21", free_port()};
+    entry_settings_.metrics = endpoint{"127.0.0.21", free_port()};
     entry_settings_.seeds = controls_;
     reason why;
     entry_ = entry_daemon::start(entry_settings_, why);
--- a/tests/fleet/fleet_site.h
+++ b/tests/fleet/fleet_site.h
@@ -36,6 +36,8 @@
     [[nodiscard]] const std::vector<endpoint>& controls() const { return controls_; }
     [[nodiscard]] endpoint callers() const { return *entry_settings_.callers; }
     [[nodiscard]] endpoint ready() const { return *entry_settings_.ready; }
+    /// Returns the address of the entry daemon's metrics.
+    [[nodiscard]] endpoint metrics() const { return *entry_settings_.metrics; }
     /// Sends a configuration document to the current leader and returns the last status.
     int put(const std::string& document);
     /// Returns the configuration from the leader; empty while there is none.
--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace cedarpoint::testing_support {
 namespace {
@@ -81,6 +82,8 @@
         return;
     }
     is_down_ = true;
+    is_silent_ = false;
+    deferred_.clear();
     ends.push_back(steady_now());
     timer_.stop();
     front_.reset();
@@ -100,6 +103,30 @@
     QTimer::singleShot(restart_delay, &timer_, [this] { begin_incarnation(); });
 }
 
+void platform_runner::fall_silent(milliseconds time)
+{
+    is_silent_ = true;
+    QTimer::singleShot(time, &timer_, [this, life = ends.size()] {
+        if (life != ends.size()) {
+            return; // it has restarted meanwhile and speaks
+        }
+        is_silent_ = false;
+        for (const auto& step : std::exchange(deferred_, {})) {
+            step();
+        }
+    });
+}
+
+void platform_runner::run_unless_silent(std::function<void()> step)
+{
+    if (is_silent_) {
+        deferred_.push_back(std::move(step));
+    }
+    else {
+        step();
+    }
+}
+
 std::string platform_runner::announcement_text()
 {
     json out{{"service", service_},
@@ -124,7 +151,7 @@
 
 void platform_runner::announce()
 {
-    if (announcing_) {
+    if (announcing_ || is_silent_) {
         return;
     }
     announcing_ = true;
@@ -159,6 +186,10 @@
 void platform_runner::on_request(const http_request& request,
                                  const std::shared_ptr<http_reply>& reply)
 {
+    if (is_silent_) {
+        deferred_.emplace_back([this, request, reply] { on_request(request, reply); });
+        return;
+    }
     if (request.target == "/cedarpoint/report") {
         reply->send({200, {}}, "{}");
         return;
@@ -183,7 +214,8 @@
     arrivals.push_back(
         {steady_now(), std::string{request.fields.get("X-Cedarpoint-Request-Id")}, request.body,
          std::string{request.fields.get("X-Cedarpoint-Prompt-Prefix")}, !rate_limit.empty(),
-         std::atoi(std::string{request.fields.get("X-Cedarpoint-Deadline-Ms")}.c_str())});
+         std::atoi(std::string{request.fields.get("X-Cedarpoint-Deadline-Ms")}.c_str()),
+         std::string{request.fields.get("Last-Event-Id")}});
     reply->on_caller_disconnected = [this] { ++abandoned; };
     if (is_crashed_by(request)) {
         crash_under(request, reply);
@@ -202,7 +234,7 @@
         return;
     }
     QTimer::singleShot(answer_time, &timer_, [this, reply, head, body = request.body] {
-        send_plain(reply, head, "plain " + body);
+        run_unless_silent([this, reply, head, body] { send_plain(reply, head, "plain " + body); });
     });
 }
 
@@ -302,7 +334,7 @@
         stream_slowly(after.empty() ? 1 : std::stoi(after) + 1, reply);
         return;
     }
-    for (int event = after.empty() ? 1 : std::stoi(after) + 1; event <= 3; ++event) {
+    for (int event = after.empty() ? 1 : std::stoi(after) + 1; event <= events; ++event) {
         reply->write(fmt::format("id: {}\ndata: token {}\n\n", event, event));
         if (cut_stream) {
             cut_stream = false;
@@ -316,13 +348,14 @@
 
 void platform_runner::stream_slowly(int event, const std::shared_ptr<http_reply>& reply)
 {
-    if (event > 3) {
+    if (event > events) {
         reply->finish();
         return;
     }
     reply->write(fmt::format("id: {}\ndata: token {}\n\n", event, event));
-    QTimer::singleShot(event_gap, &timer_,
-                       [this, event, reply] { stream_slowly(event + 1, reply); });
+    QTimer::singleShot(event_gap, &timer_, [this, event, reply] {
+        run_unless_silent([this, event, reply] { stream_slowly(event + 1, reply); });
+    });
 }
 
 void platform_runner::on_order(const http_request& request,
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -55,6 +55,7 @@
     milliseconds answer_time{0}; ///< time to answer a plain request
     milliseconds event_gap{0};   ///< time between two events of a stream
     int abandoned = 0;           ///< requests whose sender disconnected before the answer
+    int events = 3;              ///< of each stream
     int slots = 4;               ///< reported in its heartbeats
     std::string crash_trigger;   ///< a request with this text in its body crashes the runner
     std::vector<std::string> crash_parts; ///< so does one with such a part in its prompt
@@ -71,6 +72,10 @@
     void set_unframed();
     /// Stops at once, like a crashed process, and restarts after `restart_delay`.
     void crash();
+    /// Sends nothing on any connection for `time`, heartbeats included, then goes on. Connections
+    /// are accepted meanwhile, and what arrives is handled afterwards.
+    void fall_silent(milliseconds time);
+    [[nodiscard]] bool is_silent() const { return is_silent_; }
     /// How far an answer gets before a request crashes the runner.
     enum class crash_stage {
         before_head,
@@ -84,6 +89,7 @@
         std::string prompt_parts;
         bool has_rate_limit = false; ///< the answer contains a rate limit
         int time_left_ms = 0;        ///< as the request says
+        std::string resume_after;    ///< id of the event after which a stream is to continue
     };
     std::vector<arrival> arrivals; ///< requests that ran
 
@@ -94,6 +100,8 @@
     void send_plain(const std::shared_ptr<http_reply>& reply, http_head head,
                     const std::string& body) const;
     void stream_slowly(int event, const std::shared_ptr<http_reply>& reply);
+    /// Runs `step` now, or once the runner is not silent any more.
+    void run_unless_silent(std::function<void()> step);
     [[nodiscard]] bool is_crashed_by(const http_request& request) const;
     /// Answers as far as `stage` says, then crashes.
     void crash_under(const http_request& request, const std::shared_ptr<http_reply>& reply);
@@ -117,7 +125,9 @@
     std::unique_ptr<unframed_front> front_;   ///< null unless answers are unframed
     bool is_unframed_ = false;
     bool is_down_ = false;
-    endpoint address_{"127.0.0.1", 0}; ///< kept across restarts
+    bool is_silent_ = false;
+    std::vector<std::function<void()>> deferred_; ///< steps that wait for the end of the silence
+    endpoint address_{"127.0.0.1", 0};            ///< kept across restarts
     runner_pool pool_;
     QTimer timer_;
     bool announcing_ = false;
