Red tests: a stream whose sound runner is silent for 1.2 s is lost

Four tests of an entry daemon and two runners, each a group of its own: the retry budget is spent, the second runner answers 503, the second runner ends, and the first one speaks before the second. In the first three the caller's connection is closed without a complete answer; in the fourth the first run is cancelled although it would have gone on first.

--- a/tests/entry/silent_runner_test.cpp
+++ b/tests/entry/silent_runner_test.cpp
@@ -136,5 +136,100 @@
     EXPECT_EQ(value_of(text, "cedarpoint_requests_total", R"(outcome="caller_gone")"), 0);
 }
 
+// Guards against ending a stream whose runner is silent for a second when no other one may take it.
+TEST_F(a_stream, goes_on_after_a_silence_if_the_retry_budget_is_spent)
+{
+    const auto answer =
+        ask_and([](platform_runner& first, platform_runner&) { first.fall_silent(silence); });
+    EXPECT_EQ(answer.end, exchange_end::complete);
+    EXPECT_EQ(answer.body, events(1, event_count));
+    EXPECT_TRUE(second->arrivals.empty());
+}
+
+// Guards against ending a stream on the word of a second runner that has no room.
+TEST_F(a_stream, goes_on_after_a_silence_if_the_other_runner_refuses)
+{
+    earn_retries();
+    int refused = 0;
+    const auto answer = ask_and([&](platform_runner& first, platform_runner& second) {
+        second.refuse_request = [&](const std::string&) {
+            ++refused;
+            return std::string{};
+        };
+        first.fall_silent(silence);
+    });
+    EXPECT_EQ(refused, 1);
+    EXPECT_EQ(answer.end, exchange_end::complete);
+    EXPECT_EQ(answer.body, events(1, event_count));
+}
+
+// Guards against ending a stream when the runner that it is moved to is silent as well.
+TEST_F(a_stream, goes_on_after_a_silence_of_both_runners)
+{
+    earn_retries();
+    const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
+        first.fall_silent(silence);
+        second.fall_silent(silence * 3);
+    });
+    EXPECT_EQ(answer.end, exchange_end::complete);
+    EXPECT_EQ(answer.body, events(1, event_count));
+    EXPECT_TRUE(wait_until([&] { return !second->is_silent(); }));
+}
+
+// Guards against ending a stream whose second runner ends while the first one is silent.
+TEST_F(a_stream, goes_on_after_a_silence_if_the_other_runner_crashes)
+{
+    earn_retries();
+    const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
+        first.fall_silent(silence);
+        second.fall_silent(silence);
+        QTimer::singleShot(silence - milliseconds{200}, [&] { second.crash(); });
+    });
+    EXPECT_EQ(answer.end, exchange_end::complete);
+    EXPECT_EQ(answer.body, events(1, event_count));
+}
+
+// Guards against an answer that is joined from two runs: what the first one sends after the second
+// has begun must not pass, and the second continues after the last event that the caller has.
+TEST_F(a_stream, continues_at_the_other_runner_if_that_one_speaks_first)
+{
+    earn_retries();
+    const auto answer =
+        ask_and([](platform_runner& first, platform_runner&) { first.fall_silent(silence * 2); });
+    EXPECT_EQ(answer.end, exchange_end::complete);
+    EXPECT_EQ(answer.body, events(1, event_count));
+    ASSERT_EQ(second->arrivals.size(), 1U);
+    EXPECT_FALSE(second->arrivals.front().resume_after.empty());
+    EXPECT_TRUE(wait_until([&] { return first->abandoned == 1; })) << "it works for nobody";
+}
+
+// Guards against a second run that goes on although the first one has spoken again.
+TEST_F(a_stream, stays_at_its_runner_if_that_one_speaks_first)
+{
+    earn_retries();
+    const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
+        first.fall_silent(silence);
+        second.fall_silent(silence + milliseconds{100});
+    });
+    EXPECT_EQ(answer.end, exchange_end::complete);
+    EXPECT_EQ(answer.body, events(1, event_count));
+    EXPECT_EQ(first->arrivals.size(), 1U);
+    EXPECT_TRUE(wait_until([&] { return second->abandoned == 1; })) << "it works for nobody";
+}
+
+// Guards against a stream that is lost because its runner ends after a silence, while the second
+// one is about to answer.
+TEST_F(a_stream, continues_at_the_other_runner_if_the_first_one_crashes_meanwhile)
+{
+    earn_retries();
+    const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
+        first.fall_silent(silence);
+        second.fall_silent(silence);
+        QTimer::singleShot(silence - milliseconds{300}, [&] { first.crash(); });
+    });
+    EXPECT_EQ(answer.end, exchange_end::complete);
+    EXPECT_EQ(answer.body, events(1, event_count));
+}
+
 } // namespace
 } // namespace cedarpoint
