io: a late timer asks the socket without reading its error

Cause, found by review: has_unread peeked with recv, and the kernel reports the error of a reset only once; after a peek the end of a reset connection would look orderly, and half of an answer without a length whole. A connect timeout of a late process likewise took its own lateness for a runner that doesn't answer.

Change: has_pending_event asks poll, which leaves the error in place; the connect timeout asks it, too, and lets the event loop handle what is there first.

--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -179,7 +179,7 @@
     const auto self = shared_from_this();
     stall_timer_.start();
     // If this process was late, the event may wait in the socket.
-    if (!connection_->has_unread()) {
+    if (!connection_->has_pending_event()) {
         handlers_.on_stalled(*this);
     }
 }
--- a/src/io/runner_connection.cpp
+++ b/src/io/runner_connection.cpp
@@ -32,8 +32,7 @@
                                    [this](socket_end how) { on_closed(how); }}}
 {
     connect_timer_.setSingleShot(true);
-    connect(&connect_timer_, &QTimer::timeout, this,
-            [this] { end(exchange_end::unsent, "connect", "timed out"); });
+    connect(&connect_timer_, &QTimer::timeout, this, [this] { on_connect_timeout(); });
 }
 
 runner_connection::~runner_connection() = default;
@@ -45,6 +44,16 @@
     send();
 }
 
+void runner_connection::on_connect_timeout()
+{
+    if (socket_.has_pending_event()) {
+        connect_timer_.start(0); // this process was late
+    }
+    else {
+        end(exchange_end::unsent, "connect", "timed out");
+    }
+}
+
 bool runner_connection::is_reusable() const
 {
     return !unusable_ && !busy_ && socket_.is_connected() && socket_.unwritten() == 0;
--- a/src/io/runner_connection.h
+++ b/src/io/runner_connection.h
@@ -71,8 +71,9 @@
     [[nodiscard]] instant idle_since() const { return idle_since_; }
     /// Returns the timeout that the peer announced in a Keep-Alive header, if any.
     [[nodiscard]] std::optional<seconds> keep_alive() const { return keep_alive_; }
-    /// Returns true if bytes or the end of the connection have arrived and are not read yet.
-    [[nodiscard]] bool has_unread() const { return socket_.has_unread(); }
+    /// Returns true if the kernel has something that was not handled yet, so that a timer of this
+    /// process that has expired says nothing about the runner.
+    [[nodiscard]] bool has_pending_event() const { return socket_.has_pending_event(); }
     /// Returns true while the connection is established.
     [[nodiscard]] bool is_open() const { return socket_.is_connected(); }
     /// Returns true if the latest answer had neither a length nor chunks and ended with the
@@ -83,6 +84,7 @@
 private:
     void send();
     void on_connected();
+    void on_connect_timeout();
     void read(std::string_view fresh);
     void read_answer();
     void take_head();
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -129,12 +130,14 @@
     end(count == 0 && !was_reset_ ? socket_end::orderly : socket_end::reset);
 }
 
-bool stream_socket::has_unread() const
+bool stream_socket::has_pending_event() const
 {
-    char next = 0;
-    return is_connected() &&
-           (::recv(descriptor_, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
-            (errno != EAGAIN && errno != EINTR));
+    if (descriptor_ < 0) {
+        return false;
+    }
+    // Unlike a read, poll leaves the error of a reset for the one who reads.
+    pollfd it{descriptor_, static_cast<short>(connected_ ? POLLIN : POLLOUT), 0};
+    return ::poll(&it, 1, 0) > 0;
 }
 
 void stream_socket::set_reading(bool reading)
--- a/src/io/stream_socket.h
+++ b/src/io/stream_socket.h
@@ -44,8 +44,9 @@
 
     [[nodiscard]] bool is_connected() const { return connected_ && descriptor_ >= 0; }
     [[nodiscard]] std::size_t unwritten() const { return out_.size(); }
-    /// Returns true if bytes or the end of the connection have arrived and are not read yet.
-    [[nodiscard]] bool has_unread() const;
+    /// Returns true if the kernel has something that was not handled yet: that the connection is
+    /// established or refused, bytes, or the end of the connection.
+    [[nodiscard]] bool has_pending_event() const;
 
 private:
     void on_writable();
