entry: hedges after a second reading

From the review of the hedge: a group that leaves the view while a hedge runs now holds the first attempt (before, one more event of it voided the hedge); one that comes back is read again; a plain answer of an ended group is read if it comes; a request whose connection is not open yet moves without a hedge; a 4xx before the first event ends the request at once, since other runners would answer the same; events without an id decide no race; a hedge of a request that another entry daemon sent avoids the runner that that one had chosen.

--- a/src/entry/event_cursor.cpp
+++ b/src/entry/event_cursor.cpp
@@ -30,6 +30,11 @@
 {
 }
 
+bool event_cursor::has_id(std::string_view event)
+{
+    return !find_id(event).empty();
+}
+
 bool event_cursor::advance(std::string_view event)
 {
     const auto id = find_id(event);
--- a/src/entry/event_cursor.h
+++ b/src/entry/event_cursor.h
@@ -14,6 +14,7 @@
     /// `resume_after`: the id of the last event that the caller reports as received; may be empty.
     explicit event_cursor(std::string_view resume_after);
 
+    [[nodiscard]] static bool has_id(std::string_view event);
     /// Records the next event. Returns false if the caller has it already.
     [[nodiscard]] bool advance(std::string_view event);
     /// Returns the id after which another runner has to resume; empty if no event had an id.
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -234,10 +234,17 @@
 
 bool relay::forward_event(runner_attempt& from, std::string_view event)
 {
+    // Only a numbered event continues the stream. Others, such as comments, are no progress.
+    const bool is_numbered = event_cursor::has_id(event);
+    if (!is_numbered && &from == hedge_.get()) {
+        return false;
+    }
     if (!cursor_.advance(event)) {
         return false;
     }
-    settle_on(from);
+    if (is_numbered) {
+        settle_on(from);
+    }
     const auto now = steady_now();
     if (!stream_begun_) {
         stream_begun_ = true;
@@ -305,6 +312,9 @@
         return;
     }
     log_attempt(ended, verdict);
+    if (verdict.outcome == attempt_outcome::client_error && !stream_begun_) {
+        settle_on(ended); // other runners would answer the same
+    }
     if (goes_on_without(ended)) {
         return;
     }
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -129,11 +129,17 @@
     /// Starts a second attempt beside the current one, if the rules, the targets, the time left and
     /// the retry budget allow it. Nothing is given up for it. Returns true if it was started.
     bool hedge(hedge_mode mode, const char* why);
-    /// Returns where a hedge may go; nothing if there is to be none.
+    /// Returns where a hedge is sent and takes it from the retry budget; nothing if there is to be
+    /// none.
     [[nodiscard]] std::optional<runner_attempt::destination> choose_hedge(instant now);
+    /// Stops reading `attempt_` until the hedge has failed or stalled.
+    void hold_attempt();
+    /// Reads `attempt_` again if it is held.
+    void read_held_attempt();
+    /// Sends a request whose connection is not open yet elsewhere, if that is allowed.
+    void move_unsent_attempt(const char* why);
     /// Makes the attempt the request's only one and cancels the other one, if there is one.
     void settle_on(const runner_attempt& attempt);
-    void read_held_attempt();
     /// Returns true if the other one of two attempts goes on after this one has failed.
     [[nodiscard]] bool goes_on_without(const runner_attempt& failed);
     void cancel_attempt(runner_attempt& attempt);
--- a/src/entry/relay_hedging.cpp
+++ b/src/entry/relay_hedging.cpp
@@ -25,10 +25,22 @@
         return;
     }
     const auto* target = context_.targets.find(attempt_->runner());
-    if (target == nullptr || target->group != attempt_->group()) {
-        // The rest of its answer may never come, and an event more would void the hedge.
-        hedge(hedge_mode::hold, "its group has ended");
+    if (target != nullptr && target->group == attempt_->group()) {
+        read_held_attempt(); // the group has come back
+        return;
+    }
+    constexpr const char* why = "its group has ended";
+    if (!attempt_->was_sent()) {
+        move_unsent_attempt(why);
+        return;
+    }
+    // The rest of its answer may never come, and one event more would void the hedge. A plain
+    // answer voids nothing, so it is read if it comes.
+    const auto mode = is_stream() ? hedge_mode::hold : hedge_mode::race;
+    if (hedge_ != nullptr && mode == hedge_mode::hold) {
+        hold_attempt();
     }
+    hedge(mode, why);
 }
 
 void relay::on_cut_off()
@@ -46,12 +58,20 @@
     if (attempt_->was_sent()) {
         hedge(hedge_mode::race, why);
     }
-    else if (may_send_again(facts_, attempt_outcome::not_run)) {
-        const auto self = shared_from_this();
-        const auto unsent = attempt_;
-        unsent->cancel();
-        handle_verdict(*unsent, {attempt_outcome::not_run, target_effect::none, why});
+    else {
+        move_unsent_attempt(why);
+    }
+}
+
+void relay::move_unsent_attempt(const char* why)
+{
+    if (!may_send_again(facts_, attempt_outcome::not_run)) {
+        return;
     }
+    const auto self = shared_from_this();
+    const auto unsent = attempt_;
+    unsent->cancel();
+    handle_verdict(*unsent, {attempt_outcome::not_run, target_effect::none, why});
 }
 
 std::optional<runner_attempt::destination> relay::choose_hedge(instant now)
@@ -61,6 +81,9 @@
         retry_may_crash_runner(attempt_outcome::may_have_run)) {
         return {};
     }
+    if (!attempt_->runner().empty()) {
+        tried_.insert(attempt_->runner()); // known now if it was chosen by another entry daemon
+    }
     std::string why_none;
     auto out = choose_next(now, why_none);
     if (!out) {
@@ -93,8 +116,7 @@
         .with("why", why)
         .write();
     if (mode == hedge_mode::hold) {
-        is_held_ = true;
-        attempt_->pause(true);
+        hold_attempt();
     }
     hedge_ = make_attempt(*to);
     // A copy, because a failed connection may reset it within `start`.
@@ -103,6 +125,12 @@
     return true;
 }
 
+void relay::hold_attempt()
+{
+    is_held_ = true;
+    attempt_->pause(true);
+}
+
 void relay::read_held_attempt()
 {
     if (std::exchange(is_held_, false)) {
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -70,7 +70,8 @@
     void start();
     /// Ends the attempt and its connection.
     void cancel();
-    /// Pauses or resumes reading from the runner, for a caller that reads slowly.
+    /// Pauses or resumes reading from the runner, for a caller that reads slowly or while a hedge
+    /// runs.
     void pause(bool paused);
 
     [[nodiscard]] bool is_running() const { return connection_ != nullptr || checks_runner_; }
--- a/tests/entry/silent_runner_test.cpp
+++ b/tests/entry/silent_runner_test.cpp
@@ -3,6 +3,7 @@
 #include "daemon/site.h"
 #include "fleet/fleet_site.h"
 #include "io/clock.h"
+#include "io/runner_connection.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -118,6 +119,12 @@
         return call(site.metrics(), "GET", "/metrics", "", "").body;
     }
 
+    [[nodiscard]] double hedges_that(const std::string& result)
+    {
+        return value_of(metrics(), "cedarpoint_hedges_total",
+                        fmt::format(R"(result="{}")", result));
+    }
+
     const std::string headers = "X-Cedarpoint-Request-Id: r1\r\nX-Cedarpoint-Deadline-Ms: 6000\r\n"
                                 "X-Cedarpoint-Model: small\r\n";
     fleet_site site;
@@ -173,6 +180,7 @@
     });
     EXPECT_EQ(answer.end, exchange_end::complete);
     EXPECT_EQ(answer.body, events(1, event_count));
+    EXPECT_EQ(hedges_that("lost"), 1);
     EXPECT_TRUE(wait_until([&] { return !second->is_silent(); }));
 }
 
@@ -187,6 +195,7 @@
     });
     EXPECT_EQ(answer.end, exchange_end::complete);
     EXPECT_EQ(answer.body, events(1, event_count));
+    EXPECT_EQ(hedges_that("failed"), 1);
 }
 
 // Guards against an answer that is joined from two runs: what the first one sends after the second
@@ -230,6 +239,47 @@
     });
     EXPECT_EQ(answer.end, exchange_end::complete);
     EXPECT_EQ(answer.body, events(1, event_count));
+    EXPECT_EQ(hedges_that("needed"), 1);
+}
+
+// Guards against work for nobody at one of two runners after the caller has left.
+TEST_F(a_stream, is_cancelled_at_both_runners_when_its_caller_leaves)
+{
+    earn_retries();
+    runner_connection caller{site.callers()};
+    exchange_request request;
+    request.bytes = fmt::format(
+        "POST /ask/x HTTP/1.1\r\nHost: h.example\r\n{}Content-Length: 0\r\n\r\n", headers);
+    exchange_handlers handlers;
+    handlers.on_head = [](const http_head&) {};
+    handlers.on_body = [](const std::string&) {};
+    handlers.on_end = [](exchange_end, const reason&) {};
+    caller.start(std::move(request), std::move(handlers));
+    ASSERT_TRUE(
+        wait_until([&] { return runners[0]->arrivals.size() + runners[1]->arrivals.size() == 1; }));
+    const auto abandoned_before = runners[0]->abandoned + runners[1]->abandoned;
+    for (auto& each : runners) {
+        each->fall_silent(silence);
+    }
+    ASSERT_TRUE(wait_until([&] { return hedges_that("started") == 1; }));
+    caller.cancel();
+    pass_time(silence);
+    EXPECT_EQ(runners[0]->abandoned + runners[1]->abandoned, abandoned_before + 2);
+}
+
+// Guards against comments, which an engine may send while it makes no progress, that decide which
+// of two runs goes on.
+TEST_F(a_stream, is_not_decided_by_events_without_an_id)
+{
+    earn_retries();
+    const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
+        first.fall_silent(silence);
+        second.comments_before_events = true;
+        second.event_gap = silence * 2;
+    });
+    EXPECT_EQ(answer.end, exchange_end::complete);
+    EXPECT_EQ(answer.body, events(1, event_count));
+    EXPECT_EQ(hedges_that("lost"), 1);
 }
 
 } // namespace
--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -337,6 +337,13 @@
     head.fields.add("Content-Type", "text/event-stream");
     reply->begin(std::move(head));
     const std::string after{request.fields.get("Last-Event-Id")};
+    if (comments_before_events) {
+        reply->write(": working\n\n");
+        QTimer::singleShot(event_gap, &timer_, [this, after, reply] {
+            stream_slowly(after.empty() ? 1 : std::stoi(after) + 1, reply);
+        });
+        return;
+    }
     if (event_gap > milliseconds{0}) {
         stream_slowly(after.empty() ? 1 : std::stoi(after) + 1, reply);
         return;
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -52,12 +52,13 @@
     bool reports_not_executed = true; ///< refusals state that the request was not run
     /// Stops or restarts heartbeats. Requests are served all the time.
     void set_heartbeats_stopped(bool stopped);
-    milliseconds answer_time{0}; ///< time to answer a plain request
-    milliseconds event_gap{0};   ///< time between two events of a stream
-    int abandoned = 0;           ///< requests whose sender disconnected before the answer
-    int events = 3;              ///< of each stream
-    int slots = 4;               ///< reported in its heartbeats
-    std::string crash_trigger;   ///< a request with this text in its body crashes the runner
+    milliseconds answer_time{0};         ///< time to answer a plain request
+    milliseconds event_gap{0};           ///< time between two events of a stream
+    int abandoned = 0;                   ///< requests whose sender disconnected before the answer
+    int events = 3;                      ///< of each stream
+    bool comments_before_events = false; ///< a slow stream sends a comment, its events later
+    int slots = 4;                       ///< reported in its heartbeats
+    std::string crash_trigger; ///< a request with this text in its body crashes the runner
     std::vector<std::string> crash_parts; ///< so does one with such a part in its prompt
     milliseconds crash_delay{40};         ///< from the start of such a request to the crash
     milliseconds restart_delay{2500};     ///< from a crash to the restart under the same id
