--- a/tests/io/torn_connection_test.cpp
+++ b/tests/io/torn_connection_test.cpp
@@ -78,6 +78,19 @@
     EXPECT_EQ(*end, socket_end::reset);
 }
 
+// Guards against a reset that a look at the socket takes away, so that it ends orderly.
+TEST_F(a_connection, whose_reset_is_looked_at_first_ends_as_reset)
+{
+    EXPECT_FALSE(socket.has_pending_event());
+    send_from_peer(unframed);
+    ASSERT_TRUE(wait_until([&] { return received == unframed; }));
+    reset_connection(*peer);
+    wait_for_kernel();
+    EXPECT_TRUE(socket.has_pending_event());
+    ASSERT_TRUE(wait_until([&] { return end.has_value(); }));
+    EXPECT_EQ(*end, socket_end::reset);
+}
+
 // Guards against a complete answer that is lost because the peer, after its end, rejects the rest
 // of the request.
 TEST_F(a_connection, that_was_closed_before_it_rejected_bytes_ends_orderly)
