io: a connection closes after its requests are read and its last answer is received

Callers saw: a refusal (413) lost to a reset while they still sent; a long last answer cut after a second if they read slowly; a whole request in the socket, or in the listener's backlog, dropped by a planned stop; a request that followed an answer begun before the stop dropped after that answer.

Cause: disconnectFromHost closes the socket at once when nothing is left to write, and the one-second timer counted from the end of the answer rather than from the time it was written. Stops closed without a look at the socket.

Change: the last answer is written out (stalled callers are timed as before), the sending side is shut down, and what arrives is dropped until the caller closes or a second has passed. An idle close reads nothing more, so that a request that crosses it is reset, not swallowed.

--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -1,11 +1,11 @@
 #include "io/http_connection.h"
 
-#include "io/header_rules.h"
-#include "io/listen_step.h"
 #include "io/socket_state.h"
 
 #include <fmt/format.h>
 
+#include <sys/socket.h>
+
 namespace cedarpoint {
 namespace {
 
@@ -13,7 +13,8 @@
 constexpr int idle_timeout_ms = 75'000;
 /// Time after which a connection is closed whose caller takes no bytes of the answer.
 constexpr int stall_timeout_ms = 120'000;
-/// Time between the last answer and a reset, so that the caller can read the answer.
+/// Time after the last answer during which the rest of a request is read and dropped, because
+/// closing a socket with unread bytes resets the connection, which could discard the answer.
 constexpr int linger_ms = 1000;
 /// Bytes read ahead of the parser. The bound slows down callers that send faster than the daemon
 /// reads.
@@ -28,16 +29,7 @@
     timer_.setSingleShot(true);
     connect(&socket_, &QTcpSocket::readyRead, this, [this] { on_readable(); });
     connect(&socket_, &QTcpSocket::disconnected, this, [this] { on_disconnected(); });
-    connect(&socket_, &QTcpSocket::bytesWritten, this, [this] {
-        if (phase_ != phase::answering || reply_ == nullptr) {
-            return;
-        }
-        expired_half_timeouts_ = 0;
-        const auto reply = reply_;
-        if (reply->on_drained) {
-            reply->on_drained();
-        }
-    });
+    connect(&socket_, &QTcpSocket::bytesWritten, this, [this] { on_written(); });
     connect(&timer_, &QTimer::timeout, this, [this] { on_timeout(); });
     socket_.setSocketDescriptor(descriptor);
     socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
@@ -65,6 +57,34 @@
     }
 }
 
+void http_connection::on_written()
+{
+    expired_half_timeouts_ = 0;
+    if (phase_ == phase::answering && reply_ != nullptr) {
+        const auto reply = reply_;
+        if (reply->on_drained) {
+            reply->on_drained();
+        }
+        return;
+    }
+    if (socket_.bytesToWrite() > 0) {
+        return;
+    }
+    if (phase_ == phase::flushing) {
+        linger();
+    }
+    else if (closing_) {
+        close_when_idle();
+    }
+}
+
+void http_connection::read_waiting()
+{
+    read_request();
+    while (phase_ == phase::reading && socket_.waitForReadyRead(0)) {
+    }
+}
+
 void http_connection::read_request()
 {
     const auto fresh = socket_.readAll();
@@ -119,9 +139,10 @@
     owner_.handler_(std::move(request), reply_);
 }
 
-void http_connection::add_connection_field(http_head& head) const
+void http_connection::add_connection_field(http_head& head)
 {
-    head.fields.add("Connection", keep_alive_ && !closing_ ? "keep-alive" : "close");
+    last_answer_ = !keep_alive_ || closing_;
+    head.fields.add("Connection", last_answer_ ? "close" : "keep-alive");
 }
 
 void http_connection::send(http_head head, const std::string& body)
@@ -191,8 +212,8 @@
         reply_->connection_ = nullptr;
         reply_.reset();
     }
-    if (!keep_alive_ || closing_) {
-        linger();
+    if (last_answer_) {
+        close_after_answer();
         return;
     }
     phase_ = phase::reading;
@@ -201,8 +222,12 @@
     QMetaObject::invokeMethod(
         this,
         [this] {
-            if (phase_ == phase::reading) {
-                read_request();
+            if (phase_ != phase::reading) {
+                return;
+            }
+            read_request();
+            if (closing_) {
+                close_when_idle();
             }
         },
         Qt::QueuedConnection);
@@ -219,30 +244,55 @@
     send(std::move(head), to_json({code, run_state::not_run, text, {}}, ""));
 }
 
+void http_connection::close_after_answer()
+{
+    phase_ = phase::flushing;
+    pending_.clear();
+    expired_half_timeouts_ = 0;
+    timer_.start(stall_timeout_ms / 2);
+    if (socket_.bytesToWrite() == 0 || (socket_.flush() && socket_.bytesToWrite() == 0)) {
+        linger();
+    }
+}
+
 void http_connection::linger()
 {
-    // Closing a socket with unread bytes resets the connection, which could discard the answer.
+    if (phase_ == phase::lingering) {
+        return;
+    }
     phase_ = phase::lingering;
-    pending_.clear();
-    socket_.readAll();
     timer_.start(linger_ms);
-    socket_.disconnectFromHost();
+    ::shutdown(static_cast<int>(socket_.socketDescriptor()), SHUT_WR);
+    socket_.readAll();
 }
 
 void http_connection::on_timeout()
 {
-    if (phase_ == phase::reading && parser_.is_started()) {
-        refuse(error_code::timed_out_reading, "the request did not arrive in time");
+    if (phase_ == phase::lingering) {
+        socket_.abort(); // an orderly end, since everything was written
         return;
     }
     if (phase_ == phase::answering && socket_.bytesToWrite() == 0) {
         return; // the caller has taken everything; the runner is still producing the answer
     }
-    if (phase_ == phase::answering && ++expired_half_timeouts_ < 2) {
-        timer_.start();
+    if (socket_.bytesToWrite() > 0) {
+        if (++expired_half_timeouts_ < 2) {
+            timer_.start(stall_timeout_ms / 2);
+            return;
+        }
+        abort();
+        return;
+    }
+    // Timers may run before the event loop has reported bytes that arrived in time.
+    read_waiting();
+    if (phase_ != phase::reading) {
+        return;
+    }
+    if (parser_.is_started()) {
+        refuse(error_code::timed_out_reading, "the request did not arrive in time");
         return;
     }
-    abort();
+    socket_.abort();
 }
 
 void http_connection::on_disconnected()
@@ -262,113 +312,15 @@
 void http_connection::close_when_idle()
 {
     closing_ = true;
-    if (phase_ == phase::reading && !parser_.is_started()) {
-        linger();
-    }
-}
-
-http_reply::~http_reply() = default;
-
-void http_reply::send(http_head head, const std::string& body)
-{
-    begun_ = true;
-    if (connection_ != nullptr) {
-        connection_->send(std::move(head), body);
-    }
-}
-
-void http_reply::begin(http_head head)
-{
-    begun_ = true;
-    if (connection_ != nullptr) {
-        connection_->begin(std::move(head));
-    }
-}
-
-void http_reply::write(const std::string& bytes)
-{
-    if (connection_ != nullptr) {
-        connection_->write(bytes);
-    }
-}
-
-void http_reply::finish()
-{
-    if (connection_ != nullptr) {
-        connection_->finish();
-    }
-}
-
-void http_reply::abort()
-{
-    if (connection_ != nullptr) {
-        connection_->abort();
-    }
-}
-
-std::size_t http_reply::buffered() const
-{
-    return connection_ == nullptr ? 0 : connection_->buffered();
-}
-
-http_listener::http_listener(caller_limits limits, http_handler handler)
-    : limits_{limits}, handler_{std::move(handler)}
-{
-    setListenBacklogSize(1024);
-}
-
-http_listener::~http_listener()
-{
-    for (auto* it : std::set<http_connection*>{open_}) {
-        delete it;
-    }
-}
-
-bool http_listener::start(const endpoint& at, reason& why)
-{
-    if (!listen(QHostAddress{QString::fromStdString(at.ip)}, at.port)) {
-        const bool in_use = serverError() == QAbstractSocket::AddressInUseError;
-        why = {in_use ? listen_in_use_step : listen_step, at.str(), errorString().toStdString()};
-        return false;
-    }
-    return true;
-}
-
-endpoint http_listener::address() const
-{
-    return {serverAddress().toString().toStdString(), serverPort()};
-}
-
-void http_listener::stop()
-{
-    stopping_ = true;
-    close();
-    for (auto* it : std::set<http_connection*>{open_}) {
-        it->close_when_idle();
-    }
-}
-
-void http_listener::incomingConnection(qintptr descriptor)
-{
-    if (open_.size() >= limits_.max_connections) {
-        QTcpSocket socket;
-        socket.setSocketDescriptor(descriptor);
-        const refusal error{error_code::too_many_connections, run_state::not_run,
-                            "too many connections", milliseconds{1000}};
-        http_head head{describe(error.code).status, {}};
-        const auto body = to_json(error, "");
-        head.fields.add("Connection", "close");
-        head.fields.add(retry_after_field, "1");
-        head.fields.add("Content-Length", std::to_string(body.size()));
-        const auto bytes = serialize_head(head) + body;
-        socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
-        socket.flush();
-        if (on_refused) {
-            on_refused(error.code);
-        }
+    if (phase_ != phase::reading) {
         return;
     }
-    open_.insert(new http_connection{*this, descriptor});
+    read_waiting();
+    if (phase_ == phase::reading && !parser_.is_started() && socket_.bytesToWrite() == 0) {
+        // Nothing is read from here on: a request that crosses the close gets a reset, which tells
+        // its sender that it was not read.
+        socket_.abort();
+    }
 }
 
 } // namespace cedarpoint
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -32,17 +32,27 @@
     void close_when_idle();
 
 private:
-    enum class phase { reading, answering, lingering };
+    enum class phase {
+        reading,
+        answering,
+        flushing, ///< the last answer is complete and not yet written to the socket
+        lingering ///< the last answer is written; what still arrives is dropped
+    };
 
     void on_readable();
+    void on_written();
     void read_request();
+    /// Reads what has arrived, which a late event loop has not reported yet.
+    void read_waiting();
     void pass_to_handler();
     void refuse(error_code code, const char* text);
     void on_timeout();
     void on_disconnected();
     void end_answer();
+    /// Closes the connection once the last answer is written and the caller has received it.
+    void close_after_answer();
     void linger();
-    void add_connection_field(http_head& head) const;
+    void add_connection_field(http_head& head);
 
     http_listener& owner_;
     const caller_limits& limits_;
@@ -56,7 +66,8 @@
     bool version_11_ = true;
     bool is_head_request_ = false;
     bool continue_sent_ = false; ///< "100 Continue" was sent for the present request
-    bool closing_ = false;       ///< closes after the present answer
+    bool closing_ = false;       ///< closes when it is idle
+    bool last_answer_ = false;   ///< the present answer's head says that the connection closes
     bool chunked_ = false;
     int expired_half_timeouts_ = 0; ///< half stall timeouts without bytes taken by the caller
 };
