entry: a runner that doesn't answer the check after its answer is asked again

What callers saw: 502 for a whole answer without a length, if its runner, which is sound, accepted no new connection for a second after it.

Cause: the check whether such a runner still runs took no answer within 300 ms for its end. Only a refusal proves an end.

Change: the check is repeated until the runner accepts or refuses a connection, or the request's deadline ends the attempt. Each time without an answer is reported as a stall, so that a request that may run again is hedged.

The tests' runner answers all requests but those of /hold/, and its backlog is small enough to fill.

--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -203,7 +203,7 @@
     // Other open connections prove nothing: their ends may still be on their way. Only a process
     // that runs, or its supervisor, accepts a new one.
     probe_ = std::make_unique<connect_probe>(to_.address, [this](connect_probe::result how) {
-        // Queued, because the end of the attempt may destroy the probe.
+        // Queued, because the end of the attempt or another check destroys the probe.
         QTimer::singleShot(0, [weak = weak_from_this(), how] {
             const auto self = weak.lock();
             if (self == nullptr || !self->checks_runner_) {
@@ -226,9 +226,11 @@
                {"read", to_.address.str(), "the runner ended with its connection"});
         return;
     case connect_probe::result::failed:
-        // Nothing tells half of an answer from the whole.
-        finish(exchange_end::cut,
-               {"read", to_.address.str(), "the runner is not reached after its answer"});
+        // A process that runs may accept no connection for a while.
+        handlers_.on_stalled(*this);
+        if (checks_runner_) {
+            check_runner();
+        }
         return;
     }
 }
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -56,7 +56,8 @@
         /// Called after all events of one read.
         std::function<void(runner_attempt&)> on_events_forwarded;
         /// Called when the next event is overdue, and again each time that the same limit passes
-        /// without one. The attempt goes on unless it is cancelled.
+        /// without one; also each time that a runner doesn't answer the check after its answer. The
+        /// attempt goes on unless it is cancelled.
         std::function<void(runner_attempt&)> on_stalled;
         std::function<void(runner_attempt&, const attempt_verdict&)> on_end;
     };
@@ -111,6 +112,7 @@
     void on_event(std::string_view event);
     void on_exchange_end(exchange_end how, const reason& why);
     /// Finds out whether the runner still runs after its answer has ended with the connection.
+    /// Repeated until the runner accepts or refuses a connection, unless the attempt is cancelled.
     void check_runner();
     void on_checked(connect_probe::result how);
     void finish(exchange_end how, const reason& why);
