entry: the memory of answers has a bound, for one and for the process

Callers of a runner that sends an answer without end got 504 at their deadline, and the entry daemon held all of it: 635 to 742 MiB with 20 requests at once, where 260 MB are allowed; the end of the process would end all its requests.

Cause: runner_attempt holds an answer whole without a bound. The parsers of answers and requests bounded heads only, not chunk extensions and trailers.

answer_memory accounts what all attempts reserve. An answer above 16 MiB, or the largest one while all together exceed 40 MiB, is ended as a failure that may have run: safe requests go to another runner, unsafe ones get 502 at once.

--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cedarpoint/fleet/answer_memory.h"
 #include "cedarpoint/fleet/entry_peers.h"
 #include "cedarpoint/fleet/health_report.h"
 #include "cedarpoint/fleet/platform_adapter.h"
@@ -28,6 +29,7 @@
     entry_peers peers;
     windowed_retry_budget budget;
     runner_pool pool;
+    answer_memory answers; ///< held until they are complete
     entry_metrics metrics;
     std::size_t entry_daemons = 0; ///< entry daemons that share the retry budget; 0: not known yet
     std::mt19937_64 random;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -25,6 +25,11 @@
 /// Bytes of a request's body: twice the limit in the users' own configuration (4 MiB).
 constexpr std::size_t max_caller_body_bytes = std::size_t{8} << 20;
 
+/// Bounds of the answers that are held. The process takes up to three times as much memory, since
+/// strings are copied while they grow, and it is to stay well below 260 MB. Any one answer fits.
+constexpr answer_memory::limits held_answer_limits{.one_answer = std::size_t{16} << 20,
+                                                   .all_answers = std::size_t{40} << 20};
+
 /// Bytes that an entry daemon may add to the head of a request that it sends through another one.
 constexpr std::size_t max_forward_field_bytes = 4096;
 
@@ -54,6 +59,7 @@
                    entry_peers{settings_.forwards.value_or(endpoint{}), settings_.failure_domain},
                .budget = windowed_retry_budget{settings_.budget, steady_now()},
                .pool = {},
+               .answers = answer_memory{held_answer_limits},
                .metrics = {},
                .entry_daemons = 0, // unknown before the first update
                .random = std::mt19937_64{random_seed()},
@@ -235,6 +241,7 @@
     context_.metrics.set_view(static_cast<double>(follower_.view().version()),
                               now - follower_.leader_active_at());
     context_.metrics.set_in_flight(static_cast<double>(requests_.size()));
+    context_.metrics.set_held_answer_bytes(static_cast<double>(context_.answers.held()));
     context_.metrics.set_rate_limited_runners(
         static_cast<double>(context_.targets.permits().count_limited()));
     context_.metrics.set_paused_runners(
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -38,6 +38,9 @@
       view_age_{registry_.add_gauge("cedarpoint_view_age_seconds", "Since the leader was heard")},
       in_flight_{
           registry_.add_gauge("cedarpoint_requests_in_flight", "Requests without an end yet")},
+      held_answer_bytes_{
+          registry_.add_gauge("cedarpoint_held_answer_bytes",
+                              "Bytes of answers that are held until they are complete")},
       rate_limited_runners_{registry_.add_gauge("cedarpoint_rate_limited_runners",
                                                 "Runners that have named a rate limit")},
       rate_limited_sends_{registry_
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -29,6 +29,8 @@
     /// `age`: time since the latest update from the leader.
     void set_view(double version, duration age);
     void set_in_flight(double count) { in_flight_.Set(count); }
+    /// Bytes of answers that are not complete yet.
+    void set_held_answer_bytes(double bytes) { held_answer_bytes_.Set(bytes); }
     /// Requests during which runners have crashed, as published by the leader.
     void set_suspected_requests(double count) { suspected_requests_.Set(count); }
     void set_quarantined_requests(double count) { quarantined_requests_.Set(count); }
@@ -63,6 +65,7 @@
     prometheus::Gauge& view_version_;
     prometheus::Gauge& view_age_;
     prometheus::Gauge& in_flight_;
+    prometheus::Gauge& held_answer_bytes_;
     prometheus::Gauge& rate_limited_runners_;
     prometheus::Counter& rate_limited_sends_;
     prometheus::Gauge& paused_runners_;
--- a/src/entry/runner_attempt.cpp
+++ b/src/entry/runner_attempt.cpp
@@ -1,6 +1,7 @@
 #include "entry/runner_attempt.h"
 
 #include "cedarpoint/core/http_status.h"
+#include "cedarpoint/core/parse_integer.h"
 #include "entry/forwarded_request.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
@@ -14,13 +15,21 @@
 /// its sockets one after the other, and the listener may be the last.
 constexpr milliseconds listener_close_delay{20};
 
+/// Returns the length that the head of an answer announces for its body; 0 if it does not.
+std::uint64_t announced_length(const http_head& head)
+{
+    const auto length = parse_integer(head.fields.get("Content-Length"));
+    return static_cast<std::uint64_t>(length.value_or(0));
+}
+
 } // namespace
 
 runner_attempt::runner_attempt(entry_context& context, destination to,
                                std::unique_ptr<attempt_recorder> recorder, options options,
                                handlers handlers)
     : context_{context}, to_{std::move(to)}, recorder_{std::move(recorder)},
-      options_{std::move(options)}, handlers_{std::move(handlers)}
+      options_{std::move(options)}, handlers_{std::move(handlers)},
+      body_memory_{context.answers, [this](std::string_view why) { refuse_answer(why); }}
 {
     stall_timer_.setSingleShot(true);
     stall_timer_.setTimerType(Qt::PreciseTimer);
@@ -137,6 +146,9 @@
     }
     streaming_ = options_.expects_stream && head.status == http_status::ok &&
                  is_event_stream(head) && is_authentic(head);
+    if (!streaming_ && !options_.head_only && !context_.answers.may_hold(announced_length(head))) {
+        refuse_answer("the announced answer is too large");
+    }
 }
 
 void runner_attempt::on_body(const std::string& bytes)
@@ -144,6 +156,7 @@
     recorder_->on_byte(steady_now());
     if (!streaming_) {
         body_ += bytes;
+        body_memory_.set(body_.size(), body_.capacity());
         return;
     }
     const bool fits = events_.put(bytes, [this](std::string_view event) { on_event(event); });
@@ -156,6 +169,20 @@
     handlers_.on_events_forwarded(*this);
 }
 
+void runner_attempt::refuse_answer(std::string_view why)
+{
+    if (!is_running()) {
+        return; // the answer has been passed on
+    }
+    const auto self = shared_from_this();
+    cancel();
+    body_ = {};
+    const attempt_verdict verdict{attempt_outcome::may_have_run, target_effect::failure,
+                                  std::string{why}};
+    record_effect(verdict);
+    handlers_.on_end(*this, verdict);
+}
+
 void runner_attempt::on_event(std::string_view event)
 {
     if (!handlers_.on_event(*this, event)) {
--- a/src/entry/runner_attempt.h
+++ b/src/entry/runner_attempt.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/fleet/answer_memory.h"
 #include "cedarpoint/fleet/answer_verdict.h"
 #include "entry/attempt_recorder.h"
 #include "entry/entry_context.h"
@@ -109,6 +110,8 @@
     void on_head(const http_head& head);
     void on_body(const std::string& bytes);
     void on_event(std::string_view event);
+    /// Ends the attempt because its answer can't be held.
+    void refuse_answer(std::string_view why);
     void on_exchange_end(exchange_end how, const reason& why);
     /// Finds out whether the runner still runs after its answer has ended with the connection.
     void check_runner();
@@ -135,6 +138,7 @@
     std::optional<instant> latest_event_at_; ///< of the events that were forwarded
     std::optional<http_head> head_;
     std::string body_;
+    answer_memory::holder body_memory_; ///< counts the memory of `body_`
     sse_splitter events_;
     bool streaming_ = false;
     bool checks_runner_ = false;
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -87,7 +87,8 @@
     if (parser_.is_done()) {
         return pass_to_handler();
     }
-    if (!parser_.is_head_done() && pending_.size() > limits_.max_head_bytes) {
+    // A head, or the start of a chunk or trailers: of a body nothing is left over.
+    if (pending_.size() > limits_.max_head_bytes) {
         return refuse(error_code::head_too_large, "the request's head is too large");
     }
     if (parser_.expects_continue() && !continue_sent_) {
--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -170,7 +170,10 @@
 struct http_response_parser::impl {
     http::response_parser<growing_body> parser;
     http_fault fault = http_fault::none;
-    std::string kept; ///< head bytes that the parser needs again with the rest
+    /// Bytes of a head, of the start of a chunk or of trailers, which the parser needs again with
+    /// the rest. The parser itself bounds only heads.
+    std::string kept;
+    std::size_t max_kept = 0;
 };
 
 http_response_parser::http_response_parser(std::size_t max_head, bool head_only)
@@ -179,6 +182,7 @@
     impl_->parser.eager(true);
     impl_->parser.skip(head_only);
     impl_->parser.header_limit(limit32(max_head));
+    impl_->max_kept = max_head;
     impl_->parser.body_limit(boost::none);
 }
 
@@ -205,6 +209,9 @@
         return used > before ? used - before : 0;
     }
     impl_->kept.erase(0, used);
+    if (impl_->kept.size() > impl_->max_kept) {
+        impl_->fault = http_fault::head_too_large;
+    }
     return bytes.size();
 }
 
