fleet: a member of a group is given up after four unanswered probes, not one

What callers saw: a group whose head or other member is sound and silent for 1.2 s was ended, and a real engine's streams with it: the leader's order to leave waits in the silent head's socket and is carried out afterwards.

Change: four probes in a row (1.5 s) or a refusal. A member behind a path that swallows packets is found about 1.2 s later; one whose process has ended refuses and is found as before.

--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -10,6 +10,11 @@
 /// lost packet. At the probe interval of 400 ms this takes about 0.7 s.
 constexpr int probes_to_unresponsive = 2;
 
+/// Consecutive unanswered probes after which a member of a serving group counts as failed, if its
+/// streams have stalled or it is idle. At the probe interval of 400 ms this takes 1.5 s: a sound
+/// runner may be silent for about a second, and the end of its group ends all its streams.
+constexpr int probes_to_failed = 4;
+
 /// A silent, unresponsive member of a group without traffic counts as failed when the head's
 /// streams have carried no bytes for this long.
 constexpr duration idle_grace = seconds{2};
@@ -34,7 +39,7 @@
 {
     // A refusal is an immediate answer, so a second probe would add nothing. It does not prove that
     // the runner has ended: a network partition can refuse connections as well.
-    missed_probes_[runner] += refused ? probes_to_unresponsive : 1;
+    missed_probes_[runner] += refused ? probes_to_failed : 1;
 }
 
 bool failure_detector::has_missed(const runner_id& runner, int probes) const
@@ -108,16 +113,13 @@
 bool failure_detector::has_failed(instant now, const planned_group& group, const runner_id& member,
                                   const runner_health& head) const
 {
-    // If streams stall, one missed probe identifies the member that caused it.
-    if (head.stalled && is_suspected(member)) {
-        return true;
+    if (!has_missed(member, probes_to_failed)) {
+        return false;
     }
-    // Otherwise the member must be silent and unresponsive, and the streams must have stalled or
-    // been idle: a group whose streams progress has all its members, even if the leader gets no
-    // heartbeat from them.
-    const bool silent =
-        state_of(now, group, member) == member_state::silent && is_unresponsive(member);
-    return silent && (head.stalled || head.since_byte > idle_grace);
+    // A group whose streams progress has all its members, even if the leader gets no heartbeat from
+    // them. Where none wait, the member must be silent as well.
+    return head.stalled ||
+           (head.since_byte > idle_grace && state_of(now, group, member) == member_state::silent);
 }
 
 bool failure_detector::is_head_unreachable(instant now, const planned_group& group) const
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -38,6 +38,8 @@
     [[nodiscard]] int served() const { return served_; }
     [[nodiscard]] bool is_open() const { return state_ == "open"; }
     [[nodiscard]] const std::string& id() const { return id_; }
+    /// Returns the group that it is in; empty if it is in none.
+    [[nodiscard]] const std::string& group() const { return group_; }
     [[nodiscard]] const endpoint& address() const { return address_; }
     void drain();
     [[nodiscard]] bool drain_acknowledged() const { return drain_acknowledged_; }
