--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -301,11 +301,14 @@
 bool platform_runner::try_refuse(const http_request& request,
                                  const std::shared_ptr<http_reply>& reply)
 {
-    if (!refuse_request) {
+    std::erase_if(open_streams_, [](const auto& each) { return !each->is_open(); });
+    const bool is_full = open_streams_.size() >= max_streams;
+    if (!refuse_request && !is_full) {
         return false;
     }
     const auto retry_after =
-        refuse_request(std::string{request.fields.get("X-Cedarpoint-Request-Id")});
+        is_full ? std::optional<std::string>{""}
+                : refuse_request(std::string{request.fields.get("X-Cedarpoint-Request-Id")});
     if (!retry_after) {
         return false;
     }
@@ -336,6 +339,7 @@
     auto head = make_head(request);
     head.fields.add("Content-Type", "text/event-stream");
     reply->begin(std::move(head));
+    open_streams_.push_back(reply);
     const std::string after{request.fields.get("Last-Event-Id")};
     if (event_gap > milliseconds{0}) {
         stream_slowly(after.empty() ? 1 : std::stoi(after) + 1, reply);
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,7 +58,9 @@
     int abandoned = 0;           ///< requests whose sender disconnected before the answer
     int events = 3;              ///< of each stream
     int slots = 4;               ///< reported in its heartbeats
-    std::string crash_trigger;   ///< a request with this text in its body crashes the runner
+    /// Streams that it runs at a time; more are refused as not executed.
+    std::size_t max_streams = std::numeric_limits<std::size_t>::max();
+    std::string crash_trigger; ///< a request with this text in its body crashes the runner
     std::vector<std::string> crash_parts; ///< so does one with such a part in its prompt
     milliseconds crash_delay{40};         ///< from the start of such a request to the crash
     milliseconds restart_delay{2500};     ///< from a crash to the restart under the same id
@@ -136,6 +139,7 @@
     std::uint64_t start_ms_;
     std::uint64_t sequence_;
     int served_ = 0;
+    std::vector<std::shared_ptr<http_reply>> open_streams_;
     std::string group_;
     std::uint64_t epoch_ = 0;
     std::size_t rank_ = 0;
--- a/tests/support/open_loop_callers.h
+++ b/tests/support/open_loop_callers.h
@@ -24,6 +24,7 @@
         std::string model;              ///< empty: the request names none
         bool on_new_connection = false; ///< otherwise on a kept one, if there is one
         std::string prompt_parts;       ///< as in the header; empty: the request names none
+        milliseconds deadline{2000};
     };
     struct result {
         std::size_t entry = 0; ///< the entry daemon that was asked
@@ -43,6 +44,7 @@
                       std::function<request(std::size_t)> make_request);
 
     void stop() { timer_.stop(); }
+    [[nodiscard]] std::size_t in_flight() const { return sent_ - results.size(); }
     [[nodiscard]] double served_share(instant from, instant until) const;
 
     std::vector<result> results;
