entry: requests that run at the stop bound get a final answer

Callers saw: a request that still ran at a planned stop's bound ended with a closed connection.

Cause: the process exited with its requests; only the destructor ended them.

Change: 0.7 s before the bound each request gets its final answer, as after a failed attempt (503 if it has not run or may run again, 502 if it may have run; begun streams are aborted). The process exits once callers have them, at most 0.3 s later.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -18,8 +18,10 @@
 /// balancer probes every second and removes a daemon after two failed probes; another second is
 /// left for connections that are already being made.
 constexpr duration balancer_removal_time = milliseconds{3000};
-/// Requests that still run are aborted this long before the stop bound.
+/// Requests that still run are ended this long before the stop bound.
 constexpr duration stop_margin = milliseconds{700};
+/// Time after that for their answers to reach the callers.
+constexpr duration last_answer_time = milliseconds{300};
 /// Simultaneous connections of callers.
 constexpr std::size_t max_caller_connections = 2000;
 /// Bytes of a request's body: twice the limit in the users' own configuration (4 MiB).
@@ -203,8 +205,20 @@
         closing_ = true;
         stop_listeners();
     }
+    const auto bound = settings_.stop_bound - stop_margin;
+    if (passed >= bound) {
+        end_requests();
+    }
     const bool idle = closing_ && requests_.empty() && callers_listener_->connections() == 0;
-    return idle || passed >= settings_.stop_bound - stop_margin;
+    return idle || passed >= bound + last_answer_time;
+}
+
+void entry_daemon::end_requests()
+{
+    cut_ += requests_.size();
+    for (const auto& each : std::vector(requests_.begin(), requests_.end())) {
+        each->on_stop_due();
+    }
 }
 
 void entry_daemon::check_stop(instant now)
@@ -212,7 +226,7 @@
     if (!context_.stopping || !is_stop_due(now)) {
         return;
     }
-    log_line("stopped").with("cut", requests_.size()).write();
+    log_line("stopped").with("cut", cut_).write();
     timer_.stop();
     on_stopped();
 }
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -58,6 +58,8 @@
     void on_runner_end_checked(const runner_id& runner, bool refused);
     bool open_listeners(reason& why);
     [[nodiscard]] bool is_stop_due(instant now);
+    /// Ends all requests with a final answer, since the stop bound is near.
+    void end_requests();
     void on_request(request_source source, http_request request,
                     const std::shared_ptr<http_reply>& reply);
     [[nodiscard]] std::unique_ptr<http_listener> make_listener(request_source source);
@@ -84,6 +86,7 @@
     std::uint64_t unreadable_version_ = 0; ///< of the latest configuration that can't be parsed
     instant stop_began_;
     bool closing_ = false; ///< a planned stop has closed the listener for callers
+    std::size_t cut_ = 0;  ///< requests that a planned stop has ended
 };
 
 } // namespace cedarpoint
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -62,6 +62,9 @@
     /// Called after the machine was suspended: the deadline timer does not count that time, so it
     /// would expire late.
     void on_resumed(instant now);
+    /// Called when this daemon can't wait any longer at a planned stop. The request gets a final
+    /// answer that tells whether it may have run; a stream that has begun is aborted.
+    void on_stop_due();
 
 private:
     /// Admits the request and makes its first attempt.
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -148,6 +148,16 @@
     }
 }
 
+void relay::on_stop_due()
+{
+    if (ended_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    abandon_attempts();
+    fail_request("the daemon stops");
+}
+
 void relay::finish(const char* outcome, std::string_view cause)
 {
     if (ended_) {
