--- a/tests/soak/silent_runners_test.cpp
+++ b/tests/soak/silent_runners_test.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <ostream>
 #include <random>
 
 #include <fmt/format.h>
@@ -41,9 +42,9 @@
     bool has_few_places = false;
 };
 
-void PrintTo(const silence_case& it, std::ostream* out)
+std::ostream& operator<<(std::ostream& out, const silence_case& it)
 {
-    *out << "seed " << it.seed << (it.has_few_places ? ", few places" : "");
+    return out << "seed " << it.seed << (it.has_few_places ? ", few places" : "");
 }
 
 std::vector<silence_case> cases()
