--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -25,7 +25,6 @@
 
 using testing_support::fleet_soak;
 using testing_support::number_from_environment;
-using testing_support::pass_time;
 using testing_support::wait_until;
 
 constexpr int rounds = 14;
