--- a/tests/io/endless_request_test.cpp
+++ b/tests/io/endless_request_test.cpp
@@ -18,7 +18,7 @@
     limits.max_head_bytes = 8192;
     bool handled = false;
     http_listener listener{
-        limits, [&](http_request, const std::shared_ptr<http_reply>&) { handled = true; }};
+        limits, [&](const http_request&, const std::shared_ptr<http_reply>&) { handled = true; }};
     reason why;
     EXPECT_TRUE(listener.start({"127.0.0.1", 0}, why));
     raw_caller caller{listener.address()};
