--- a/tests/entry/silent_runner_test.cpp
+++ b/tests/entry/silent_runner_test.cpp
@@ -57,7 +57,7 @@
 }
 
 /// Two runners, each a group of its own, and streams of six events.
-class a_stream : public testing::Test {
+class a_hedged_stream : public testing::Test {
 protected:
     static constexpr int event_count = 6;
 
@@ -134,7 +134,7 @@
 };
 
 // Guards against a log and a metric that name the caller as the one who ended an aborted stream.
-TEST_F(a_stream, that_the_daemon_aborts_is_counted_as_broken_off)
+TEST_F(a_hedged_stream, that_the_daemon_aborts_is_counted_as_broken_off)
 {
     const auto answer = ask_and([](platform_runner& first, platform_runner&) { first.crash(); });
     EXPECT_EQ(answer.end, exchange_end::cut);
@@ -144,7 +144,7 @@
 }
 
 // Guards against ending a stream whose runner is silent for a second when no other one may take it.
-TEST_F(a_stream, goes_on_after_a_silence_if_the_retry_budget_is_spent)
+TEST_F(a_hedged_stream, goes_on_after_a_silence_if_the_retry_budget_is_spent)
 {
     const auto answer =
         ask_and([](platform_runner& first, platform_runner&) { first.fall_silent(silence); });
@@ -154,7 +154,7 @@
 }
 
 // Guards against ending a stream on the word of a second runner that has no room.
-TEST_F(a_stream, goes_on_after_a_silence_if_the_other_runner_refuses)
+TEST_F(a_hedged_stream, goes_on_after_a_silence_if_the_other_runner_refuses)
 {
     earn_retries();
     int refused = 0;
@@ -171,7 +171,7 @@
 }
 
 // Guards against ending a stream when the runner that it is moved to is silent as well.
-TEST_F(a_stream, goes_on_after_a_silence_of_both_runners)
+TEST_F(a_hedged_stream, goes_on_after_a_silence_of_both_runners)
 {
     earn_retries();
     const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
@@ -185,7 +185,7 @@
 }
 
 // Guards against ending a stream whose second runner ends while the first one is silent.
-TEST_F(a_stream, goes_on_after_a_silence_if_the_other_runner_crashes)
+TEST_F(a_hedged_stream, goes_on_after_a_silence_if_the_other_runner_crashes)
 {
     earn_retries();
     const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
@@ -200,7 +200,7 @@
 
 // Guards against an answer that is joined from two runs: what the first one sends after the second
 // has begun must not pass, and the second continues after the last event that the caller has.
-TEST_F(a_stream, continues_at_the_other_runner_if_that_one_speaks_first)
+TEST_F(a_hedged_stream, continues_at_the_other_runner_if_that_one_speaks_first)
 {
     earn_retries();
     const auto answer =
@@ -213,7 +213,7 @@
 }
 
 // Guards against a second run that goes on although the first one has spoken again.
-TEST_F(a_stream, stays_at_its_runner_if_that_one_speaks_first)
+TEST_F(a_hedged_stream, stays_at_its_runner_if_that_one_speaks_first)
 {
     earn_retries();
     const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
@@ -229,7 +229,7 @@
 
 // Guards against a stream that is lost because its runner ends after a silence, while the second
 // one is about to answer.
-TEST_F(a_stream, continues_at_the_other_runner_if_the_first_one_crashes_meanwhile)
+TEST_F(a_hedged_stream, continues_at_the_other_runner_if_the_first_one_crashes_meanwhile)
 {
     earn_retries();
     const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
@@ -243,7 +243,7 @@
 }
 
 // Guards against work for nobody at one of two runners after the caller has left.
-TEST_F(a_stream, is_cancelled_at_both_runners_when_its_caller_leaves)
+TEST_F(a_hedged_stream, is_cancelled_at_both_runners_when_its_caller_leaves)
 {
     earn_retries();
     runner_connection caller{site.callers()};
@@ -269,7 +269,7 @@
 
 // Guards against comments, which an engine may send while it makes no progress, that decide which
 // of two runs goes on.
-TEST_F(a_stream, is_not_decided_by_events_without_an_id)
+TEST_F(a_hedged_stream, is_not_decided_by_events_without_an_id)
 {
     earn_retries();
     const auto answer = ask_and([](platform_runner& first, platform_runner& second) {
