--- a/review/support-2/harness.cpp
+++ b/review/support-2/harness.cpp
@@ -555,16 +555,14 @@
     ::shutdown(listener_, SHUT_RDWR);
     acceptor_.join();
     ::close(listener_);
-    std::vector<std::thread> threads;
     {
         const std::lock_guard lock{mutex_};
         for (const int each : open_) {
             ::shutdown(each, SHUT_RDWR);
         }
-        threads = std::move(threads_);
     }
-    for (auto& each : threads) {
-        each.join();
+    while (serving_ > 0) {
+        wait(milliseconds{5});
     }
 }
 
@@ -582,7 +580,11 @@
         ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         const std::lock_guard lock{mutex_};
         open_.push_back(descriptor);
-        threads_.emplace_back([this, descriptor] { serve(descriptor); });
+        ++serving_;
+        std::thread{[this, descriptor] {
+            serve(descriptor);
+            --serving_;
+        }}.detach();
     }
 }
 
@@ -690,7 +692,13 @@
         --working_;
     }
     head.emplace_back("X-Cedarpoint-Instance-Signature", "signed-by-" + options_.id);
-    return make_answer(200, head, "answer of " + options_.service);
+    auto out = make_answer(200, head, "answer of " + options_.service);
+    if (options_.spoiled_answer > 0 && ++answers_ % options_.spoiled_answer == 0) {
+        out[out.find("200")] = '0'; // one bit
+        ++spoiled_;
+        log_.line(options_.id + " spoils its answer to " + request);
+    }
+    return out;
 }
 
 // --- a runner with groups -----------------------------------------------------------------------
--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -199,7 +199,7 @@
     std::atomic<bool> stopping_{false};
     std::mutex mutex_;
     std::vector<int> open_;
-    std::vector<std::thread> threads_;
+    std::atomic<int> serving_{0}; ///< threads that serve a connection
     std::thread acceptor_;
 };
 
@@ -212,6 +212,8 @@
         int slots = 6;
         milliseconds work{60};
         std::string zone = "z1";
+        /// Each answer of this number has a spoiled status line, "000" in place of "200". 0: none.
+        int spoiled_answer = 0;
     };
     plain_runner(fleet& fleet, recorder& log, options options);
     ~plain_runner();
@@ -224,12 +226,15 @@
     /// Returns how often requests with this id have run.
     [[nodiscard]] int runs_of(const std::string& request);
     [[nodiscard]] int runs();
+    [[nodiscard]] int spoiled() const { return spoiled_; }
     std::function<void(const message&)> on_run; ///< called before the work
 
 private:
     std::optional<std::string> on_request(const message& in);
     void send_heartbeats();
     [[nodiscard]] std::string heartbeat();
+    std::atomic<int> answers_{0};
+    std::atomic<int> spoiled_{0};
 
     fleet& fleet_;
     recorder& log_;
