--- a/review/support-2/harness.cpp
+++ b/review/support-2/harness.cpp
@@ -990,7 +990,7 @@
         return make_answer(503, head, "");
     }
     ++working_;
-    ++runs_;
+    const int run = ++runs_;
     if (on_run) {
         on_run(in);
     }
@@ -998,7 +998,13 @@
     std::string events;
     for (int n = after + 1; n <= options_.events; ++n) {
         wait(options_.event_gap);
-        events += "id: " + std::to_string(n) + "\ndata: token " + std::to_string(n) + "\n\n";
+        auto id = std::to_string(n);
+        if (n == 1 && options_.spoiled_stream > 0 && run % options_.spoiled_stream == 0) {
+            id = "9"; // "1" with one bit wrong
+            ++spoiled_;
+            log_.line(options_.id + " spoils the first event of " + request);
+        }
+        events += "id: " + id + "\ndata: token " + std::to_string(n) + "\n\n";
     }
     --working_;
     head.emplace_back("X-Cedarpoint-Instance-Signature", "signed-by-" + options_.id);
--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -265,6 +265,8 @@
         milliseconds form{300};
         int events = 5;
         milliseconds event_gap{60};
+        /// In each stream of this number one bit of the first event's id is wrong. 0: in none.
+        int spoiled_stream = 0;
     };
     group_runner(fleet& fleet, recorder& log, options options);
     ~group_runner();
@@ -284,6 +286,7 @@
     [[nodiscard]] membership now();
     [[nodiscard]] std::vector<std::string> staged();
     [[nodiscard]] int runs() const { return runs_; }
+    [[nodiscard]] int spoiled() const { return spoiled_; }
     /// Returns the body of its next heartbeat, with another service if one is given.
     [[nodiscard]] std::string heartbeat(const std::string& service = "");
     /// Reports from now on that it drains. Returns true once that is acknowledged.
@@ -325,6 +328,7 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t born_;
     std::atomic<int> runs_{0};
+    std::atomic<int> spoiled_{0};
     std::atomic<int> working_{0};
     std::atomic<bool> changed_{false};
     std::atomic<bool> draining_{false};
