Stand-ins of the second review: orders carried out late, engines without fences

A runner with groups can leave orders unanswered and carry them out when the case says so, and counts the joins that it takes as the head of an open group.

--- a/review/support-2/harness.cpp
+++ b/review/support-2/harness.cpp
@@ -739,7 +739,9 @@
 {
     server_ = std::make_unique<server>(
         fleet_.runner_ip(), 0, [this](const message& in) { return on_request(in); },
-        [this](const message& in, connection& to) { return answer_without_end(in, to); });
+        [this](const message& in, connection& to) {
+            return hold_order(in) || answer_without_end(in, to);
+        });
     heart_ = std::thread{[this] { send_heartbeats(); }};
 }
 
@@ -851,24 +853,45 @@
     changed_ = true;
 }
 
-std::string group_runner::on_order(const message& in)
+bool group_runner::hold_order(const message& in)
+{
+    if (!is_late || in.target() != "/cedarpoint/order" ||
+        find_field(in.head, "X-Cedarpoint-Expect-Instance") != options_.id) {
+        return false;
+    }
+    const order it{json_value(in.body, "op"), json_value(in.body, "group"), in.body, steady::now()};
+    if (!is_late(it)) {
+        return false;
+    }
+    log_.line("order to " + options_.id + ": " + it.op + " " + it.group + " gets no answer");
+    wait_until(milliseconds{2000}, [this] { return stopping_.load(); });
+    return true;
+}
+
+void group_runner::carry_out(const order& late)
+{
+    const auto passed =
+        std::chrono::duration_cast<milliseconds>(steady::now() - late.arrived).count();
+    (void)on_order(late.text, ", carried out " + std::to_string(passed) + " ms late");
+}
+
+std::string group_runner::on_order(const std::string& text, const std::string& note)
 {
     const std::lock_guard lock{mutex_};
     advance();
-    const auto& text = in.body;
     const auto op = json_value(text, "op");
     const auto group = json_value(text, "group");
     const auto epoch = std::strtoull(json_value(text, "epoch").c_str(), nullptr, 10);
     const auto fence = std::strtoull(json_value(text, "fencingToken").c_str(), nullptr, 10);
     const auto answer = [&](int status) {
         log_.line("order to " + options_.id + ": " + op + " " + group + " " +
-                  json_value(text, "model") + " -> " + std::to_string(status));
+                  json_value(text, "model") + " -> " + std::to_string(status) + note);
         return make_answer(status, {}, "");
     };
-    if (fence < highest_fence_) {
+    if (options_.checks_fences && fence < highest_fence_) {
         return answer(412);
     }
-    highest_fence_ = fence;
+    highest_fence_ = std::max<std::uint64_t>(highest_fence_, fence);
     const auto begin_order = [&] {
         ++orders_;
         changed_ = true;
@@ -894,6 +917,11 @@
             return answer(200);
         }
         begin_order();
+        if (in_.state == "open" && in_.rank == 0) {
+            ++joins_while_open_;
+            log_.line(options_.id + " takes the join of " + group + " while it is the head of " +
+                      in_.group + ", which is open");
+        }
         highest_epoch_ = epoch;
         in_ = {group, epoch, 0, "joining", json_value(text, "model"), members};
         in_.rank = static_cast<std::size_t>(std::find(members.begin(), members.end(), options_.id) -
@@ -980,7 +1008,7 @@
                            heartbeat()); // tells the same of the runner
     }
     if (in.target() == "/cedarpoint/order") {
-        return on_order(in);
+        return on_order(in.body, "");
     }
     if (now().state != "open") {
         return make_answer(421, head, "");
--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -265,6 +265,7 @@
         milliseconds form{300};
         int events = 5;
         milliseconds event_gap{60};
+        bool checks_fences = true; ///< `requireFencing`
         /// In each stream of this number one bit of the first event's id is wrong. 0: in none.
         int spoiled_stream = 0;
     };
@@ -287,6 +288,19 @@
     [[nodiscard]] std::vector<std::string> staged();
     [[nodiscard]] int runs() const { return runs_; }
     [[nodiscard]] int spoiled() const { return spoiled_; }
+    struct order {
+        std::string op;
+        std::string group;
+        std::string text;
+        steady::time_point arrived;
+    };
+    /// Called with each order. If it returns true, the order gets no answer and is carried out when
+    /// `carry_out` is called. Set before the first order.
+    std::function<bool(const order&)> is_late;
+    /// Carries out an order that got no answer.
+    void carry_out(const order& late);
+    /// Returns how often it has taken a join of another group as the head of an open group.
+    [[nodiscard]] int joins_while_open() const { return joins_while_open_; }
     /// Returns the body of its next heartbeat, with another service if one is given.
     [[nodiscard]] std::string heartbeat(const std::string& service = "");
     /// Reports from now on that it drains. Returns true once that is acknowledged.
@@ -308,7 +322,8 @@
 private:
     std::optional<std::string> on_request(const message& in);
     bool answer_without_end(const message& in, connection& to);
-    std::string on_order(const message& in);
+    std::string on_order(const std::string& text, const std::string& note);
+    bool hold_order(const message& in);
     void advance(); ///< completes what is due
     void send_heartbeats();
 
@@ -329,6 +344,7 @@
     std::uint64_t born_;
     std::atomic<int> runs_{0};
     std::atomic<int> spoiled_{0};
+    std::atomic<int> joins_while_open_{0};
     std::atomic<int> working_{0};
     std::atomic<bool> changed_{false};
     std::atomic<bool> draining_{false};
