--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,8 +1,9 @@
-// A runner spoils one bit of the first event's id in some of its streams.
+// Engines without fences carry out orders late while the leader changes.
 
 #include "harness.h"
 
 #include <algorithm>
+#include <csignal>
 
 using namespace review;
 
@@ -15,108 +16,130 @@
     R"("services":[{"name":"llm","healthPath":"/healthz","maxConnections":314,"protocol":"h1",)"
     R"("tls":false,"engine":{"slots":26,"kvCapacity":1590000,"kvTokenBytes":327680,)"
     R"("linkMbps":400000.0,"stride":7,"models":[{"name":"m0","size":2,"share":1.0,"pace":1.0,)"
-    R"("loadS":2.0,"warmS":0.3}],"step_ms":5.95,"per_seq_ms":0.0445,"context_per_k":0.00813,)"
+    R"("loadS":1.0,"warmS":0.3}],"step_ms":5.95,"per_seq_ms":0.0445,"context_per_k":0.00813,)"
     R"("read_per_s":50700.0,"pairs_per_m":0.368,"chunk":2048,"report_lag_ms":200.0,)"
     R"("loadsPerS":4.5,"loads_at_once":6,"delays":[],"usual":{"prompt":1115,"answer":178},)"
     R"("keeps":1,"far_x":2.5,"formMs":300.0}}],)"
     R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
     R"("idleTimeoutMs":15000}})";
 
-constexpr int group_count = 3;
-constexpr int group_size = 2;
-constexpr int events = 25;
-/// The faulty head spoils one of this many streams.
-constexpr int spoiled_stream = 50;
-constexpr int callers_count = 12;
-constexpr int requests_per_caller = 50;
+/// An order that got no answer is carried out 2 to 12 s later.
+constexpr milliseconds least_delay{2000};
 
-int count_pieces(const std::string& body)
-{
-    int out = 0;
-    for (auto at = body.find("data: token"); at != std::string::npos;
-         at = body.find("data: token", at + 1)) {
-        ++out;
+/// Picks the orders to the head that get no answer: the first join and the first open of its first
+/// group, and the first join of its second group.
+class order_picker {
+public:
+    bool operator()(const group_runner::order& it)
+    {
+        const std::lock_guard lock{mutex_};
+        const bool is_first_group = first_group_.empty() || it.group == first_group_;
+        auto* slot = it.op == "join" ? (is_first_group ? &first_join_ : &second_join_)
+                     : it.op == "open" && is_first_group ? &first_open_
+                                                         : nullptr;
+        if (it.op == "join" && first_group_.empty()) {
+            first_group_ = it.group;
+        }
+        if (slot == nullptr || *slot) {
+            return false;
+        }
+        *slot = it;
+        return true;
+    }
+    std::optional<group_runner::order> first_join() { return get(first_join_); }
+    std::optional<group_runner::order> first_open() { return get(first_open_); }
+    std::optional<group_runner::order> second_join() { return get(second_join_); }
+
+private:
+    using held = std::optional<group_runner::order>;
+    held get(const held& it)
+    {
+        const std::lock_guard lock{mutex_};
+        return it;
     }
-    return out;
+    std::mutex mutex_;
+    std::string first_group_;
+    held first_join_;
+    held first_open_;
+    held second_join_;
+};
+
+void wait_for(steady::time_point at)
+{
+    std::this_thread::sleep_until(at);
 }
 
 int run(recorder& log)
 {
     fleet site{log, 1};
+    order_picker picker;
     std::vector<std::unique_ptr<group_runner>> runners;
-    for (int n = 0; n < group_count * group_size; ++n) {
+    for (int n = 0; n < 3; ++n) {
         group_runner::options options;
         options.id = "i-" + std::to_string(n);
         options.service = "llm";
         options.slots = 26;
-        options.domain = "d" + std::to_string(n / group_size);
-        options.load_times = {{"m0", milliseconds{2000}}};
-        options.events = events;
-        options.event_gap = milliseconds{10};
-        // Either runner of the first domain may become the head of its group.
-        options.spoiled_stream = has_trouble() && n < group_size ? spoiled_stream : 0;
+        options.load_times = {{"m0", milliseconds{1000}}};
+        options.checks_fences = false;
         runners.push_back(std::make_unique<group_runner>(site, log, options));
     }
+    auto& head = *runners[0]; // candidates of a group are ordered by their ids
+    auto& member = *runners[1];
+    if (has_trouble()) {
+        head.is_late = [&](const group_runner::order& it) { return picker(it); };
+    }
     const auto put = site.call_control("POST", "/cedarpoint/config/put", configuration);
     if (!put || put->status() != 200 || !site.wait_ready(0, milliseconds{10'000})) {
         throw can_not_run{"the configuration is not in force"};
     }
-    const auto is_open = [](const auto& each) { return each->now().state == "open"; };
-    if (!wait_until(milliseconds{20'000}, [&] {
-            return std::count_if(runners.begin(), runners.end(), is_open) == group_count;
-        })) {
-        throw can_not_run{"not all groups are open"};
+    if (!wait_until(milliseconds{20'000}, [&] { return head.now().state == "open"; })) {
+        throw can_not_run{"the first group is not open"};
+    }
+    const auto first_group = head.now().group;
+    log.line(first_group + " is open");
+    wait(milliseconds{3000});
+    const auto leader = site.leader();
+    if (!leader) {
+        throw can_not_run{"no leader"};
     }
-    wait(milliseconds{3500});
-    std::atomic<int> whole{0};
-    std::atomic<int> others{0};
-    std::atomic<int> lacking{0};
-    std::vector<std::thread> callers;
-    for (int caller = 0; caller < callers_count; ++caller) {
-        callers.emplace_back([&, caller] {
-            for (int n = 0; n < requests_per_caller; ++n) {
-                const auto id = std::to_string(caller) + "-" + std::to_string(n);
-                const auto to = connection::open(site.callers(0));
-                const bool sent =
-                    to != nullptr &&
-                    to->write(make_request(
-                        "POST", "/advice/a",
-                        {{"Host", "garden.example"},
-                         {"X-Cedarpoint-Request-Id", "q-" + id},
-                         {"X-Cedarpoint-Deadline-Ms", "8000"},
-                         {"X-Cedarpoint-Model", "m0"},
-                         {"X-Cedarpoint-Token-Usage", "100,175"},
-                         {"X-Cedarpoint-Prompt-Prefix", "5c1e07a2:40,9" + std::to_string(caller) +
-                                                            "b" + std::to_string(n) + ":60"}},
-                        "prompt"));
-                const auto answer = sent ? to->read(true, milliseconds{9000}) : std::nullopt;
-                if (!answer || answer->status() != 200 || !answer->is_complete) {
-                    ++others;
-                    continue;
-                }
-                const auto pieces = count_pieces(answer->body);
-                ++(pieces == events ? whole : lacking);
-                if (pieces != events) {
-                    log.line("q-" + id + " ends as complete with " + std::to_string(pieces) +
-                             " of " + std::to_string(events) + " pieces");
-                }
-            }
-        });
+    log.line(member.id() + " drains");
+    if (!member.drain(milliseconds{3000})) {
+        throw can_not_run{"the drain was not acknowledged"};
     }
-    for (auto& each : callers) {
-        each.join();
+    if (!has_trouble()) {
+        if (!wait_until(milliseconds{15'000}, [&] {
+                const auto now = head.now();
+                return now.state == "open" && now.group != first_group;
+            })) {
+            throw can_not_run{"the second group is not open"};
+        }
+        wait(milliseconds{3000});
+        return head.joins_while_open() > 0 ? exit_broken : exit_held;
     }
-    int spoiled = 0;
-    for (const auto& each : runners) {
-        spoiled += each->spoiled();
+    if (!wait_until(milliseconds{10'000}, [&] { return picker.second_join().has_value(); })) {
+        throw can_not_run{"no join of a second group"};
     }
-    log.line("whole " + std::to_string(whole) + ", others " + std::to_string(others) +
-             ", spoiled " + std::to_string(spoiled) + ", complete with pieces missing " +
-             std::to_string(lacking));
-    if (whole == 0 || (has_trouble() && spoiled == 0)) {
-        throw can_not_run{"nothing was served or spoiled"};
+    const auto second_join = *picker.second_join();
+    if (!picker.first_join() || !picker.first_open()) {
+        throw can_not_run{"the first orders were not held"};
     }
-    return lacking > 0 ? exit_broken : exit_held;
+    wait(milliseconds{200}); // the leader repeats an order after 0.5 s
+    log.line("control daemon " + std::to_string(*leader + 1) + ", which leads, is killed");
+    site.control_process(*leader).signal(SIGKILL);
+    const auto killed = steady::now();
+    head.carry_out(*picker.first_join());
+    wait(milliseconds{300}); // joins again for its last model in 0.2 s
+    head.carry_out(*picker.first_open());
+    wait_for(killed + milliseconds{1000});
+    site.start_control(*leader, false);
+    wait_for(second_join.arrived + least_delay + milliseconds{20});
+    const auto before = head.now();
+    log.line(head.id() + " is in " + before.group + ", " + before.state);
+    head.carry_out(second_join);
+    wait(milliseconds{5000});
+    log.line("joins of another group taken while the head's group was open: " +
+             std::to_string(head.joins_while_open()));
+    return head.joins_while_open() > 0 ? exit_broken : exit_held;
 }
 
 } // namespace
