--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,9 @@
 #!/bin/sh
-# Runs case 4; see claim.txt. Needs the build of the deploy file and review/build-2.sh.
+# Runs case 4; see claim.txt. Needs the build of the deploy file and review/build-2.sh. With TROUBLE=0
+# the case does the same without the disruption. What was sent, answered and run goes to record.txt.
 cd "$(dirname "$0")/../.." || exit 2
-test -x build-review-2/case-4 || { echo "build-review-2/case-4 is missing" >&2; exit 2; }
-exec build-review-2/case-4 review/4
+program=build-review-2/case-4
+test -x "$program" || { echo "$program is missing: run review/build-2.sh" >&2; exit 2; }
+TROUBLE=${TROUBLE:-1}
+export TROUBLE
+exec "$program" review/4/record.txt
--- a/review/support-2/harness.cpp
+++ b/review/support-2/harness.cpp
@@ -1069,11 +1069,11 @@
 int run_case(int argc, char** argv, const std::function<int(recorder&)>& body)
 {
     if (argc != 2) {
-        std::fprintf(stderr, "usage: %s FOLDER\n", argv[0]);
+        std::fprintf(stderr, "usage: %s RECORD\n", argv[0]);
         return exit_not_run;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    recorder log{std::string{argv[1]} + "/record.txt"};
+    recorder log{argv[1]};
     int out = exit_not_run;
     try {
         log.line(std::string{"disruption: "} + (has_trouble() ? "yes" : "no"));
--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -28,7 +28,7 @@
 inline constexpr int exit_broken = 1;
 inline constexpr int exit_not_run = 2;
 
-/// Writes lines with the time since the start of the case to record.txt and to standard output.
+/// Writes lines with the time since the start of the case to its file and to standard output.
 class recorder {
 public:
     explicit recorder(const std::string& file);
@@ -365,7 +365,7 @@
 bool wait_until(milliseconds limit, const std::function<bool()>& done);
 /// Returns false if the environment has TROUBLE=0.
 [[nodiscard]] bool has_trouble();
-/// Runs a case: `body` returns the exit code. `argv[1]` is the case's folder.
+/// Runs a case: `body` returns the exit code. `argv[1]` is the file to record in.
 int run_case(int argc, char** argv, const std::function<int(recorder&)>& body);
 
 } // namespace review
