Daemons log what they held at their start, where a configuration came from, and whom they ask for a leader

Cause: the lines of the incident did not tell its hypotheses apart. 'started' of a control daemon named the version before the stored entries were applied (always 0), in_force named no origin, and an entry daemon without a leader was silent after its dependency_lost. The state of the log is applied before the first message is answered, where a tick of 20 ms could pass.

--- a/include/cedarpoint/consensus/raft_node.h
+++ b/include/cedarpoint/consensus/raft_node.h
@@ -124,6 +124,7 @@
     [[nodiscard]] const wire::membership& members() const { return members_; }
     [[nodiscard]] bool is_member(const member_id& it) const;
     [[nodiscard]] bool is_voter(const member_id& it) const;
+    [[nodiscard]] storage_id own_storage() const { return storage_id{hard_.storage()}; }
     /// Returns true if this member is a voter with its present storage.
     [[nodiscard]] bool is_admitted() const;
     /// Leader only: returns true for a voter whose latest answer came from another storage than the
@@ -167,7 +168,6 @@
     /// Returns true for an election of the first leader among members that may be new or may have
     /// lost their disks, which needs the votes of all.
     [[nodiscard]] bool needs_all_votes() const;
-    [[nodiscard]] storage_id own_storage() const { return storage_id{hard_.storage()}; }
     /// Returns the storage with which the voter was admitted; empty if it is no voter.
     [[nodiscard]] std::optional<storage_id> admitted_storage(const member_id& voter) const;
     /// Leader only: returns the storage that the member answered with last; until it has answered,
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -44,6 +44,8 @@
     bool open(reason& why);
     bool open_log(reason& why);
     bool open_listeners(reason& why);
+    /// Logs what the stored state holds.
+    void log_started() const;
     void open_orders();
     void open_api();
     [[nodiscard]] replicated_log::options make_log_options() const;
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -145,15 +145,29 @@
     }
     QObject::connect(&timer_, &QTimer::timeout, [this] { tick(); });
     timer_.start(tick_interval_ms);
+    log_->tick(steady_now()); // applies the stored entries that are known to be committed
+    log_started();
+    return true;
+}
+
+void control_daemon::log_started() const
+{
+    const auto& raft = log_->raft();
+    const auto stored = raft.elections(steady_now());
     log_line("started")
         .with("role", "control")
         .with("name", settings_.name)
         .with("id", id_.str())
         .with("first_start", settings_.first_start)
         .with("version", state_.version())
-        .with("term", log_->raft().term())
+        .with("term", stored.term)
+        .with("snapshot", raft.snapshot().index())
+        .with("commit", raft.commit())
+        .with("last_index", stored.last_index)
+        .with("last_term", stored.last_term)
+        .with("storage", static_cast<std::uint64_t>(raft.own_storage()))
+        .with("admitted", stored.whole)
         .write();
-    return true;
 }
 
 replicated_log::options control_daemon::make_log_options() const
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -4,6 +4,9 @@
 #include "io/log_line.h"
 #include "io/simple_listeners.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <random>
 #include <utility>
 
@@ -29,6 +32,8 @@
 /// strings make while they grow.
 constexpr double request_memory_share = 0.52;
 constexpr double answer_memory_share = 0.15;
+/// Control daemons that one log line names.
+constexpr std::size_t max_logged_control_daemons = 9;
 /// Bytes of one answer.
 constexpr std::size_t max_answer_bytes = std::size_t{16} << 20;
 
@@ -134,9 +139,30 @@
             .with("peer", leader.str())
             .write();
     };
+    out.on_leader_missing = [this](duration since, const std::set<daemon_id>& asked) {
+        log_missing_leader(since, asked);
+    };
     return out;
 }
 
+void entry_daemon::log_missing_leader(duration since, const std::set<daemon_id>& asked) const
+{
+    std::vector<std::string> names;
+    for (const auto& each : asked) {
+        if (names.size() == max_logged_control_daemons) {
+            break;
+        }
+        names.push_back(each.str());
+    }
+    log_line("no_leader")
+        .with("ms", to_ms(since))
+        .with("asked", asked.size())
+        .with("control_daemons", fmt::format("{}", fmt::join(names, " ")))
+        .with("term", follower_.view().term())
+        .with("config", installed_version_)
+        .write();
+}
+
 // --- start and stop -----------------------------------------------------------------------------
 
 std::unique_ptr<entry_daemon> entry_daemon::start(fleet_settings daemon_settings, reason& why)
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -57,6 +57,7 @@
     [[nodiscard]] fleet_follower::hooks make_follower_hooks();
     [[nodiscard]] health_report make_report();
     void on_update(const wire::fleet_update& update);
+    void log_missing_leader(duration since, const std::set<daemon_id>& asked) const;
     void on_runner_end_checked(const runner_id& runner, bool refused);
     bool open_listeners(reason& why);
     [[nodiscard]] bool is_stop_due(instant now);
--- a/src/entry/entry_daemon_view.cpp
+++ b/src/entry/entry_daemon_view.cpp
@@ -57,7 +57,13 @@
     }
     installed_version_ = accepted.revision();
     context_.routes = std::make_shared<const route_table>(std::move(*read));
-    log_line("in_force").with("version", accepted.revision()).write();
+    const auto& view = follower_.view();
+    log_line("in_force")
+        .with("version", accepted.revision())
+        .with("term", view.term())
+        .with("view", view.version())
+        .with("leader", follower_.leader().str())
+        .write();
 }
 
 void entry_daemon::on_update(const wire::fleet_update& update)
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -15,6 +15,8 @@
 /// After this time without an answer from the leader, about four reports, reports go to all control
 /// daemons to find a leader.
 constexpr duration leader_timeout = milliseconds{900};
+/// Time between two calls of `on_leader_missing`.
+constexpr duration missing_leader_interval = seconds{1};
 
 } // namespace
 
@@ -38,6 +40,7 @@
     }
     next_report_ = now + (view_.version() == 0 ? first_report_interval : report_interval);
     if (has_leader(now)) {
+        leaderless_since_.reset();
         report_to(now, leader_);
         return;
     }
@@ -45,11 +48,24 @@
         hooks_.on_leader(leader_, false);
         leader_ = {};
     }
+    check_missing_leader(now);
     for (const auto& each : control_daemons_) {
         report_to(now, each);
     }
 }
 
+void fleet_follower::check_missing_leader(instant now)
+{
+    if (!leaderless_since_) {
+        leaderless_since_ = now;
+        next_missing_check_ = now + missing_leader_interval;
+    }
+    if (now >= next_missing_check_) {
+        next_missing_check_ = now + missing_leader_interval;
+        hooks_.on_leader_missing(now - *leaderless_since_, control_daemons_);
+    }
+}
+
 void fleet_follower::report_to(instant now, const daemon_id& to)
 {
     wire::envelope out;
--- a/src/entry/fleet_follower.h
+++ b/src/entry/fleet_follower.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -28,6 +29,9 @@
         std::function<void(const wire::fleet_update&)> on_update; ///< from the current leader
         /// Called when a leader is found (`found`) or lost.
         std::function<void(const daemon_id&, bool found)> on_leader;
+        /// Called every second while no leader answers, with the time without one and the control
+        /// daemons that are asked.
+        std::function<void(duration, const std::set<daemon_id>&)> on_leader_missing;
     };
 
     fleet_follower(const fleet_settings& daemon_settings, hooks hooks);
@@ -46,8 +50,11 @@
     /// Returns the latest time at which the leader is known to have been active.
     [[nodiscard]] instant leader_active_at() const { return leader_active_at_; }
     [[nodiscard]] bool has_leader(instant now) const;
+    /// Returns the leader; empty while none is known.
+    [[nodiscard]] const daemon_id& leader() const { return leader_; }
 
 private:
+    void check_missing_leader(instant now);
     void report_to(instant now, const daemon_id& to);
     void apply_provisional(const wire::fleet_update& update);
     void apply_from_leader(instant now, const daemon_id& from, const wire::fleet_update& update);
@@ -58,6 +65,8 @@
     std::set<daemon_id> control_daemons_; ///< from the seeds and from updates
     daemon_id leader_;                    ///< empty while none is known
     instant leader_active_at_;
+    std::optional<instant> leaderless_since_; ///< since this daemon has asked for a leader
+    instant next_missing_check_;
     instant next_report_;
     view_copy view_;
     bool behind_ = true; ///< earlier updates are missing: the latest did not fit the copy
--- a/tests/fleet/fleet_leader_test.cpp
+++ b/tests/fleet/fleet_leader_test.cpp
@@ -164,7 +164,8 @@
                             {[this](const daemon_id&, const wire::envelope& out) { sent = out; },
                              [] { return health_report{}; },
                              [this](view_copy::outcome) { ++views; },
-                             [](const wire::fleet_update&) {}, [](const daemon_id&, bool) {}}};
+                             [](const wire::fleet_update&) {}, [](const daemon_id&, bool) {},
+                             [](duration, const std::set<daemon_id>&) {}}};
 };
 
 TEST_F(a_follower_without_a_leader, begins_with_what_a_log_holds_for_certain)
