--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <filesystem>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 #include <fstream>
@@ -45,6 +46,11 @@
         controls_.push_back({fmt::format("127.{}.1.{}", options_.net, index + 1), control_port});
     }
     daemons_.resize(std::size_t{control_count} + static_cast<std::size_t>(options_.entry_daemons));
+    for (int index = 0; index < count(); ++index) {
+        std::error_code ec;
+        const auto size = std::filesystem::file_size(log_file_of(index), ec);
+        log_starts_.push_back(ec ? 0 : size);
+    }
 }
 
 endpoint fleet_processes::mesh_address(int control) const
@@ -100,7 +106,13 @@
     return out;
 }
 
-void fleet_processes::start(int index, bool first_start)
+std::string fleet_processes::data_folder_of(int control) const
+{
+    return fmt::format("{}/data-{}", folder_.path().toStdString(),
+                       controls_.at(static_cast<std::size_t>(control)).ip);
+}
+
+std::string fleet_processes::write_settings(int index, bool first_start)
 {
     nlohmann::json settings_json{{"name", fmt::format("d-{}", index)},
                                  {"failure_domain", failure_domain_of(index)}};
@@ -114,8 +126,7 @@
             settings_json["bind"] = bind_address(index).str();
         }
         settings_json["control"] = controls_[static_cast<std::size_t>(index)].str();
-        settings_json["data_folder"] =
-            fmt::format("{}/data-{}", folder_.path().toStdString(), index);
+        settings_json["data_folder"] = data_folder_of(index);
         settings_json["first_start"] = first_start;
         settings_json["heartbeat_ms"] = runner_heartbeat.count();
     }
@@ -133,10 +144,55 @@
     }
     const auto settings_file = fmt::format("{}/d-{}.json", folder_.path().toStdString(), index);
     std::ofstream{settings_file} << settings_json.dump();
+    return settings_file;
+}
+
+void fleet_processes::start(int index, bool first_start)
+{
+    const auto settings_file = write_settings(index, first_start);
     daemons_[static_cast<std::size_t>(index)] =
         std::make_unique<daemon_process>(settings_file, log_file_of(index), variables_of(index));
 }
 
+void fleet_processes::replace_control(int control)
+{
+    end(control);
+    ++replacements_;
+    const int number = control + 1 + control_count * replacements_;
+    controls_.at(static_cast<std::size_t>(control)).ip =
+        fmt::format("127.{}.1.{}", options_.net, number);
+    for (int index = 0; index < count(); ++index) {
+        write_settings(index, false);
+    }
+    start(control, false);
+}
+
+void fleet_processes::end(int index)
+{
+    daemons_.at(static_cast<std::size_t>(index)).reset();
+}
+
+void fleet_processes::lose_disk(int control) const
+{
+    std::filesystem::remove_all(data_folder_of(control));
+}
+
+bool fleet_processes::has_logged_voter(const endpoint& member) const
+{
+    const endpoint at_mesh{member.ip, mesh_port};
+    const auto text = fmt::format("member={} present=true voter=true", at_mesh.str());
+    for (int index = 0; index < control_count; ++index) {
+        std::ifstream in{log_file_of(index)};
+        in.seekg(static_cast<std::streamoff>(log_starts_.at(static_cast<std::size_t>(index))));
+        for (std::string line; std::getline(in, line);) {
+            if (line.find(text) != std::string::npos) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void fleet_processes::start_all()
 {
     for (int index = 0; index < count(); ++index) {
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -5,6 +5,7 @@
 
 #include <QTemporaryDir>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +44,14 @@
     /// folders.
     void start(int index, bool first_start);
     void start_all();
+    /// Ends a control daemon for good and starts another one without stored state in its place, at
+    /// a new address. The settings files of all others name it from then on. Not for fleets behind
+    /// proxies.
+    void replace_control(int control);
+    /// Kills the daemon, and returns once its process has ended.
+    void end(int index);
+    /// Deletes what the control daemon, which must not run, has stored.
+    void lose_disk(int control) const;
     [[nodiscard]] daemon_process& at(int index)
     {
         return *daemons_.at(static_cast<std::size_t>(index));
@@ -69,6 +78,8 @@
     /// Waits until each entry daemon serves a GET of `target`. Returns false on a timeout.
     [[nodiscard]] bool wait_serving(const std::string& target) const;
 
+    /// Returns whether a control daemon has logged that the member became a voter.
+    [[nodiscard]] bool has_logged_voter(const endpoint& member) const;
     /// Returns, for each control daemon, whether its process runs and the end of its log, for the
     /// message of a failed check.
     [[nodiscard]] std::string describe_controls() const;
@@ -78,8 +89,13 @@
     [[nodiscard]] std::string failure_domain_of(int index) const;
     [[nodiscard]] daemon_process::variables variables_of(int index) const;
     [[nodiscard]] std::string log_file_of(int index) const;
+    [[nodiscard]] std::string data_folder_of(int control) const;
+    /// Writes the daemon's settings with the present control daemons as seeds. Returns the file.
+    std::string write_settings(int index, bool first_start);
 
     options options_;
+    int replacements_ = 0;
+    std::vector<std::uintmax_t> log_starts_; ///< sizes of earlier runs' log files
     QTemporaryDir folder_;
     std::vector<endpoint> controls_;
     std::vector<std::unique_ptr<daemon_process>> daemons_;
