A daemon without a leader reads the seeds in its settings file again

Callers saw: one entry daemon refused (404) or misrouted requests by an old configuration, for as long as its process ran. Cause: a daemon learns of control daemons from its seeds, once, at its start, and from answers. One that stands still or is cut off while all that it knows are replaced asks only those that are gone. The settings file names the present ones, but was read at the start only. Control daemons that ask to join had the same fault. Change: while no leader answers, the seeds are read again every second, at entry and control daemons; a leader's list of members replaces what was heard before. Why it works: the platform keeps the settings file up to date, and it is the only thing that names daemons to a process that knows none of them. Tests: the fixture counts a control daemon as replaced once it votes and has run for 4 s; before, one was replaced within the 20 ms in which its predecessor's promotion was proposed and not committed, which left one of two voters (a run with the fix failed by it). New: the follower asks the present seeds.

--- a/include/cedarpoint/config/fleet_settings.h
+++ b/include/cedarpoint/config/fleet_settings.h
@@ -7,6 +7,7 @@
 #include "cedarpoint/fleet/retry_budget_options.h"
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -53,4 +54,11 @@
     static std::optional<fleet_settings> parse(std::string_view text, faults& out);
 };
 
+/// Returns the ids of the daemons at the seeds. All daemons use the same port for each other.
+[[nodiscard]] std::vector<daemon_id> seed_daemons(const fleet_settings& daemon_settings);
+
+/// Reads the settings file again. Returns the daemons at its present seeds; nothing if it can't be
+/// read or is invalid.
+using seed_reader = std::function<std::vector<daemon_id>()>;
+
 } // namespace cedarpoint
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -112,4 +112,13 @@
     return it;
 }
 
+std::vector<daemon_id> seed_daemons(const fleet_settings& daemon_settings)
+{
+    std::vector<daemon_id> out;
+    for (const auto& seed : daemon_settings.seeds) {
+        out.emplace_back(endpoint{seed.ip, daemon_settings.address.port}.str());
+    }
+    return out;
+}
+
 } // namespace cedarpoint
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -36,6 +36,7 @@
 
     void stop();
     std::function<void(int exit_code)> on_stopped;
+    seed_reader read_seeds; ///< optional; called while no leader is known
 
 private:
     using reply_ptr = std::shared_ptr<http_reply>;
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -49,16 +49,6 @@
     return out;
 }
 
-/// Returns the ids of the daemons at the seeds. All daemons use the same port for each other.
-std::vector<daemon_id> seed_daemons(const fleet_settings& daemon_settings)
-{
-    std::vector<daemon_id> out;
-    for (const auto& seed : daemon_settings.seeds) {
-        out.emplace_back(endpoint{seed.ip, daemon_settings.address.port}.str());
-    }
-    return out;
-}
-
 void log_group(const plan_event& event)
 {
     log_line("placement")
@@ -204,8 +194,9 @@
         return false;
     }
     membership_ = std::make_unique<log_membership>(
-        log_membership::options{id_, seed_daemons(settings_), log_name,
-                                voters_for(settings_.tolerated_losses)},
+        log_membership::options{
+            id_, seed_daemons(settings_), log_name, voters_for(settings_.tolerated_losses),
+            [this] { return read_seeds ? read_seeds() : std::vector<daemon_id>{}; }},
         *log_, [this](const daemon_id& to, wire::envelope out) { send(to, std::move(out)); });
     return true;
 }
--- a/src/control_daemon/log_membership.cpp
+++ b/src/control_daemon/log_membership.cpp
@@ -10,6 +10,8 @@
 
 /// Time between two checks of the membership.
 constexpr duration check_interval = milliseconds{500};
+/// Time between two readings of the seeds while no leader is known.
+constexpr duration seed_interval = seconds{1};
 
 } // namespace
 
@@ -25,7 +27,7 @@
     }
     next_check_ = now + check_interval;
     if (!leads) {
-        ask_to_join();
+        ask_to_join(now);
         return;
     }
     if (const auto next = next_membership_change(now, log_.raft(), options_.wanted_voters)) {
@@ -65,12 +67,13 @@
     }
 }
 
-void log_membership::ask_to_join()
+void log_membership::ask_to_join(instant now)
 {
     // Members ask as well: one that was removed while it was down does not know that.
     if (!log_.raft().leader().empty()) {
         return;
     }
+    read_seeds(now);
     for (const auto& seed : options_.seeds) {
         wire::envelope out;
         out.mutable_join()->set_log(options_.log_name);
@@ -79,6 +82,19 @@
     }
 }
 
+void log_membership::read_seeds(instant now)
+{
+    // While this daemon was out of contact, all control daemons that it knew may have been
+    // replaced.
+    if (now < next_seed_read_) {
+        return;
+    }
+    next_seed_read_ = now + seed_interval;
+    if (auto present = options_.read_seeds(); !present.empty()) {
+        options_.seeds = std::move(present);
+    }
+}
+
 void log_membership::on_join(instant now, bool leads, const wire::envelope& in)
 {
     const member_id member{in.join().member()};
--- a/src/control_daemon/log_membership.h
+++ b/src/control_daemon/log_membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cedarpoint/config/fleet_settings.h"
 #include "cedarpoint/consensus/membership_policy.h"
 #include "cedarpoint/consensus/replicated_log.h"
 #include "cedarpoint/core/endpoint.h"
@@ -23,6 +24,7 @@
         std::vector<daemon_id> seeds; ///< control daemons that are asked to join
         std::string log_name;
         std::size_t wanted_voters = 3;
+        seed_reader read_seeds; ///< called every second while no leader is known
     };
     using sender = std::function<void(const daemon_id&, wire::envelope)>;
 
@@ -36,13 +38,15 @@
 private:
     void apply(instant now, const membership_change& change);
     void change_member(instant now, const member_id& member, bool present, bool voter);
-    void ask_to_join();
+    void ask_to_join(instant now);
+    void read_seeds(instant now);
     void forward_join(const wire::envelope& in);
 
     options options_;
     replicated_log& log_;
     sender send_;
     instant next_check_;
+    instant next_seed_read_;
 };
 
 } // namespace cedarpoint
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -139,6 +139,7 @@
             .with("peer", leader.str())
             .write();
     };
+    out.read_seeds = [this] { return read_seeds ? read_seeds() : std::vector<daemon_id>{}; };
     out.on_leader_missing = [this](duration since, const std::set<daemon_id>& asked) {
         log_missing_leader(since, asked);
     };
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -36,6 +36,7 @@
     /// has removed this daemon, and then calls `on_stopped`.
     void stop();
     std::function<void()> on_stopped;
+    seed_reader read_seeds; ///< optional; called while no leader answers
     [[nodiscard]] bool is_ready() const;
 
 private:
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -21,11 +21,9 @@
 } // namespace
 
 fleet_follower::fleet_follower(const fleet_settings& daemon_settings, hooks hooks)
-    : hooks_{std::move(hooks)}, failure_domain_{daemon_settings.failure_domain.str()}
+    : hooks_{std::move(hooks)},
+      failure_domain_{daemon_settings.failure_domain.str()}, seeds_{seed_daemons(daemon_settings)}
 {
-    for (const auto& seed : daemon_settings.seeds) {
-        control_daemons_.emplace(endpoint{seed.ip, daemon_settings.address.port}.str());
-    }
 }
 
 bool fleet_follower::has_leader(instant now) const
@@ -49,7 +47,7 @@
         leader_ = {};
     }
     check_missing_leader(now);
-    for (const auto& each : control_daemons_) {
+    for (const auto& each : known_control_daemons()) {
         report_to(now, each);
     }
 }
@@ -62,10 +60,27 @@
     }
     if (now >= next_missing_check_) {
         next_missing_check_ = now + missing_leader_interval;
-        hooks_.on_leader_missing(now - *leaderless_since_, control_daemons_);
+        read_seeds();
+        hooks_.on_leader_missing(now - *leaderless_since_, known_control_daemons());
+    }
+}
+
+void fleet_follower::read_seeds()
+{
+    // While this daemon was out of contact, all control daemons that it knew may have been
+    // replaced.
+    if (auto present = hooks_.read_seeds(); !present.empty()) {
+        seeds_ = std::move(present);
     }
 }
 
+std::set<daemon_id> fleet_follower::known_control_daemons() const
+{
+    auto out = members_;
+    out.insert(seeds_.begin(), seeds_.end());
+    return out;
+}
+
 void fleet_follower::report_to(instant now, const daemon_id& to)
 {
     wire::envelope out;
@@ -88,7 +103,7 @@
         return;
     }
     const auto& update = in.update();
-    add_control_daemons(update);
+    note_members(update);
     if (update.leading()) {
         apply_from_leader(now, daemon_id{in.from()}, update);
     }
@@ -97,13 +112,16 @@
     }
 }
 
-void fleet_follower::add_control_daemons(const wire::fleet_update& update)
+void fleet_follower::note_members(const wire::fleet_update& update)
 {
+    if (update.leading() && update.voters_size() > 0) {
+        members_.clear(); // the leader's list is the present one
+    }
     for (const auto& voter : update.voters()) {
-        control_daemons_.emplace(voter);
+        members_.emplace(voter);
     }
     if (!update.leading() && !update.leader().empty()) {
-        control_daemons_.emplace(update.leader());
+        members_.emplace(update.leader());
     }
 }
 
--- a/src/entry/fleet_follower.h
+++ b/src/entry/fleet_follower.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cedarpoint {
 
@@ -29,6 +30,7 @@
         std::function<void(const wire::fleet_update&)> on_update; ///< from the current leader
         /// Called when a leader is found (`found`) or lost.
         std::function<void(const daemon_id&, bool found)> on_leader;
+        seed_reader read_seeds; ///< called every second while no leader answers
         /// Called every second while no leader answers, with the time without one and the control
         /// daemons that are asked.
         std::function<void(duration, const std::set<daemon_id>&)> on_leader_missing;
@@ -58,12 +60,16 @@
     void report_to(instant now, const daemon_id& to);
     void apply_provisional(const wire::fleet_update& update);
     void apply_from_leader(instant now, const daemon_id& from, const wire::fleet_update& update);
-    void add_control_daemons(const wire::fleet_update& update);
+    void note_members(const wire::fleet_update& update);
+    void read_seeds();
+    /// Returns the control daemons that may know a leader.
+    [[nodiscard]] std::set<daemon_id> known_control_daemons() const;
 
     hooks hooks_;
     std::string failure_domain_;
-    std::set<daemon_id> control_daemons_; ///< from the seeds and from updates
-    daemon_id leader_;                    ///< empty while none is known
+    std::vector<daemon_id> seeds_;
+    std::set<daemon_id> members_; ///< control daemons, from updates
+    daemon_id leader_;            ///< empty while none is known
     instant leader_active_at_;
     std::optional<instant> leaderless_since_; ///< since this daemon has asked for a leader
     instant next_missing_check_;
--- a/tests/fleet/fleet_leader_test.cpp
+++ b/tests/fleet/fleet_leader_test.cpp
@@ -160,14 +160,36 @@
     }
     int views = 0;
     wire::envelope sent; ///< the latest report
-    fleet_follower follower{settings(),
-                            {[this](const daemon_id&, const wire::envelope& out) { sent = out; },
-                             [] { return health_report{}; },
-                             [this](view_copy::outcome) { ++views; },
-                             [](const wire::fleet_update&) {}, [](const daemon_id&, bool) {},
-                             [](duration, const std::set<daemon_id>&) {}}};
+    std::set<daemon_id> asked;
+    std::vector<daemon_id> present_seeds;
+    fleet_follower follower{
+        settings(),
+        {[this](const daemon_id& to, const wire::envelope& out) {
+             sent = out;
+             asked.insert(to);
+         },
+         [] { return health_report{}; }, [this](view_copy::outcome) { ++views; },
+         [](const wire::fleet_update&) {}, [](const daemon_id&, bool) {},
+         [this] { return present_seeds; }, [](duration, const std::set<daemon_id>&) {}}};
 };
 
+// Guards against an entry daemon that asks only control daemons that are gone.
+TEST_F(a_follower_without_a_leader, asks_the_daemons_at_the_present_seeds)
+{
+    const daemon_id later{"10.0.0.7:7000"};
+    report(start);
+    const auto known = asked;
+    EXPECT_FALSE(known.empty());
+    present_seeds = {later};
+    report(start + seconds{2});
+    EXPECT_TRUE(asked.contains(later));
+
+    asked.clear();
+    present_seeds.clear();
+    report(start + seconds{4});
+    EXPECT_EQ(asked, (std::set<daemon_id>{later})) << "an unreadable file changes nothing";
+}
+
 TEST_F(a_follower_without_a_leader, begins_with_what_a_log_holds_for_certain)
 {
     receive_update(provisional(5, 40));
--- a/tests/fleet/replaced_control_daemons_test.cpp
+++ b/tests/fleet/replaced_control_daemons_test.cpp
@@ -43,13 +43,12 @@
         }
     }
     void change_to(int version) { ASSERT_TRUE(fleet.put(make_versioned_document(version))); }
-    /// Replaces the control daemons one after the other, each when the one before votes.
+    /// Replaces the control daemons one after the other, each when the one before counts.
     void replace_all()
     {
         for (int control = 0; control < fleet_processes::control_count; ++control) {
             fleet.replace_control(control);
-            const auto& present = fleet.controls().at(static_cast<std::size_t>(control));
-            ASSERT_TRUE(wait_until([&] { return fleet.has_logged_voter(present); }))
+            ASSERT_TRUE(wait_until([&] { return fleet.has_replaced(control); }))
                 << fleet.describe_controls();
         }
     }
--- a/tests/soak/replaced_controls_soak_test.cpp
+++ b/tests/soak/replaced_controls_soak_test.cpp
@@ -46,8 +46,7 @@
 constexpr duration contact_time = seconds{3};
 /// An acknowledged change is in force at all connected entry daemons after this time.
 constexpr duration apply_time = seconds{2};
-/// A control daemon counts as lost for this time after its start.
-constexpr duration catch_up_time = seconds{4};
+constexpr duration catch_up_time = fleet_processes::catch_up_time;
 /// Longest time from the end of all faults until the newest version is in force everywhere.
 constexpr duration max_recovery_time = seconds{12};
 
@@ -88,10 +87,9 @@
         note(fmt::format("replace {}", control));
         fleet.replace_control(control);
         core_disturbed = steady_now();
-        const auto& present = fleet.controls().at(static_cast<std::size_t>(control));
         ASSERT_TRUE(wait_until([&] {
             observe();
-            return fleet.has_logged_voter(present) || HasFailure();
+            return fleet.has_replaced(control) || HasFailure();
         })) << history
             << fleet.describe_controls();
     }
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -3,6 +3,7 @@
 #include "cedarpoint/core/http_status.h"
 #include "daemon/site.h"
 #include "fleet/fleet_site.h"
+#include "io/clock.h"
 
 #include <algorithm>
 #include <deque>
@@ -165,6 +166,7 @@
         write_settings(index, false);
     }
     start(control, false);
+    replaced_at_.at(static_cast<std::size_t>(control)) = steady_now();
 }
 
 void fleet_processes::end(int index)
@@ -177,10 +179,12 @@
     std::filesystem::remove_all(data_folder_of(control));
 }
 
-bool fleet_processes::has_logged_voter(const endpoint& member) const
+bool fleet_processes::has_replaced(int control) const
 {
-    const endpoint at_mesh{member.ip, mesh_port};
-    const auto text = fmt::format("member={} present=true voter=true", at_mesh.str());
+    if (steady_now() - replaced_at_.at(static_cast<std::size_t>(control)) < catch_up_time) {
+        return false;
+    }
+    const auto text = fmt::format("member={} present=true voter=true", mesh_address(control).str());
     for (int index = 0; index < control_count; ++index) {
         std::ifstream in{log_file_of(index)};
         in.seekg(static_cast<std::streamoff>(log_starts_.at(static_cast<std::size_t>(index))));
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "cedarpoint/core/endpoint.h"
+#include "cedarpoint/core/time.h"
 #include "support/daemon_process.h"
 
 #include <QTemporaryDir>
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -18,6 +20,8 @@
 class fleet_processes {
 public:
     static constexpr int control_count = 3;
+    /// A control daemon counts as lost for this time after its start.
+    static constexpr duration catch_up_time = seconds{4};
 
     struct options {
         int net = 0; ///< addresses are 127.NET.*.*; unique per test, since tests run in parallel
@@ -78,8 +82,9 @@
     /// Waits until each entry daemon serves a GET of `target`. Returns false on a timeout.
     [[nodiscard]] bool wait_serving(const std::string& target) const;
 
-    /// Returns whether a control daemon has logged that the member became a voter.
-    [[nodiscard]] bool has_logged_voter(const endpoint& member) const;
+    /// Returns whether the control daemon has taken the place of the one that it replaced: it has
+    /// run for as long as a new daemon counts as lost, and a leader has made it a voter.
+    [[nodiscard]] bool has_replaced(int control) const;
     /// Returns, for each control daemon, whether its process runs and the end of its log, for the
     /// message of a failed check.
     [[nodiscard]] std::string describe_controls() const;
@@ -95,6 +100,7 @@
 
     options options_;
     int replacements_ = 0;
+    std::array<instant, control_count> replaced_at_{};
     std::vector<std::uintmax_t> log_starts_; ///< sizes of earlier runs' log files
     QTemporaryDir folder_;
     std::vector<endpoint> controls_;
