Entry daemons take a view from a leader only

Callers saw: after a loss of power entry daemons refused requests (404) on routes that had been acknowledged seconds before, until there was a leader. Cause: while no leader was known, a control daemon offered entry daemons without a view the state of its log up to the commit index that it had stored. That index is written with the batch after it, so the state lacks at least the last entry, however old; a voter that had been cut off could offer any prefix. It was so by design. Change: provisional views are gone. The field of the message stays for control daemons of earlier versions and is ignored. Why it works: a leader has committed an entry of its own term, so it holds everything acknowledged. Test replaced: begins_with_what_a_log_holds_for_certain and takes_any_leaders_view_instead_* asked for the fault; takes_no_view_from_a_control_daemon_that_does_not_lead checks the opposite, and the leader's view as before.

--- a/include/cedarpoint/fleet/fleet_messages.h
+++ b/include/cedarpoint/fleet/fleet_messages.h
@@ -31,12 +31,6 @@
 void encode(const health_report& in, wire::fleet_follow& out);
 [[nodiscard]] health_report decode_report(const wire::fleet_follow& in);
 
-/// Returns an update with the provisional view after the log entry `index`, the last one applied to
-/// `state`. Its term is 0, so that the view of any leader replaces it.
-[[nodiscard]] wire::fleet_update make_provisional_update(const fleet_state& state,
-                                                         const fleet_configuration& configuration,
-                                                         std::uint64_t index);
-
 /// A runner that the leader cannot reach. Entry daemons are asked to try to connect to it.
 struct suspect {
     runner_id runner;
--- a/include/cedarpoint/fleet/view_builder.h
+++ b/include/cedarpoint/fleet/view_builder.h
@@ -40,11 +40,4 @@
     const fleet_state& state_;
 };
 
-/// Builds a view from the committed state of a control daemon's log. While the daemon knows no
-/// leader, it sends this view to entry daemons that have no view of a leader. It may be older than
-/// a leader's view. Runners refuse requests that don't match their state, so an outdated view
-/// causes retries but violates no rule.
-[[nodiscard]] view_content build_provisional_view(const fleet_state& state,
-                                                  const fleet_configuration& configuration);
-
 } // namespace cedarpoint
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -215,9 +215,6 @@
         update = leader_.on_follow(now, follower, in.follow());
     }
     else {
-        if (raft.leader().empty() && provisional_views_.is_useful(in.follow(), raft.commit())) {
-            update = provisional_views_.at(raft.commit());
-        }
         update.set_leader(raft.leader().str());
     }
     for (const auto& member : raft.members().members()) {
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -7,7 +7,6 @@
 #include "control_daemon/control_metrics.h"
 #include "control_daemon/election_logger.h"
 #include "control_daemon/log_membership.h"
-#include "control_daemon/provisional_views.h"
 #include "control_daemon/runner_orders.h"
 #include "io/disk_watch.h"
 #include "io/http_listener.h"
@@ -82,7 +81,6 @@
     posix_file_system files_;
     fleet_state state_;
     fleet_leader leader_;
-    provisional_views provisional_views_;
     control_metrics metrics_;
     mesh mesh_;
     std::unique_ptr<replicated_log> log_;
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -100,8 +100,7 @@
 control_daemon::control_daemon(fleet_settings daemon_settings)
     : settings_{std::move(daemon_settings)}, id_{settings_.address.str()},
       platform_{installed_platform()}, leader_{planner_options_of(settings_), platform_, state_},
-      provisional_views_{platform_, state_}, mesh_{
-                                                 [this](const wire::envelope& in) { receive(in); }}
+      mesh_{[this](const wire::envelope& in) { receive(in); }}
 {
     mesh_.on_unreadable = [this] { metrics_.count_unreadable_message(); };
     leader_.set_event_handler(log_group);
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -107,9 +107,6 @@
     if (update.leading()) {
         apply_from_leader(now, daemon_id{in.from()}, update);
     }
-    else {
-        apply_provisional(update);
-    }
 }
 
 void fleet_follower::note_members(const wire::fleet_update& update)
@@ -156,15 +153,4 @@
     hooks_.on_view(outcome);
 }
 
-void fleet_follower::apply_provisional(const wire::fleet_update& update)
-{
-    // A leader's view takes precedence over a provisional one, at any age.
-    if (!update.provisional() || view_.term() > 0) {
-        return;
-    }
-    if (const auto outcome = view_.take(update); outcome == view_copy::outcome::applied) {
-        hooks_.on_view(outcome);
-    }
-}
-
 } // namespace cedarpoint
--- a/src/entry/fleet_follower.h
+++ b/src/entry/fleet_follower.h
@@ -19,8 +19,8 @@
 /// hook.
 ///
 /// While no leader answers, the copy stays in use at any age, because runners refuse requests that
-/// do not fit their state. A daemon without a view accepts a provisional one from any control
-/// daemon.
+/// do not fit their state. Only a leader's view is accepted: what another control daemon has stored
+/// may be older than what was acknowledged.
 class fleet_follower {
 public:
     struct hooks {
@@ -58,7 +58,6 @@
 private:
     void check_missing_leader(instant now);
     void report_to(instant now, const daemon_id& to);
-    void apply_provisional(const wire::fleet_update& update);
     void apply_from_leader(instant now, const daemon_id& from, const wire::fleet_update& update);
     void note_members(const wire::fleet_update& update);
     void read_seeds();
--- a/src/fleet/fleet_messages.cpp
+++ b/src/fleet/fleet_messages.cpp
@@ -274,23 +274,6 @@
     return out;
 }
 
-wire::fleet_update make_provisional_update(const fleet_state& state,
-                                           const fleet_configuration& configuration,
-                                           std::uint64_t index)
-{
-    wire::fleet_update out;
-    out.set_provisional(true);
-    out.set_reset(true);
-    out.set_to(index);
-    auto& accepted = *out.add_items();
-    accepted.set_key(configuration_key());
-    *accepted.mutable_configuration() = state.configuration();
-    for (auto& [key, item] : encode(build_provisional_view(state, configuration))) {
-        *out.add_items() = std::move(item);
-    }
-    return out;
-}
-
 std::vector<suspect> decode_suspects(const wire::fleet_update& in)
 {
     std::vector<suspect> out;
--- a/src/fleet/view_builder.cpp
+++ b/src/fleet/view_builder.cpp
@@ -115,32 +115,4 @@
     }
 }
 
-view_content build_provisional_view(const fleet_state& state,
-                                    const fleet_configuration& configuration)
-{
-    view_content out;
-    const auto& runners = state.registrations();
-    for (const auto& [name, group] : state.groups()) {
-        const auto head = runners.find(group.members.front());
-        const auto* service = configuration.find_service(group.service);
-        if (head == runners.end() || is_plain(service)) {
-            continue;
-        }
-        auto runner = make_runner(head->first, head->second);
-        runner.slots = service->engine->slots;
-        out.groups[name] = make_group(group, true);
-        out.runners[head->first] = std::move(runner);
-    }
-    for (const auto& [runner, registered] : runners) {
-        const bool plain = is_plain(configuration.find_service(registered.service));
-        if (plain && !state.is_leaving(runner)) {
-            out.runners[runner] = make_runner(runner, registered);
-        }
-    }
-    for (const auto& cause : state.quarantined()) {
-        out.crashes[cause] = crashes_to_quarantine;
-    }
-    return out;
-}
-
 } // namespace cedarpoint
--- a/tests/fleet/fleet_leader_test.cpp
+++ b/tests/fleet/fleet_leader_test.cpp
@@ -132,18 +132,17 @@
         out.seeds = {{"10.0.0.1", 80}};
         return out;
     }
+    /// Returns what a control daemon of an earlier version offers while it knows no leader.
     static wire::fleet_update provisional(std::uint64_t version, std::uint64_t index)
     {
-        fleet_state state;
-        state.apply(fleet_state::put_configuration(version, document(1, 1)));
-        wire::fleet_command runner;
-        runner.mutable_registration()->set_runner("i-1");
-        runner.mutable_registration()->set_service("shop");
-        runner.mutable_registration()->set_address("10.0.0.9:80");
-        state.apply(runner.SerializeAsString());
-        reason why;
-        const auto read = installed_platform().read_configuration(state.document(), why);
-        return make_provisional_update(state, *read, index);
+        wire::fleet_update out;
+        out.set_provisional(true);
+        out.set_reset(true);
+        out.set_to(index);
+        auto& item = *out.add_items();
+        item.set_key(configuration_key());
+        item.mutable_configuration()->set_revision(version);
+        return out;
     }
     void receive_update(const wire::fleet_update& update)
     {
@@ -190,34 +189,27 @@
     EXPECT_EQ(asked, (std::set<daemon_id>{later})) << "an unreadable file changes nothing";
 }
 
-TEST_F(a_follower_without_a_leader, begins_with_what_a_log_holds_for_certain)
-{
-    receive_update(provisional(5, 40));
-    EXPECT_EQ(views, 1);
-    EXPECT_EQ(follower.view().configuration()->revision(), 5U);
-    EXPECT_TRUE(follower.view().items().contains(runner_key("i-1")));
-    EXPECT_EQ(follower.followers(), 0U)
-        << "the number of daemons that share its limits is not known";
-    receive_update(provisional(4, 30));
-    EXPECT_EQ(follower.view().configuration()->revision(), 5U) << "an older log changes nothing";
-    receive_update(provisional(6, 50));
-    EXPECT_EQ(follower.view().configuration()->revision(), 6U);
-}
-
-TEST_F(a_follower_without_a_leader, takes_any_leaders_view_instead_and_none_from_a_log_after_it)
+// Guards against an entry daemon that serves by an older configuration than the acknowledged one,
+// which a control daemon has offered that knows no leader.
+TEST_F(a_follower_without_a_leader, takes_no_view_from_a_control_daemon_that_does_not_lead)
 {
     receive_update(provisional(5, 40));
+    EXPECT_EQ(views, 0);
+    EXPECT_EQ(follower.view().configuration(), nullptr);
     wire::fleet_update from_leader;
     from_leader.set_term(2);
     from_leader.set_leading(true);
     from_leader.set_reset(true);
     from_leader.set_to(1);
+    auto& item = *from_leader.add_items();
+    item.set_key(configuration_key());
+    item.mutable_configuration()->set_revision(6);
     receive_update(from_leader);
-    EXPECT_TRUE(follower.view().items().empty());
-    EXPECT_EQ(follower.view().configuration()->revision(), 5U)
-        << "an older revision is never restored";
+    EXPECT_EQ(views, 1);
+    EXPECT_EQ(follower.view().configuration()->revision(), 6U);
     receive_update(provisional(9, 90));
-    EXPECT_EQ(follower.view().configuration()->revision(), 5U);
+    EXPECT_EQ(follower.view().configuration()->revision(), 6U);
+    EXPECT_EQ(follower.view().term(), 2U);
 }
 
 // Guards against a follower that waits for ever for updates that it can read: a delta may repeat
