A log syncs what it reads at its opening

Callers could see: an acknowledged change gone after a control daemon was killed in a sync and then lost power. Cause: a batch that was written and not synced before a kill is read after the restart and counted as stored; a follower that holds it already acknowledges it again without a write. The same for a file that was renamed before the kill and whose folder was not synced. Change: opening a log truncates it to its intact length in any case, which syncs it, and syncs its folder beside the folder's own name. One or two syncs at each start. The folder's sync is in posix_file_system, which no test can deprive of power; read, not played.

--- a/include/cedarpoint/storage/file_system.h
+++ b/include/cedarpoint/storage/file_system.h
@@ -27,6 +27,7 @@
     virtual bool replace(const std::string& path, const std::string& bytes, reason& why) = 0;
     /// Truncates the file to `size` bytes and syncs.
     virtual bool truncate(const std::string& path, std::uint64_t size, reason& why) = 0;
+    /// Creates the folder unless it exists, and makes the names in it durable.
     virtual bool make_folder(const std::string& path, reason& why) = 0;
 };
 
--- a/include/cedarpoint/storage/log_store.h
+++ b/include/cedarpoint/storage/log_store.h
@@ -17,8 +17,9 @@
 /// Owns: the two files. Relies on: a file_system that syncs before it returns.
 class log_store {
 public:
-    /// Opens or creates the folder and reads its content into `state`. Returns null and sets `why`
-    /// if a file is damaged or an operation fails.
+    /// Opens or creates the folder and reads its content into `state`. What was read is durable: a
+    /// process that was killed may have written it without a sync. Returns null and sets `why` if a
+    /// file is damaged or an operation fails.
     static std::unique_ptr<log_store> open(file_system& files, const std::string& folder,
                                            raft_state& state, reason& why);
 
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -172,7 +172,7 @@
         return false;
     }
     log_bytes_ = at;
-    return at == text.size() || files_.truncate(log_path_, at, why);
+    return files_.truncate(log_path_, at, why); // also syncs what was read
 }
 
 bool log_store::append(const wire::storage_batch& batch, reason& why)
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -58,13 +58,17 @@
     return true;
 }
 
-bool sync_folder_of(const std::string& path, reason& why)
+bool sync_folder(const std::string& folder, reason& why)
 {
-    const auto folder = std::filesystem::path{path}.parent_path().string();
     const descriptor it{folder.empty() ? "." : folder, O_RDONLY | O_DIRECTORY};
     return (it.is_open() && ::fsync(it.get()) == 0) || fail(why, "sync folder", folder);
 }
 
+bool sync_folder_of(const std::string& path, reason& why)
+{
+    return sync_folder(std::filesystem::path{path}.parent_path().string(), why);
+}
+
 } // namespace
 
 std::optional<std::string> posix_file_system::read(const std::string& path, reason& why)
@@ -148,7 +152,7 @@
         why = {"make folder", path, ec.message()};
         return false;
     }
-    return sync_folder_of(path, why);
+    return sync_folder_of(path, why) && sync_folder(path, why);
 }
 
 } // namespace cedarpoint
--- a/tests/storage/log_store_test.cpp
+++ b/tests/storage/log_store_test.cpp
@@ -101,6 +101,22 @@
     EXPECT_EQ(entries_at_opening(files, why), -1) << "the commit index is past the log's end";
 }
 
+// Guards against a member that acknowledges again, after it was killed in a sync, what a loss of
+// power then takes away.
+TEST(a_log, keeps_what_was_read_at_its_opening)
+{
+    memory_files files;
+    raft_state state;
+    reason why;
+    auto it = log_store::open(files, "data", state, why);
+    ASSERT_TRUE(it->append(batch_of(1, 1), why));
+    files.fail_sync(0);
+    ASSERT_FALSE(it->append(batch_of(2, 2), why));
+    ASSERT_EQ(entries_at_opening(files, why), 2) << "killed, it reads what it wrote";
+    files.lose_power();
+    EXPECT_EQ(entries_at_opening(files, why), 2);
+}
+
 TEST(a_log, damaged_in_the_middle_is_refused_with_the_place)
 {
     memory_files files;
--- a/tests/support/memory_files.cpp
+++ b/tests/support/memory_files.cpp
@@ -29,6 +29,37 @@
     return true;
 }
 
+bool memory_files::inject_failed_sync(reason& why, const std::string& path)
+{
+    if (writes_before_unsynced_ < 0 || writes_before_unsynced_-- > 0) {
+        return false;
+    }
+    why = {"sync", path, "the disk has failed"};
+    return true;
+}
+
+void memory_files::lose_power()
+{
+    files_ = synced_;
+    for (const auto& [path, content] : earlier_) {
+        if (content) {
+            files_[path] = *content;
+        }
+        else {
+            files_.erase(path);
+        }
+    }
+    synced_ = files_;
+    earlier_.clear();
+}
+
+void memory_files::wipe()
+{
+    files_.clear();
+    synced_.clear();
+    earlier_.clear();
+}
+
 bool memory_files::append_synced(const std::string& path, const std::string& bytes, reason& why)
 {
     if (inject_failure(why, path)) {
@@ -37,6 +68,10 @@
         return false;
     }
     files_[path] += bytes;
+    if (inject_failed_sync(why, path)) {
+        return false;
+    }
+    synced_[path] = files_[path];
     return true;
 }
 
@@ -45,7 +80,15 @@
     if (inject_failure(why, path)) {
         return false;
     }
+    const auto before = synced_.find(path);
+    const auto replaced = before == synced_.end() ? std::nullopt : std::optional{before->second};
     files_[path] = bytes;
+    synced_[path] = bytes;
+    if (inject_failed_sync(why, path)) {
+        earlier_.try_emplace(path, replaced);
+        return false;
+    }
+    earlier_.clear();
     return true;
 }
 
@@ -55,11 +98,13 @@
         return false;
     }
     files_[path].resize(size);
+    synced_[path] = files_[path];
     return true;
 }
 
 bool memory_files::make_folder(const std::string& /*path*/, reason& /*why*/)
 {
+    earlier_.clear();
     return true;
 }
 
