--- a/include/cedarpoint/storage/log_store.h
+++ b/include/cedarpoint/storage/log_store.h
@@ -38,6 +38,8 @@
     log_store(file_system& files, const std::string& folder);
     bool read_snapshot(raft_state& state, reason& why);
     bool read_log(raft_state& state, reason& why);
+    /// Replaces the log by the hard state and the entries after the snapshot.
+    bool replace_log(const wire::storage_batch& rest, reason& why);
 
     file_system& files_;
     std::string snapshot_path_;
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -2,7 +2,9 @@
 
 #include "cedarpoint/core/hash.h"
 
+#include <algorithm>
 #include <cstring>
+#include <iterator>
 #include <string_view>
 
 namespace cedarpoint {
@@ -82,10 +84,44 @@
         state.entries.pop_back();
     }
     for (const auto& it : batch.entries()) {
-        if (it.index() > state.snapshot.index()) {
-            state.entries.push_back(it);
+        state.entries.push_back(it);
+    }
+}
+
+/// Removes the entries that the snapshot holds, and all if they don't follow it: a leader's
+/// snapshot replaces a log that differs, and the process may have ended before it replaced the
+/// file. Returns whether they did not follow it.
+bool drop_entries_of_snapshot(raft_state& state)
+{
+    const auto last = state.snapshot.index();
+    auto& all = state.entries;
+    const auto after = std::find_if(all.begin(), all.end(),
+                                    [&](const wire::log_entry& it) { return it.index() > last; });
+    const bool differs = after != all.begin() && std::prev(after)->term() != state.snapshot.term();
+    all.erase(all.begin(), differs ? all.end() : after);
+    return differs;
+}
+
+struct scanned_log {
+    std::size_t intact_bytes = 0; ///< up to the end of the last intact frame
+    std::string_view rest;        ///< what follows
+};
+
+/// Calls `take` with each batch up to the first one that is torn or damaged.
+template <class Take>
+scanned_log scan_log(std::string_view text, const Take& take)
+{
+    std::size_t at = file_magic.size();
+    while (at < text.size()) {
+        const auto payload = read_frame(text.substr(at));
+        wire::storage_batch batch;
+        if (!payload || !batch.ParseFromArray(payload->data(), static_cast<int>(payload->size()))) {
+            break;
         }
+        take(batch);
+        at += frame_header_size + payload->size();
     }
+    return {at, text.substr(at)};
 }
 
 /// Returns false if the snapshot on which the log was built is missing or an older one: such a
@@ -155,22 +191,19 @@
         why = {"read", log_path_, "not a log of this version"};
         return false;
     }
-    std::size_t at = file_magic.size();
-    while (at < text.size()) {
-        const auto payload = read_frame(text.substr(at));
-        wire::storage_batch batch;
-        if (!payload || !batch.ParseFromArray(payload->data(), static_cast<int>(payload->size()))) {
-            break;
-        }
-        apply_batch(batch, state);
-        at += frame_header_size + payload->size();
-    }
-    if (at < text.size() && contains_intact_frame(text.substr(at + 1))) {
+    const auto [at, rest] =
+        scan_log(text, [&](const wire::storage_batch& batch) { apply_batch(batch, state); });
+    if (!rest.empty() && contains_intact_frame(rest.substr(1))) {
         why = {"read", log_path_,
                "damaged at byte " + std::to_string(at) +
                    ", before good records: restore the data folder"};
         return false;
     }
+    if (drop_entries_of_snapshot(state)) {
+        wire::storage_batch rest_of_log;
+        *rest_of_log.mutable_state() = state.hard;
+        return replace_log(rest_of_log, why);
+    }
     log_bytes_ = at;
     return files_.truncate(log_path_, at, why); // also syncs what was read
 }
@@ -197,7 +230,12 @@
     if (!files_.replace(snapshot_path_, mark + make_frame(snapshot.SerializeAsString()), why)) {
         return false;
     }
-    const auto log = mark + make_frame(rest.SerializeAsString());
+    return replace_log(rest, why);
+}
+
+bool log_store::replace_log(const wire::storage_batch& rest, reason& why)
+{
+    const auto log = std::string{file_magic} + make_frame(rest.SerializeAsString());
     if (!files_.replace(log_path_, log, why)) {
         return false;
     }
--- a/tests/storage/log_store_test.cpp
+++ b/tests/storage/log_store_test.cpp
@@ -117,6 +117,24 @@
     EXPECT_EQ(entries_at_opening(files, why), 2);
 }
 
+// Guards against a voter that takes uncommitted entries of an earlier term for the end of its log,
+// and so votes for a candidate that lacks what the snapshot holds.
+TEST(a_log, that_does_not_follow_the_leaders_snapshot_is_dropped)
+{
+    memory_files files;
+    raft_state state;
+    reason why;
+    const auto it = log_store::open(files, "data", state, why);
+    ASSERT_TRUE(it->append(batch_of(1, 4), why));
+    wire::log_snapshot snapshot;
+    snapshot.set_index(3);
+    snapshot.set_term(2); // another entry than the third one of the log
+    files.fail_write(1, 0);
+    ASSERT_FALSE(it->save_snapshot(snapshot, {}, why));
+    files.work_again();
+    EXPECT_EQ(entries_at_opening(files, why), 0) << why.str();
+}
+
 TEST(a_log, damaged_in_the_middle_is_refused_with_the_place)
 {
     memory_files files;
