A log's replacement that failed is settled before the next append

Callers could see: an acknowledged change gone after a sync of a folder had failed and power was lost later, or a control daemon that refuses to start (damaged before good records). Cause: a compaction renames the new log into place and syncs the folder. If that sync fails, the call counts as failed, but the name refers to the new file: later entries are synced into a file whose name a loss of power takes back, and a failed append cuts the file at the length of the longer log before it. Evidence: a_log_whose_folder_is_not_synced.keeps_what_is_appended_later (1 of 2 entries before) and is_cut_at_its_own_length (refused at its opening before). keeps_what_is_appended_after_another_start passed before as well: the files of the tests sync names when a folder is opened. Change: after a failed replacement the next append first syncs the folder and finds the log's intact length.

--- a/include/cedarpoint/storage/log_store.h
+++ b/include/cedarpoint/storage/log_store.h
@@ -40,12 +40,18 @@
     bool read_log(raft_state& state, reason& why);
     /// Replaces the log by the hard state and the entries after the snapshot.
     bool replace_log(const wire::storage_batch& rest, reason& why);
+    /// Makes the log's name durable, and finds the length of the file that it refers to.
+    bool settle_replacement(reason& why);
 
     file_system& files_;
+    std::string folder_;
     std::string snapshot_path_;
     std::string log_path_;
     std::uint64_t log_bytes_ = 0;
     bool has_torn_tail_ = false;
+    /// The latest replacement of the log failed: its name may refer to the new file or the old one,
+    /// and may not be durable.
+    bool replacement_failed_ = false;
 };
 
 } // namespace cedarpoint
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -136,7 +136,8 @@
 } // namespace
 
 log_store::log_store(file_system& files, const std::string& folder)
-    : files_{files}, snapshot_path_{folder + "/snapshot"}, log_path_{folder + "/log"}
+    : files_{files}, folder_{folder}, snapshot_path_{folder + "/snapshot"}, log_path_{folder +
+                                                                                      "/log"}
 {
 }
 
@@ -208,8 +209,30 @@
     return files_.truncate(log_path_, at, why); // also syncs what was read
 }
 
+bool log_store::settle_replacement(reason& why)
+{
+    if (!replacement_failed_) {
+        return true;
+    }
+    if (!files_.make_folder(folder_, why)) {
+        return false;
+    }
+    const auto bytes = files_.read(log_path_, why);
+    if (!bytes) {
+        return false;
+    }
+    const auto scanned = scan_log(*bytes, [](const wire::storage_batch&) {});
+    log_bytes_ = scanned.intact_bytes;
+    has_torn_tail_ = !scanned.rest.empty();
+    replacement_failed_ = false;
+    return true;
+}
+
 bool log_store::append(const wire::storage_batch& batch, reason& why)
 {
+    if (!settle_replacement(why)) {
+        return false;
+    }
     // A failed append may have left part of a batch in the file, which must not precede the next.
     if (has_torn_tail_ && !files_.truncate(log_path_, log_bytes_, why)) {
         return false;
@@ -236,7 +259,8 @@
 bool log_store::replace_log(const wire::storage_batch& rest, reason& why)
 {
     const auto log = std::string{file_magic} + make_frame(rest.SerializeAsString());
-    if (!files_.replace(log_path_, log, why)) {
+    replacement_failed_ = !files_.replace(log_path_, log, why);
+    if (replacement_failed_) {
         return false;
     }
     log_bytes_ = log.size();
--- a/tests/storage/log_store_test.cpp
+++ b/tests/storage/log_store_test.cpp
@@ -117,6 +117,52 @@
     EXPECT_EQ(entries_at_opening(files, why), 2);
 }
 
+class a_log_whose_folder_is_not_synced : public testing::Test {
+protected:
+    a_log_whose_folder_is_not_synced()
+    {
+        raft_state state;
+        it = log_store::open(files, "data", state, why);
+        EXPECT_TRUE(it->append(batch_of(1, 3), why));
+        wire::log_snapshot snapshot;
+        snapshot.set_index(2);
+        snapshot.set_term(1);
+        files.fail_sync(1); // the log's replacement follows the snapshot's
+        EXPECT_FALSE(it->save_snapshot(snapshot, batch_of(3, 3), why));
+    }
+    memory_files files;
+    reason why;
+    std::unique_ptr<log_store> it;
+};
+
+// Guards against entries that are synced into a file whose name a loss of power gives to the file
+// before it.
+TEST_F(a_log_whose_folder_is_not_synced, keeps_what_is_appended_later)
+{
+    ASSERT_TRUE(it->append(batch_of(4, 4), why)) << why.str();
+    files.lose_power();
+    EXPECT_EQ(entries_at_opening(files, why), 2) << why.str();
+}
+
+TEST_F(a_log_whose_folder_is_not_synced, keeps_what_is_appended_after_another_start)
+{
+    raft_state state;
+    it = log_store::open(files, "data", state, why);
+    ASSERT_TRUE(it->append(batch_of(4, 4), why));
+    files.lose_power();
+    EXPECT_EQ(entries_at_opening(files, why), 2) << why.str();
+}
+
+// Guards against a log that is cut, after a failed append, at the length of the longer one before.
+TEST_F(a_log_whose_folder_is_not_synced, is_cut_at_its_own_length)
+{
+    files.fail_write(0, 5);
+    ASSERT_FALSE(it->append(batch_of(4, 4), why));
+    files.work_again();
+    ASSERT_TRUE(it->append(batch_of(4, 4), why)) << why.str();
+    EXPECT_EQ(entries_at_opening(files, why), 2) << why.str();
+}
+
 // Guards against a voter that takes uncommitted entries of an earlier term for the end of its log,
 // and so votes for a candidate that lacks what the snapshot holds.
 TEST(a_log, that_does_not_follow_the_leaders_snapshot_is_dropped)
