Interim answers are skipped, and a status that is none is a spoiled answer

Callers saw: a runner's answer lost if it sent 100 or 103 first (the interim answer was taken for the final one), and answers with status 000, 101 or 600 passed on as final. Cause: the parser of answers, which all clients of runners share, took any status for a final one. Change: the parser drops interim answers and goes on with the next head; 101 and statuses outside 200 to 599 are malformed, and nothing of them is passed on. Requests through another entry daemon and second attempts use the same connections; they were not played by themselves.

--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <bit>
 #include <limits>
+#include <optional>
 
 namespace cedarpoint {
 namespace {
@@ -77,6 +78,19 @@
 /// bytes.
 constexpr std::size_t body_step = 65536;
 
+/// Statuses of final answers (RFC 9110, section 15).
+constexpr unsigned first_final_status = 200;
+constexpr unsigned last_status = 599;
+
+/// Returns whether a final answer on the same connection follows one with this status. A change of
+/// protocols, 101, is never asked for.
+constexpr bool is_interim(unsigned status)
+{
+    constexpr unsigned first_interim = 100;
+    constexpr unsigned switching_protocols = 101;
+    return status >= first_interim && status < first_final_status && status != switching_protocols;
+}
+
 constexpr std::uint32_t limit32(std::size_t n)
 {
     return n > std::numeric_limits<std::uint32_t>::max() ? std::numeric_limits<std::uint32_t>::max()
@@ -197,23 +211,50 @@
 }
 
 struct http_response_parser::impl {
-    http::response_parser<growing_body> parser;
+    impl(std::size_t max_head, bool head_only) : max_kept{max_head}, head_only{head_only}
+    {
+        expect_head();
+    }
+
+    /// Prepares for the head of the next answer.
+    void expect_head()
+    {
+        parser.emplace();
+        parser->eager(true);
+        parser->skip(head_only);
+        parser->header_limit(limit32(max_kept));
+        // Not `boost::none`: the parser takes any length for too large then if the head arrives
+        // alone.
+        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    }
+    /// Drops an interim answer, which a final one follows. A status that is none is a fault.
+    void check_status()
+    {
+        if (!parser->is_header_done()) {
+            return;
+        }
+        const auto status = parser->get().result_int();
+        if (is_interim(status)) {
+            expect_head();
+        }
+        else if (status < first_final_status || status > last_status) {
+            parser.emplace(); // no part of the answer is passed on
+            fault = http_fault::malformed;
+        }
+    }
+
+    std::optional<http::response_parser<growing_body>> parser;
     http_fault fault = http_fault::none;
     /// Bytes of a head, of the start of a chunk or of trailers, which the parser needs again with
     /// the rest. The parser itself bounds only heads.
     std::string kept;
     std::size_t max_kept = 0;
+    bool head_only = false;
 };
 
 http_response_parser::http_response_parser(std::size_t max_head, bool head_only)
-    : impl_{std::make_unique<impl>()}
+    : impl_{std::make_unique<impl>(max_head, head_only)}
 {
-    impl_->parser.eager(true);
-    impl_->parser.skip(head_only);
-    impl_->parser.header_limit(limit32(max_head));
-    impl_->max_kept = max_head;
-    // Not `boost::none`: the parser takes any length for too large then if the head arrives alone.
-    impl_->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
 http_response_parser::~http_response_parser() = default;
@@ -225,8 +266,9 @@
     std::size_t used = 0;
     while (used < impl_->kept.size() && !is_done() && impl_->fault == http_fault::none) {
         boost::beast::error_code ec;
-        used += impl_->parser.put(
+        used += impl_->parser->put(
             boost::asio::buffer(impl_->kept.data() + used, impl_->kept.size() - used), ec);
+        impl_->check_status();
         if (ec == http::error::need_more) {
             break;
         }
@@ -251,7 +293,7 @@
         return;
     }
     boost::beast::error_code ec;
-    impl_->parser.put_eof(ec);
+    impl_->parser->put_eof(ec);
     if (ec || !is_done()) {
         impl_->fault = http_fault::cut;
     }
@@ -264,23 +306,23 @@
 
 bool http_response_parser::is_head_done() const
 {
-    return impl_->parser.is_header_done();
+    return impl_->parser->is_header_done();
 }
 
 bool http_response_parser::is_done() const
 {
-    return impl_->parser.is_done();
+    return impl_->parser->is_done();
 }
 
 http_head http_response_parser::head() const
 {
-    const auto& message = impl_->parser.get();
+    const auto& message = impl_->parser->get();
     return {static_cast<int>(message.result_int()), copy_fields(message)};
 }
 
 std::string http_response_parser::take_body()
 {
-    return std::exchange(impl_->parser.get().body(), {});
+    return std::exchange(impl_->parser->get().body(), {});
 }
 
 } // namespace cedarpoint
