Tests of replaced control daemons and torn heads pass the linter

Cause: an unused declaration, string concatenations, a name in another case and a constant that could not be moved. Change: these five lines; checks unchanged.

--- a/tests/fleet/replaced_control_daemons_test.cpp
+++ b/tests/fleet/replaced_control_daemons_test.cpp
@@ -16,7 +16,6 @@
 namespace cedarpoint {
 namespace {
 
-using testing_support::call;
 using testing_support::fleet_processes;
 using testing_support::has_in_force;
 using testing_support::make_versioned_document;
--- a/tests/io/torn_head_test.cpp
+++ b/tests/io/torn_head_test.cpp
@@ -9,6 +9,7 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <optional>
@@ -118,9 +119,9 @@
     std::size_t step; ///< bytes between two places at which it is torn
 };
 
-void PrintTo(const head_form& it, std::ostream* out)
+std::ostream& operator<<(std::ostream& out, const head_form& it)
 {
-    *out << it.name;
+    return out << it.name;
 }
 
 class a_torn_head : public testing::TestWithParam<head_form> {
@@ -195,7 +196,7 @@
     for (const std::string interim :
          {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n"}) {
         tearing_runner runner;
-        runner.torn = interim + interim + sound;
+        runner.torn = fmt::format("{0}{0}{1}", interim, sound);
         runner_connection connection{runner.address()};
         for (const auto& [status, body, complete] : {exchange(connection), call_once(runner)}) {
             EXPECT_EQ(status, 200);
@@ -210,7 +211,8 @@
 {
     for (const std::string status : {"000", "099", "101", "600", "999"}) {
         tearing_runner runner;
-        runner.torn = "HTTP/1.1 " + status + " OK\r\n" + identity + "Content-Length: 2\r\n\r\nok";
+        runner.torn =
+            fmt::format("HTTP/1.1 {} OK\r\n{}Content-Length: 2\r\n\r\nok", status, identity);
         runner_connection connection{runner.address()};
         for (const auto& out : {exchange(connection), call_once(runner)}) {
             EXPECT_FALSE(out.status) << status;
--- a/tests/support/fleet_processes.cpp
+++ b/tests/support/fleet_processes.cpp
@@ -143,7 +143,7 @@
             settings_json["retry_budget"]["ratio"] = options_.retry_ratio;
         }
     }
-    const auto settings_file = fmt::format("{}/d-{}.json", folder_.path().toStdString(), index);
+    auto settings_file = fmt::format("{}/d-{}.json", folder_.path().toStdString(), index);
     std::ofstream{settings_file} << settings_json.dump();
     return settings_file;
 }
