The view has one kind of runner and group to build from

Cause: make_runner and make_group were templates for the stored state as well, from which the provisional views were made; these are gone. Change: concrete types, and an include that nothing uses is removed. No behaviour changes.

--- a/src/fleet/fleet_messages.cpp
+++ b/src/fleet/fleet_messages.cpp
@@ -1,7 +1,6 @@
 #include "cedarpoint/fleet/fleet_messages.h"
 
 #include "cedarpoint/fleet/fleet_view.h"
-#include "cedarpoint/fleet/view_builder.h"
 #include "cedarpoint/quarantine/crash_messages.h"
 
 #include <algorithm>
--- a/src/fleet/view_builder.cpp
+++ b/src/fleet/view_builder.cpp
@@ -11,9 +11,7 @@
 /// many heartbeat intervals is omitted from the view.
 constexpr int heartbeats_until_lost = 3;
 
-/// `Runner` is an `announcement` or a `registered_runner`.
-template <class Runner>
-view_runner make_runner(const runner_id& id, const Runner& in)
+view_runner make_runner(const runner_id& id, const announcement& in)
 {
     view_runner out;
     out.id = id;
@@ -25,9 +23,7 @@
     return out;
 }
 
-/// `Group` is a `planned_group` or a `formed_group`.
-template <class Group>
-view_group make_group(const Group& in, bool accepting)
+view_group make_group(const planned_group& in, bool accepting)
 {
     return {in.name, in.assignment, in.service, in.model, in.members, accepting};
 }
