An engine without fences can no longer be put back into a group by a late order to join

Cause: an engine refuses an order to join only if its epoch is below one that it has joined under. An unanswered order was repeated under its epoch, so the first copy was as good after the runner had left as before.

Change: epoch_fencing sends a head each epoch once. If it does not answer, the group takes a higher epoch under its name; the members are ordered once the head has answered. A member that has to be used while the head of its group may be open is first ordered to join that group once more, under an epoch of its own, and again if it restarts. A member that takes no order for 10 s ends its group and is set aside for 10 s. The log of orders names the epoch.

--- a/include/cedarpoint/fleet/group_plan.h
+++ b/include/cedarpoint/fleet/group_plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cedarpoint/core/ids.h"
+#include "cedarpoint/core/time.h"
 #include "cedarpoint/fleet/announcement.h"
 #include "cedarpoint/fleet/planned_group.h"
 
@@ -41,6 +42,8 @@
     /// member that name the group are ignored.
     void free_unopened(const planned_group& group, const runner_id& member,
                        incarnation its_incarnation);
+    /// Keeps the runner out of new groups until `until`.
+    void set_aside(const runner_id& runner, instant until) { set_aside_[runner] = until; }
     /// Clears the runner's loaded model, because a new incarnation of it has loaded none.
     void clear_loaded(const runner_id& runner) { last_models_.erase(runner); }
     /// Removes the member from the group without freeing it: later reports that name the group
@@ -50,11 +53,16 @@
     /// `erase_ended`, so that groups can be ended during iteration.
     void end(const planned_group& group) { ended_.insert(group.name); }
     void erase_ended();
+    [[nodiscard]] bool has_ended(const planned_group& group) const
+    {
+        return ended_.contains(group.name);
+    }
 
     [[nodiscard]] group_map& groups() { return groups_; }
     [[nodiscard]] const group_map& groups() const { return groups_; }
     [[nodiscard]] planned_group* find(const group_id& name);
     [[nodiscard]] bool is_bound(const runner_id& runner) const { return bound_.contains(runner); }
+    [[nodiscard]] bool is_set_aside(instant now, const runner_id& runner) const;
     /// Returns the group that the runner belongs to; null if there is none.
     [[nodiscard]] const planned_group* group_of(const runner_id& runner) const;
     /// Returns true if the plan assigns the runner to this group.
@@ -76,6 +84,7 @@
     /// was never opened.
     std::map<std::pair<group_id, runner_id>, heartbeat_number> freed_;
     std::map<runner_id, model_id> last_models_;
+    std::map<runner_id, instant> set_aside_; ///< until when, by runner
     std::set<group_id> ended_;
 };
 
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/fleet/epoch_source.h"
 #include "cedarpoint/fleet/failure_detector.h"
 #include "cedarpoint/fleet/fleet_configuration.h"
 #include "cedarpoint/fleet/fleet_state.h"
@@ -68,7 +69,8 @@
     /// Retires groups in favour of a model with a higher utilization. Returns true if it retired
     /// any.
     bool convert_groups(instant now, const placement_snapshot& in);
-    void begin_group(instant now, const proposed_group& proposed);
+    /// Returns false if the group had to end at once.
+    bool begin_group(instant now, const proposed_group& proposed);
     [[nodiscard]] bool is_usable(const runner_record& record) const;
     [[nodiscard]] bool is_free(instant now, const runner_record& record) const;
     /// Returns true if the runner sent a heartbeat in this term and is in no group, or in one that
@@ -93,15 +95,14 @@
     group_plan plan_;
     planner_outbox outbox_;
     failure_detector detector_;
+    epoch_source epochs_;
     group_lifecycle lifecycle_;
     leader_recovery recovery_;
     weight_load_limiter loads_;
     weight_staging staging_;
     group_conversion conversions_;
     work_average work_;
-    std::uint64_t term_ = 0;
-    std::uint64_t groups_formed_ = 0; ///< in this term
-    bool took_over_groups_ = false;   ///< the log held groups when the term began
+    bool took_over_groups_ = false; ///< the log held groups when the term began
     instant settled_at_;
 };
 
--- a/include/cedarpoint/fleet/planner_outbox.h
+++ b/include/cedarpoint/fleet/planner_outbox.h
@@ -30,7 +30,9 @@
     /// Returns true if the order was given in this term.
     [[nodiscard]] bool is_of_this_term(const group_order& order) const;
 
-    void order(instant now, const planned_group& group, order_kind kind, const runner_id& to);
+    /// Orders a member under the epoch that the group has for it. Returns false if the same order
+    /// was added less than `order_retry` ago.
+    bool order(instant now, const planned_group& group, order_kind kind, const runner_id& to);
     void stage(const runner_id& to, const model_id& model);
     /// Does nothing if the registry does not have the runner.
     void probe(instant now, const runner_id& runner);
@@ -40,7 +42,7 @@
     [[nodiscard]] std::vector<planner_step> take();
 
 private:
-    using order_key = std::tuple<runner_id, group_id, order_kind>;
+    using order_key = std::tuple<runner_id, group_id, epoch, order_kind>;
 
     void add_order(group_order order);
 
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -235,6 +235,7 @@
         .with("model", order.model.str())
         .with("runner", order.to.str())
         .with("group", order.group.str())
+        .with("epoch", order.assignment.value)
         .with("fence", order.fence)
         .with("result", name_of(result))
         .write();
--- a/src/fleet/group_lifecycle.cpp
+++ b/src/fleet/group_lifecycle.cpp
@@ -17,6 +17,10 @@
 /// with the next view and report every 200 ms.
 constexpr duration min_retirement = milliseconds{500};
 
+/// A group ends if a member has not joined it within this time, and the member is set aside for as
+/// long, so that the others can form a group without it.
+constexpr duration join_limit = seconds{10};
+
 std::string list(const std::vector<runner_id>& members)
 {
     std::string out;
@@ -29,18 +33,21 @@
 } // namespace
 
 group_lifecycle::group_lifecycle(planner_options options, group_plan& plan, planner_outbox& outbox,
-                                 const failure_detector& detector, const runner_registry& registry,
-                                 const health_reports& reports, const fleet_state& state)
+                                 epoch_source& epochs, const failure_detector& detector,
+                                 const runner_registry& registry, const health_reports& reports,
+                                 const fleet_state& state)
     : options_{options}, plan_{plan}, outbox_{outbox}, detector_{detector},
-      evidence_{plan, detector, registry}, registry_{registry}, reports_{reports}, state_{state}
+      evidence_{plan, detector, registry}, fencing_{options, epochs, outbox, detector, registry},
+      registry_{registry}, reports_{reports}, state_{state}
 {
 }
 
-void group_lifecycle::begin(instant now, planned_group group)
+bool group_lifecycle::begin(instant now, planned_group group)
 {
     auto& kept = plan_.add(std::move(group));
     enter(now, kept, plan_phase::joining, "formed");
     advance_joining(now, kept);
+    return !plan_.has_ended(kept);
 }
 
 void group_lifecycle::advance_all(instant now)
@@ -64,13 +71,14 @@
 
 void group_lifecycle::advance_joining(instant now, planned_group& group)
 {
+    const bool head_joined = fencing_.order_head(now, group);
     bool all_ready = true;
     for (const auto& member : group.members) {
         const auto state = detector_.state_of(now, group, member);
         const bool unresponsive =
             state == member_state::silent && detector_.is_unresponsive(member);
         if (state == member_state::lost || state == member_state::draining || unresponsive ||
-            evidence_.is_in_other_group(group, member)) {
+            evidence_.is_in_other_group(group, member) || must_be_fenced_again(member)) {
             end_unopened(group, "member " + member.str() + " is not available");
             return;
         }
@@ -81,8 +89,16 @@
             continue;
         }
         all_ready = false;
-        if (!detector_.is_in_phase(group, member, member_phase::joining)) {
-            outbox_.order(now, group, order_kind::join, member);
+        if (detector_.is_in_phase(group, member, member_phase::joining)) {
+            continue;
+        }
+        if (now - group.since > join_limit) {
+            plan_.set_aside(member, now + join_limit);
+            end_unopened(group, "member " + member.str() + " has not taken the order to join");
+            return;
+        }
+        if (head_joined && member != group.head()) {
+            fencing_.order_member(now, group, member);
         }
     }
     if (all_ready) {
@@ -204,8 +220,10 @@
 {
     bool is_empty = true;
     for (const auto& member : group.members) {
-        if (evidence_.has_rejoined(group, member)) {
+        const bool is_unfenced = !plan_.is_bound(member) && fencing_.has_lost_fence(group, member);
+        if (evidence_.has_rejoined(group, member) || is_unfenced) {
             plan_.bind(group, member);
+            group.head_left = group.head_left && member != group.head();
         }
         if (!plan_.belongs_to(member, group)) {
             continue;
@@ -217,7 +235,7 @@
         is_empty = false;
         // A silent member gets the order after its next heartbeat.
         if (!detector_.is_silent(now, *registry_.find(member))) {
-            outbox_.order(now, group, order_kind::leave, member);
+            order_to_leave(now, group, member);
         }
     }
     if (!plan_.belongs_to(group.head(), group)) {
@@ -228,6 +246,24 @@
     }
 }
 
+bool group_lifecycle::must_be_fenced_again(const runner_id& member) const
+{
+    return std::any_of(plan_.groups().begin(), plan_.groups().end(), [&](const auto& each) {
+        return each.second.phase == plan_phase::disbanding &&
+               fencing_.has_lost_fence(each.second, member);
+    });
+}
+
+void group_lifecycle::order_to_leave(instant now, planned_group& group, const runner_id& member)
+{
+    if (fencing_.needs_fence(group, member)) {
+        fencing_.fence(now, group, member);
+    }
+    else {
+        outbox_.order(now, group, order_kind::leave, member);
+    }
+}
+
 void group_lifecycle::retire(instant now, const group_id& name, const std::string& why)
 {
     if (auto* group = plan_.find(name); group != nullptr && group->phase == plan_phase::serving) {
@@ -280,8 +316,9 @@
     end(group, why);
 }
 
-void group_lifecycle::free(const planned_group& group, const runner_id& member)
+void group_lifecycle::free(planned_group& group, const runner_id& member)
 {
+    group.head_left = group.head_left || member == group.head();
     const auto* record = registry_.find(member);
     plan_.free(group, member, record == nullptr ? heartbeat_number{} : record->latest.number());
 }
@@ -330,10 +367,13 @@
 void group_lifecycle::on_order_result(instant now, const group_order& order, order_result result)
 {
     auto* group = plan_.find(order.group);
-    if (group == nullptr || order.assignment != group->assignment ||
+    if (group == nullptr || order.assignment != group->epoch_of(order.to) ||
         !outbox_.is_of_this_term(order)) {
         return;
     }
+    if (order.kind == order_kind::join && result == order_result::taken) {
+        epoch_fencing::on_joined(*group, order.to);
+    }
     // A runner that is not in the group answers "unfit". The platform's documentation does not rule
     // out other reasons, so the answer counts only if the runner's heartbeats agree.
     const bool unfit = result == order_result::unfit &&
--- a/src/fleet/group_plan.cpp
+++ b/src/fleet/group_plan.cpp
@@ -9,6 +9,7 @@
     groups_.clear();
     bound_.clear();
     freed_.clear();
+    set_aside_.clear();
 }
 
 planned_group& group_plan::add(planned_group group)
@@ -88,6 +89,12 @@
     return found != freed_.end() && runner.number() <= found->second;
 }
 
+bool group_plan::is_set_aside(instant now, const runner_id& runner) const
+{
+    const auto found = set_aside_.find(runner);
+    return found != set_aside_.end() && now < found->second;
+}
+
 const model_id* group_plan::last_model_of(const runner_id& runner) const
 {
     const auto found = last_models_.find(runner);
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -9,36 +9,24 @@
 namespace cedarpoint {
 namespace {
 
-/// An epoch consists of the leader's term and, in this many low bits, a counter. So it is higher
-/// than all epochs of earlier leaders.
-constexpr unsigned term_shift = 20;
-
 /// The fleet counts as announced when no new runner has announced itself for this long. Groups
 /// formed earlier may assign a domain's runners to the wrong model.
 constexpr duration start_quiet_time = milliseconds{700};
 
-epoch make_epoch(std::uint64_t term, std::uint64_t number)
-{
-    return epoch{(term << term_shift) + number};
-}
-
 } // namespace
 
 group_planner::group_planner(planner_options options, const runner_registry& registry,
                              const health_reports& reports, const fleet_state& state)
     : options_{options}, registry_{registry}, reports_{reports}, state_{state},
       outbox_{options, registry}, detector_{options, registry, reports, state},
-      lifecycle_{options, plan_, outbox_, detector_, registry, reports, state}, recovery_{
-                                                                                    plan_,
-                                                                                    lifecycle_,
-                                                                                    registry, state}
+      lifecycle_{options, plan_, outbox_, epochs_, detector_, registry, reports, state},
+      recovery_{plan_, lifecycle_, registry, state}
 {
 }
 
 void group_planner::begin_term(instant now, std::uint64_t term)
 {
-    term_ = term;
-    groups_formed_ = 0;
+    epochs_.begin_term(term);
     settled_at_ = now + options_.settle;
     plan_.clear();
     outbox_.begin_term(term);
@@ -126,7 +114,9 @@
         in = take_snapshot(now);
     }
     while (const auto proposed = group_placement::propose(now, in, loads_)) {
-        begin_group(now, *proposed);
+        if (!begin_group(now, *proposed)) {
+            break; // its members would be proposed again and again
+        }
         conversions_.on_formed(proposed->model->name, proposed->members);
         in = take_snapshot(now);
     }
@@ -151,17 +141,17 @@
     return true;
 }
 
-void group_planner::begin_group(instant now, const proposed_group& proposed)
+bool group_planner::begin_group(instant now, const proposed_group& proposed)
 {
     planned_group group;
-    group.assignment = make_epoch(term_, ++groups_formed_);
+    group.assignment = epochs_.next();
     group.members = proposed.members;
     group.name = make_group_name(group.head(), group.assignment);
     group.service = proposed.service->name;
     group.model = proposed.model->name;
     group.loads = proposed.loads;
     loads_.begin(now, proposed.loads);
-    lifecycle_.begin(now, std::move(group));
+    return lifecycle_.begin(now, std::move(group));
 }
 
 // --- input of placement -------------------------------------------------------------------------
@@ -178,6 +168,7 @@
     const auto& membership = record.latest.membership;
     const bool in_group = membership && !plan_.is_freed(record.latest);
     return is_usable(record) && !record.assumed && !plan_.is_bound(runner) && !in_group &&
+           !plan_.is_set_aside(now, runner) && !lifecycle_.must_be_fenced_again(runner) &&
            !detector_.is_silent(now, record) && !state_.is_leaving(runner);
 }
 
--- a/src/fleet/leader_recovery.cpp
+++ b/src/fleet/leader_recovery.cpp
@@ -80,6 +80,7 @@
         group.service = formed->service;
         group.model = formed->model;
         group.members = formed->members;
+        group.assume_repeated_joins();
         auto& kept = plan_.add(std::move(group));
         lifecycle_.enter(now, kept, plan_phase::serving, "inherited");
     }
@@ -128,6 +129,7 @@
         for (const auto& [rank, runner] : by_rank) {
             group.members.push_back(runner);
         }
+        group.assume_repeated_joins();
         const bool serves = whole && is_head_open(group);
         auto& kept = plan_.add_without_rebinding(std::move(group));
         lifecycle_.enter(now, kept, serves ? plan_phase::serving : plan_phase::releasing,
--- a/src/fleet/planner_outbox.cpp
+++ b/src/fleet/planner_outbox.cpp
@@ -38,22 +38,24 @@
     probed_at_.clear();
 }
 
-void planner_outbox::order(instant now, const planned_group& group, order_kind kind,
+bool planner_outbox::order(instant now, const planned_group& group, order_kind kind,
                            const runner_id& to)
 {
-    if (is_too_soon(ordered_at_, {to, group.name, kind}, now, options_.order_retry)) {
-        return;
+    const auto assignment = group.epoch_of(to);
+    if (is_too_soon(ordered_at_, {to, group.name, assignment, kind}, now, options_.order_retry)) {
+        return false;
     }
     group_order next;
     next.kind = kind;
     next.to = to;
     next.group = group.name;
-    next.assignment = group.assignment;
+    next.assignment = assignment;
     if (kind == order_kind::join) {
         next.model = group.model;
         next.members = group.members;
     }
     add_order(std::move(next));
+    return true;
 }
 
 void planner_outbox::stage(const runner_id& to, const model_id& model)
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/fleet/fleet_leader.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -41,6 +42,8 @@
         /// Runners refuse an order whose fence is below one that they have seen. Not all engines
         /// check this.
         bool check_fences = true;
+        /// The configuration; that of `two_model_document` if empty.
+        std::string document;
     };
 
     explicit planner_world(options options);
@@ -69,6 +72,17 @@
     /// Delivers a duplicate of the latest order to join that the runner accepted, after `delay`.
     void repeat_join(const runner_id& runner, duration delay);
     void drain(const runner_id& runner);
+    /// Starts the runner again under its id, with no state of its earlier incarnation.
+    void restart(const runner_id& runner);
+    /// Sets the fraction of orders that get no answer and are carried out seconds later.
+    void set_late_order_fraction(double fraction) { options_.late_order_fraction = fraction; }
+    /// If set, an order for which it returns true gets no answer, and is held until
+    /// `carry_out_held`.
+    std::function<bool(const group_order&)> is_held;
+    /// Returns the orders that are held, the oldest first.
+    [[nodiscard]] const std::vector<group_order>& held() const { return held_; }
+    /// Carries out a held order. Returns true if its runner has taken it.
+    bool carry_out_held(std::size_t position);
 
     [[nodiscard]] std::size_t serving_groups(const std::string& model) const;
     [[nodiscard]] std::vector<runner_id> members_of_some_group(const std::string& model) const;
@@ -106,6 +120,8 @@
     void execute(const planner_step& step);
     order_result carry_out(const group_order& order);
     order_result join(fake_runner& runner, const group_order& order);
+    /// Loads that begin before this time take a tenth of their time.
+    [[nodiscard]] static instant first_request_time();
     /// Makes the runner load the model, and returns how long that takes.
     duration load_weights(fake_runner& runner, const model_id& model) const;
     [[nodiscard]] int in_flight_at(const fake_runner& head) const;
@@ -125,6 +141,7 @@
     std::map<runner_id, fake_runner> runners_;
     std::map<std::string, std::vector<runner_id>> member_lists_; ///< members by group and epoch
     std::vector<late_order> late_orders_;
+    std::vector<group_order> held_;
     std::map<runner_id, announcement> held_back_heartbeats_;
     /// Heartbeats sent while the control daemons are suspended.
     std::vector<announcement> queued_heartbeats_;
