Answers that are skipped before the one expected have a bound

What callers saw: a runner that sends interim answers, or answers to other requests, without end kept them waiting until their deadline (504 after 8.0 s), while the daemon read for nothing.

Cause: each interim answer began a head with a bound of its own, each answer to another request a parser of its own.

Change: the interim answers before one answer have together the bound of one head; skipped answers 16 MiB in one exchange. Beyond that the answer is malformed: a safe request goes elsewhere, an unsafe one gets 502 at once.

Conclusion: no bytes of a runner are read without a bound while a caller waits.

--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -235,7 +235,10 @@
         }
         const auto status = parser->get().result_int();
         if (is_interim(status)) {
+            interim += current;
+            current = 0;
             expect_head();
+            fault = interim > max_kept ? http_fault::head_too_large : fault;
         }
         else if (status < first_final_status || status > last_status) {
             parser.emplace(); // no part of the answer is passed on
@@ -249,6 +252,8 @@
     /// the rest. The parser itself bounds only heads.
     std::string kept;
     std::size_t max_kept = 0;
+    std::size_t current = 0; ///< bytes of the present head
+    std::size_t interim = 0; ///< bytes of the interim answers, as many as one head may have
     bool head_only = false;
 };
 
@@ -266,8 +271,10 @@
     std::size_t used = 0;
     while (used < impl_->kept.size() && !is_done() && impl_->fault == http_fault::none) {
         boost::beast::error_code ec;
-        used += impl_->parser->put(
+        const auto n = impl_->parser->put(
             boost::asio::buffer(impl_->kept.data() + used, impl_->kept.size() - used), ec);
+        used += n;
+        impl_->current += n;
         impl_->check_status();
         if (ec == http::error::need_more) {
             break;
--- a/src/io/runner_connection.cpp
+++ b/src/io/runner_connection.cpp
@@ -10,6 +10,8 @@
 
 /// Largest valid head of an answer, in bytes.
 constexpr std::size_t max_answer_head = 65536;
+/// Largest sum of answers to earlier requests that are skipped before the one expected, in bytes.
+constexpr std::size_t max_skipped = std::size_t{16} << 20;
 
 /// Returns the value of "timeout=N" in a Keep-Alive header.
 std::optional<seconds> read_keep_alive(std::string_view value)
@@ -64,6 +66,7 @@
 {
     request_ = std::move(request);
     handlers_ = std::make_shared<const exchange_handlers>(std::move(handlers));
+    skipped_ = 0;
     parser_ = std::make_unique<http_response_parser>(max_answer_head, request_.head_only);
     head_seen_ = false;
     foreign_ = false;
@@ -135,6 +138,11 @@
     if (!busy_) {
         return;
     }
+    skipped_ += foreign_ ? used : 0;
+    if (skipped_ > max_skipped) {
+        end(exchange_end::cut, "parse", "answers to other requests without end");
+        return;
+    }
     if (auto body = parser_->take_body(); !body.empty() && !foreign_) {
         const auto handlers = handlers_;
         handlers->on_body(std::move(body));
--- a/src/io/runner_connection.h
+++ b/src/io/runner_connection.h
@@ -115,7 +115,8 @@
     bool unusable_ = false;
     bool head_seen_ = false;
     bool ended_with_connection_ = false;
-    bool foreign_ = false; ///< the answer being read belongs to another request
+    bool foreign_ = false;    ///< the answer being read belongs to another request
+    std::size_t skipped_ = 0; ///< bytes of answers to other requests, in this exchange
 };
 
 } // namespace cedarpoint
--- a/tests/entry/endless_answer_test.cpp
+++ b/tests/entry/endless_answer_test.cpp
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unistd.h>
 #include <vector>
 
@@ -52,9 +53,20 @@
     chunks,    ///< chunks of 64 KiB
     length,    ///< an announced length that no daemon can hold
     extension, ///< a chunk whose extension has no end
-    trailer    ///< a trailer of one line without end
+    trailer,   ///< a trailer of one line without end
+    interim,   ///< interim answers, one after the other
+    others     ///< whole answers to another request, one after the other
 };
 
+std::string repeat(std::string_view text, int times)
+{
+    std::string out;
+    for (int n = 0; n < times; ++n) {
+        out += text;
+    }
+    return out;
+}
+
 /// Answers a request to "/once/first" and begins to answer each other one, which goes on until the
 /// connection is closed.
 class endless_runner {
@@ -116,6 +128,10 @@
         ++open_;
         endless_.insert(&socket);
         QObject::connect(&socket, &QTcpSocket::disconnected, [this] { --open_; });
+        if (how == framing::interim || how == framing::others) {
+            go_on(socket);
+            return;
+        }
         const auto framed = how != framing::none && how != framing::length;
         socket.write((head + (framed ? "Transfer-Encoding: chunked\r\n" : "") +
                       (how == framing::length ? "Content-Length: 1000000000000\r\n" : "") + "\r\n" +
@@ -130,10 +146,26 @@
             return;
         }
         sent_ += block.size();
-        const auto next = how == framing::chunks ? "10000\r\n" + block + "\r\n" : block;
+        const auto next = next_bytes(block);
         socket.write(next.data(), static_cast<qint64>(next.size()));
     }
 
+    [[nodiscard]] std::string next_bytes(const std::string& block) const
+    {
+        switch (how) {
+        case framing::chunks:
+            return "10000\r\n" + block + "\r\n";
+        case framing::interim:
+            return repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 1000);
+        case framing::others:
+            return "HTTP/1.1 200 OK\r\nX-Cedarpoint-Request-Id: other\r\n"
+                   "Content-Length: 65536\r\n\r\n" +
+                   block;
+        default:
+            return block;
+        }
+    }
+
     fleet_site& site_;
     QTcpServer server_;
     std::set<QTcpSocket*> endless_; ///< with an answer that has begun
@@ -183,7 +215,8 @@
 
 std::string name_of_case(const testing::TestParamInfo<framing>& in)
 {
-    constexpr std::array<const char*, 5> names{"none", "chunks", "length", "extension", "trailer"};
+    constexpr std::array<const char*, 7> names{"none",    "chunks",  "length", "extension",
+                                               "trailer", "interim", "others"};
     return names.at(static_cast<std::size_t>(in.param));
 }
 
@@ -296,7 +329,8 @@
 
 INSTANTIATE_TEST_SUITE_P(framings, an_endless_answer,
                          testing::Values(framing::none, framing::chunks, framing::length,
-                                         framing::extension, framing::trailer),
+                                         framing::extension, framing::trailer, framing::interim,
+                                         framing::others),
                          name_of_case);
 
 } // namespace
