A stopping entry daemon passes on no late request that it can not answer

What callers saw: in a planned stop, requests that were complete later than 3 s after the signal, on connections from before, were passed on, and ended at the stop bound with 502 after they had run, or with a stream cut off.

Cause: connections of slow senders are read on after the listener has closed, and nothing looked at the time that was left when a request was complete.

Change: such a request is sent only if it may be repeated and twice the longest recent answer of its route is left; others, and streams, are refused at once with 503 and Retry-After as not executed. Requests through another entry daemon use the same check.

Conclusion: what is passed on late is answered, or may be repeated and was expected to end in time.

--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "cedarpoint/fleet/answer_memory.h"
+#include "cedarpoint/fleet/answer_times.h"
 #include "cedarpoint/fleet/entry_peers.h"
 #include "cedarpoint/fleet/health_report.h"
+#include "cedarpoint/fleet/planned_stop.h"
 #include "cedarpoint/fleet/platform_adapter.h"
 #include "cedarpoint/fleet/route_table.h"
 #include "cedarpoint/fleet/target_set.h"
@@ -15,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -39,7 +42,8 @@
     /// Starts a check of whether a runner that closed a connection without an answer has
     /// terminated.
     std::function<void(const runner_id&, const endpoint&)> check_runner_end;
-    bool stopping = false;
+    std::optional<planned_stop> stop; ///< set once the daemon stops
+    answer_times answer_time;         ///< of the routes' requests
 };
 
 } // namespace cedarpoint
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -94,7 +94,8 @@
                .request_report_soon = {},
                .crashes = {},
                .check_runner_end = {},
-               .stopping = false},
+               .stop = {},
+               .answer_time = {}},
       follower_{settings_, make_follower_hooks()}, runner_ends_{[this](const runner_id& runner,
                                                                        bool refused) {
           on_runner_end_checked(runner, refused);
@@ -244,32 +245,31 @@
 
 bool entry_daemon::is_ready() const
 {
-    return !context_.stopping && context_.routes != nullptr;
+    return !context_.stop && context_.routes != nullptr;
 }
 
 void entry_daemon::stop()
 {
-    if (context_.stopping) {
+    if (context_.stop) {
         return;
     }
-    context_.stopping = true;
-    stop_began_ = steady_now();
+    const auto now = steady_now();
+    context_.stop = {now + balancer_removal_time, now + settings_.stop_bound - stop_margin};
     log_line("stopping").with("in_flight", requests_.size()).write();
 }
 
 bool entry_daemon::is_stop_due(instant now)
 {
-    const auto passed = now - stop_began_;
-    if (!closing_ && passed >= balancer_removal_time) {
+    const auto& stop = *context_.stop;
+    if (!closing_ && now >= stop.accepts_until) {
         closing_ = true;
         stop_listeners();
     }
-    const auto bound = settings_.stop_bound - stop_margin;
-    if (passed >= bound) {
+    if (now >= stop.answers_due) {
         end_requests();
     }
     const bool idle = closing_ && requests_.empty() && callers_listener_->connections() == 0;
-    return idle || passed >= bound + last_answer_time;
+    return idle || now >= stop.answers_due + last_answer_time;
 }
 
 void entry_daemon::end_requests()
@@ -282,7 +282,7 @@
 
 void entry_daemon::check_stop(instant now)
 {
-    if (!context_.stopping || !is_stop_due(now)) {
+    if (!context_.stop || !is_stop_due(now)) {
         return;
     }
     log_line("stopped").with("cut", cut_).write();
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -91,9 +91,8 @@
     memory_trimmer memory_trimmer_;
     std::uint64_t installed_version_ = 0;  ///< of the configuration in `context_.routes`
     std::uint64_t unreadable_version_ = 0; ///< of the latest configuration that can't be parsed
-    instant stop_began_;
-    bool closing_ = false; ///< a planned stop has closed the listener for callers
-    std::size_t cut_ = 0;  ///< requests that a planned stop has ended
+    bool closing_ = false;                 ///< a planned stop has closed the listener for callers
+    std::size_t cut_ = 0;                  ///< requests that a planned stop has ended
 };
 
 } // namespace cedarpoint
--- a/src/entry/entry_daemon_view.cpp
+++ b/src/entry/entry_daemon_view.cpp
@@ -89,7 +89,7 @@
     out.cuts = context_.crashes.unconfirmed_cuts(now);
     out.leaving = context_.targets.leaving_targets();
     out.cut_off = cut_off_since_.has_value();
-    if (settings_.forwards && !context_.stopping) {
+    if (settings_.forwards && !context_.stop) {
         out.as_peer = {*settings_.forwards, settings_.failure_domain, out.cut_off};
     }
     out.demand = context_.demand;
--- a/src/entry/local_reply.cpp
+++ b/src/entry/local_reply.cpp
@@ -13,7 +13,7 @@
 /// Seconds. Requests with large bodies leave memory within fractions of a second.
 constexpr std::string_view retry_after_no_memory = "1";
 
-constexpr std::array<local_reply_spec, 10> specs{{
+constexpr std::array<local_reply_spec, 11> specs{{
     {local_reply::no_configuration, http_status::service_unavailable,
      "no configuration is known yet", "no configuration is known yet", short_retry_after},
     {local_reply::no_route, http_status::not_found, "no route", "no route", no_retry_after},
@@ -35,6 +35,8 @@
      retry_after_quarantine},
     {local_reply::no_memory, http_status::service_unavailable, "not served",
      "no memory for the request's body", retry_after_no_memory},
+    {local_reply::stopping, http_status::service_unavailable, "not served",
+     "it came too late before the stop", short_retry_after},
 }};
 
 } // namespace
--- a/src/entry/local_reply.h
+++ b/src/entry/local_reply.h
@@ -15,7 +15,8 @@
     expired,          ///< the deadline has passed, and the request may have run
     quarantined,      ///< it crashed the runners that ran it earlier; this time it has not run
     quarantined_part, ///< a part of its prompt crashed runners; this time it has not run
-    no_memory         ///< its body was not read; it has not run
+    no_memory,        ///< its body was not read; it has not run
+    stopping          ///< it came too late before the daemon's stop; it has not run
 };
 
 /// How such a response is written to the caller and to the log.
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -116,6 +116,10 @@
         return;
     }
     const auto now = steady_now();
+    if (comes_too_late(now)) {
+        answer(local_reply::stopping, "");
+        return;
+    }
     start_deadline_timer(now);
     if (is_for_peer()) {
         tried_ = read_excluded(*request_);
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -79,6 +79,8 @@
     [[nodiscard]] outgoing_request make_request(const runner_id& runner) const;
     /// Returns false if the request was not admitted; the refusal has been answered then.
     [[nodiscard]] bool admit_request();
+    /// Returns true if this daemon stops before the request could be answered.
+    [[nodiscard]] bool comes_too_late(instant now) const;
     /// Sends the request to the best target that was not tried yet, through another entry daemon if
     /// this one doesn't reach it, or fails it if there is none.
     void try_next_target();
--- a/src/entry/relay_answers.cpp
+++ b/src/entry/relay_answers.cpp
@@ -45,6 +45,7 @@
         reply_->send(make_answer_head(attempt_->head()), attempt_->take_body());
         observe_first_byte(now);
     }
+    context_.answer_time.record(now, admission_.route->name, now - arrived_);
     if (!is_for_peer()) {
         context_.metrics.observe_request_time(now - arrived_);
     }
--- a/src/entry/relay_targets.cpp
+++ b/src/entry/relay_targets.cpp
@@ -31,6 +31,13 @@
 
 } // namespace
 
+bool relay::comes_too_late(instant now) const
+{
+    const auto& route = *admission_.route;
+    return context_.stop && !may_begin(*context_.stop, now, route.repeat,
+                                       context_.answer_time.longest(now, route.name));
+}
+
 void relay::try_next_target()
 {
     const auto now = steady_now();
--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -7,6 +7,7 @@
 #include "support/fleet_processes.h"
 #include "support/open_loop_callers.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <memory>
@@ -96,6 +97,74 @@
     EXPECT_NE(once.received().find("Connection: close"), std::string::npos);
 }
 
+/// A caller whose request is complete some time after the signal, on a connection from before it.
+struct slow_sender {
+    slow_sender(const endpoint& to, std::string kind, int after)
+        : connection{to}, target{"/" + kind + "/x"}, id{fmt::format("{}-{}", kind, after)},
+          sends_at{after}
+    {
+        connection.send(request_of(target, id).substr(0, 20));
+    }
+    raw_caller connection;
+    std::string target;
+    std::string id;
+    milliseconds sends_at; ///< after the signal
+    bool is_sent = false;
+};
+
+// Guards against requests that arrive late in a planned stop, are passed on, and are cut at its
+// bound without an answer or with one that does not allow to repeat them.
+TEST_F(a_stopping_entry_daemon, passes_on_no_late_request_that_it_can_not_answer)
+{
+    constexpr milliseconds answer_time{1500};
+    start(67, 1);
+    for (auto& each : runners) {
+        each->answer_time = answer_time;
+    }
+    for (const auto* target : {"/safe/x", "/once/x"}) { // the daemon has seen how long they take
+        raw_caller first{fleet->entries()[0]};
+        first.send(request_of(target, "first"));
+        ASSERT_TRUE(first.wait_for("HTTP/1.1 200"));
+    }
+    std::vector<std::unique_ptr<slow_sender>> senders;
+    for (const int after : {500, 2500, 3400, 4500, 5600, 6000, 6500, 7000}) {
+        for (const auto* kind : {"safe", "once"}) {
+            senders.push_back(std::make_unique<slow_sender>(fleet->entries()[0], kind, after));
+        }
+    }
+    pass_time(milliseconds{300});
+    const auto signal = steady_now();
+    entry(0).signal(SIGTERM);
+    ASSERT_TRUE(wait_until([&] {
+        for (auto& it : senders) {
+            if (!it->is_sent && steady_now() - signal >= it->sends_at) {
+                it->is_sent = true;
+                it->connection.send(request_of(it->target, it->id).substr(20));
+            }
+        }
+        return !entry(0).is_running();
+    }));
+    for (auto& it : senders) {
+        SCOPED_TRACE(it->id);
+        it->connection.wait_closed();
+        const auto& answer = it->connection.received();
+        const bool has_run = std::any_of(runners.begin(), runners.end(), [&](const auto& runner) {
+            return std::any_of(runner->arrivals.begin(), runner->arrivals.end(),
+                               [&](const auto& arrival) { return arrival.request == it->id; });
+        });
+        if (it->sends_at < milliseconds{3000}) {
+            EXPECT_EQ(status_of(answer), 200) << "it came while connections were accepted";
+        }
+        else if (has_run) {
+            EXPECT_EQ(status_of(answer), 200) << "it was passed on";
+        }
+        else {
+            EXPECT_EQ(status_of(answer), 503);
+            EXPECT_NE(answer.find("Retry-After"), std::string::npos);
+        }
+    }
+}
+
 TEST_F(a_stopping_entry_daemon, loses_no_request_beside_reloads_and_changes)
 {
     constexpr int rounds = 2;
