Another writer's heartbeat no longer ends the leader or a group

What operators and callers saw: a heartbeat under the id of a group's head that names another service ended the leading control daemon (uncaught std::out_of_range), and each next leader, or took the head out of use.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -38,7 +38,8 @@
     [[nodiscard]] std::vector<planner_step> tick(instant now);
 
     /// Processes a heartbeat. Returns false for one that is older than one processed before, and
-    /// for one that names both an unconfigured service and another runner's address.
+    /// for one of another writer: it names another service than the runner, or both an
+    /// unconfigured service and another runner's address.
     bool announce(instant now, const announcement& in);
     void on_probe_answered(instant now, const runner_id& runner);
     /// `refused`: the address refused the connection.
@@ -89,6 +90,10 @@
     void take_crashes(instant now, const daemon_id& follower, crash_histories in);
     /// Passes the full crash history of each cause in `reported` to `on_crashes`.
     void report_crashes(instant now, const crash_histories& reported) const;
+    [[nodiscard]] bool is_configured(const service_id& service) const;
+    /// Returns true if the heartbeat names another service than the runner itself has, which must
+    /// be a configured one. An incarnation of a runner belongs to one service.
+    [[nodiscard]] bool contradicts_service(const announcement& in) const;
     /// Records which incarnations of runners have ended according to a heartbeat. `earlier_owner`
     /// is the previous owner of its address, if that was another runner.
     void note_incarnation(instant now, const announcement& in,
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -124,8 +124,8 @@
 {
     // A heartbeat that names an unconfigured service must not take the address of a runner in use.
     const auto earlier_owner = registry_.find_other_owner(in);
-    const bool is_known = !configuration_ || configuration_->find_service(in.service) != nullptr;
-    if ((!is_known && earlier_owner) || !registry_.announce(now, in)) {
+    if ((!is_configured(in.service) && earlier_owner) || contradicts_service(in) ||
+        !registry_.announce(now, in)) {
         return false;
     }
     note_incarnation(now, in, earlier_owner);
@@ -143,6 +143,21 @@
     return true;
 }
 
+bool fleet_leader::is_configured(const service_id& service) const
+{
+    return !configuration_ || configuration_->find_service(service) != nullptr;
+}
+
+bool fleet_leader::contradicts_service(const announcement& in) const
+{
+    const auto* record = registry_.find(in.id);
+    if (record == nullptr || record->latest.service == in.service ||
+        !is_configured(record->latest.service)) {
+        return false;
+    }
+    return !is_configured(in.service) || in.born <= record->latest.born;
+}
+
 void fleet_leader::note_incarnation(instant now, const announcement& in,
                                     const std::optional<runner_id>& earlier_owner)
 {
--- a/src/fleet/group_conversion.cpp
+++ b/src/fleet/group_conversion.cpp
@@ -86,9 +86,10 @@
 {
     domain_groups out;
     for (const auto& [name, group] : plan.groups()) {
+        const auto head = at.runners.find(group.head());
         if (group.model == at.from.name && group.phase == plan_phase::serving &&
-            !find_ready(at, group).empty()) {
-            out[at.runners.at(group.head())->latest->fabric_domain].push_back(&group);
+            head != at.runners.end() && !find_ready(at, group).empty()) {
+            out[head->second->latest->fabric_domain].push_back(&group);
         }
     }
     return out;
--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -195,6 +195,15 @@
     leader_->announce(now_, announced);
 }
 
+void planner_world::deliver_others_heartbeat(const runner_id& runner, const service_id& service)
+{
+    auto& announced = runners_.at(runner).announced;
+    ++announced.sequence;
+    auto other = announced;
+    other.service = service;
+    leader_->announce(now_, other);
+}
+
 void planner_world::repeat_join(const runner_id& runner, duration delay)
 {
     late_orders_.push_back({now_ + delay, latest_joins_.at(runner)});
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -64,6 +64,9 @@
     void set_unreachable(const runner_id& runner, bool unreachable);
     /// Delivers a heartbeat that was sent before a partition.
     void deliver_late_heartbeat(const runner_id& runner);
+    /// Delivers a heartbeat that another writer sends under the runner's id. It differs from the
+    /// runner's own in its service.
+    void deliver_others_heartbeat(const runner_id& runner, const service_id& service);
     /// Stores a copy of the runner's current heartbeat for `deliver_held_back`.
     void hold_back_heartbeat(const runner_id& runner);
     /// Delivers the stored heartbeat.
