--- a/include/cedarpoint/fleet/epoch_fencing.h
+++ b/include/cedarpoint/fleet/epoch_fencing.h
@@ -27,7 +27,7 @@
                   const failure_detector& detector, const runner_registry& registry);
 
     /// Orders the head of a joining group to join, under a new epoch whenever it has not answered
-    /// in time. Returns true once it has joined under the group's present epoch.
+    /// in time. Returns true once it has taken the order under the group's present epoch.
     bool order_head(instant now, planned_group& group);
     /// Orders another member of a joining group to join.
     void order_member(instant now, planned_group& group, const runner_id& member);
--- a/tests/fleet/late_orders_test.cpp
+++ b/tests/fleet/late_orders_test.cpp
@@ -35,6 +35,20 @@
         }
         ASSERT_EQ(world.group_of(members.front()), group_id{}) << "the head has left its group";
     }
+    /// Carries out the held order to the runner just before its order to join a group other than
+    /// `left` arrives.
+    void overtake_next_join(const runner_id& runner, const group_id& left)
+    {
+        world.is_held = [this, runner, left](const group_order& order) {
+            const bool next_join =
+                order.to == runner && order.kind == order_kind::join && order.group != left;
+            if (next_join && !is_overtaken) {
+                is_overtaken = true;
+                world.carry_out_held(0);
+            }
+            return false;
+        };
+    }
     /// Carries out the oldest held order of the kind.
     bool carry_out(order_kind kind)
     {
@@ -46,6 +60,7 @@
 
     planner_world world{{.check_fences = false}};
     std::set<std::tuple<runner_id, order_kind>> seen;
+    bool is_overtaken = false;      ///< `overtake_next_join` has carried an order out
     const runner_id first{"i-001"}; ///< the head of the group of three
 };
 
@@ -91,16 +106,7 @@
     ASSERT_EQ(world.held().size(), 1U);
     const auto left = world.group_of(member);
 
-    bool is_overtaken = false;
-    world.is_held = [&](const group_order& order) {
-        const bool next_join =
-            order.to == member && order.kind == order_kind::join && order.group != left;
-        if (next_join && !is_overtaken) {
-            is_overtaken = true;
-            world.carry_out_held(0);
-        }
-        return false;
-    };
+    overtake_next_join(member, left);
     world.set_unreachable(members.front(), true);
     world.run(seconds{10});
     EXPECT_TRUE(is_overtaken) << "the member is used in another group";
@@ -125,16 +131,7 @@
     }
     ASSERT_NE(world.group_of(member).str(), left.str());
 
-    bool is_overtaken = false;
-    world.is_held = [&](const group_order& order) {
-        const bool next_join =
-            order.to == member && order.kind == order_kind::join && order.group != left;
-        if (next_join && !is_overtaken) {
-            is_overtaken = true;
-            world.carry_out_held(0);
-        }
-        return false;
-    };
+    overtake_next_join(member, left);
     world.restart(member);
     world.run(seconds{10});
     EXPECT_TRUE(is_overtaken) << "the member is used in another group";
