A join is refused by a runner whose state has changed since it was reported

A runner that restarts forgets its epochs, so copies of orders of its earlier group count again. Until its new life is heard it could be put back into that group and then take the join of the next one while the head of the first was open. The same for a head whose group a leader of an earlier version formed with two orders under one epoch.

Cause: epochs and fences tell copies apart only within one life of a runner, and only for orders given by this version.

An order to join carries the number of orders that the runner had begun when it reported to be in no group, or in this one; the runner refuses it if that number has changed. Only for runners that may have earlier orders to join outstanding: one was not answered in this term, or an earlier leader gave orders. Probes now read the answer's content (at most 64 KiB); one that can't be read is logged.

--- a/include/cedarpoint/core/units.h
+++ b/include/cedarpoint/core/units.h
@@ -18,6 +18,8 @@
 /// milliseconds by the runner's own clock. 0 if the platform does not report it; each process then
 /// has an id of its own.
 using incarnation = quantity<struct incarnation_tag>;
+/// Number of orders that one run of a runner's process has begun; 0 at its start.
+using order_count = quantity<struct order_count_tag>;
 using attempt_id = quantity<struct attempt_tag>; ///< one dispatch of a request to a runner
 
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -41,7 +41,9 @@
     /// for one of another writer: it names another service than the runner, or both an
     /// unconfigured service and another runner's address.
     bool announce(instant now, const announcement& in);
-    void on_probe_answered(instant now, const runner_id& runner);
+    /// `report`: the content of the answer; empty if it is unreadable.
+    void on_probe_answered(instant now, const runner_id& runner,
+                           const std::optional<probe_report>& report);
     /// `refused`: the address refused the connection.
     void on_probe_failed(const runner_id& runner, bool refused);
     /// Records that another runner answered at the runner's address.
--- a/include/cedarpoint/fleet/group_order.h
+++ b/include/cedarpoint/fleet/group_order.h
@@ -5,6 +5,7 @@
 #include "cedarpoint/core/units.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,8 @@
     std::uint64_t fence = 0; ///< the leader's term, then a counter; above all earlier orders
     model_id model;
     std::vector<runner_id> members; ///< set for `join`; the head first
+    /// If set, the runner refuses the order as unfit unless it has begun just this many orders.
+    std::optional<order_count> condition;
 };
 
 /// The result of an order.
--- a/include/cedarpoint/fleet/group_planner.h
+++ b/include/cedarpoint/fleet/group_planner.h
@@ -46,9 +46,10 @@
     [[nodiscard]] std::vector<planner_step> tick(instant now);
     void on_order_result(instant now, const group_order& order, order_result result);
     void on_probe_failed(const runner_id& runner, bool refused);
-    /// Records that the runner answered a probe or sent a heartbeat. The content goes to the
-    /// registry.
+    /// Records that the runner answered a probe or sent a heartbeat. The content of a heartbeat
+    /// goes to the registry, that of an answer to `on_report`.
     void on_alive(const runner_id& runner);
+    void on_report(instant now, const runner_id& runner, const probe_report& report);
     /// Records that the runner has restarted under its id with nothing loaded. Its heartbeats end
     /// its group membership; this clears its loaded model, which no heartbeat reports.
     void on_new_incarnation(const runner_id& runner);
--- a/include/cedarpoint/fleet/platform_adapter.h
+++ b/include/cedarpoint/fleet/platform_adapter.h
@@ -5,6 +5,7 @@
 #include "cedarpoint/fleet/control_call.h"
 #include "cedarpoint/fleet/fleet_configuration.h"
 #include "cedarpoint/fleet/group_order.h"
+#include "cedarpoint/fleet/probe_report.h"
 
 #include <optional>
 #include <string>
@@ -59,6 +60,9 @@
     /// Returns the heartbeat; empty, with the reason in `why`, if it is invalid.
     [[nodiscard]] virtual std::optional<announcement>
     read_announcement(const runner_id& id, std::string_view body, reason& why) const = 0;
+    /// Returns a runner's answer to a probe; empty, with the reason in `why`, if it is invalid.
+    [[nodiscard]] virtual std::optional<probe_report> read_report(std::string_view body,
+                                                                  reason& why) const = 0;
     /// Returns the start time of a runner process that deregisters; 0 if `body` has none or is
     /// invalid.
     [[nodiscard]] virtual incarnation read_departing_incarnation(std::string_view body) const = 0;
--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -237,6 +237,7 @@
         .with("group", order.group.str())
         .with("epoch", order.assignment.value)
         .with("fence", order.fence)
+        .with("condition", order.condition ? std::to_string(order.condition->value) : "")
         .with("result", name_of(result))
         .write();
     leader_.on_order_result(steady_now(), order, result);
--- a/src/control_daemon/control_daemon_start.cpp
+++ b/src/control_daemon/control_daemon_start.cpp
@@ -207,8 +207,9 @@
     hooks.on_order_end = [this](const group_order& order, order_result result) {
         on_order_end(order, result);
     };
-    hooks.on_probe_answered = [this](const runner_id& runner) {
-        leader_.on_probe_answered(steady_now(), runner);
+    hooks.on_probe_answered = [this](const runner_id& runner,
+                                     const std::optional<probe_report>& report) {
+        leader_.on_probe_answered(steady_now(), runner, report);
     };
     hooks.on_probe_failed = [this](const runner_id& runner, probe_failure how) {
         on_probe_failed(runner, how);
--- a/src/control_daemon/runner_orders.cpp
+++ b/src/control_daemon/runner_orders.cpp
@@ -4,6 +4,7 @@
 #include "cedarpoint/runner_signals/answer_signals.h"
 #include "io/clock.h"
 #include "io/header_rules.h"
+#include "io/log_line.h"
 #include "io/runner_signal_log.h"
 
 #include <array>
@@ -18,6 +19,8 @@
 constexpr milliseconds probe_timeout{300};
 /// Longest idle time of a pooled connection that is reused.
 constexpr milliseconds max_idle{2500};
+/// Longest answer to a probe that is read.
+constexpr std::size_t max_report_bytes = 65536;
 
 bool is_order(const planner_step& step)
 {
@@ -55,7 +58,8 @@
     planner_step step;
     incarnation its_incarnation; ///< the runner's start time, as known when the call began
     runner_connection* connection = nullptr;
-    int status = 0; ///< 0 before the head has arrived
+    int status = 0;   ///< 0 before the head has arrived
+    std::string body; ///< of a probe's answer; at most one byte more than the limit
     QTimer timer;
 };
 
@@ -131,7 +135,11 @@
             record_signals(*open, head);
         }
     };
-    handlers.on_body = [](const std::string& /*bytes*/) {}; // only the status is used
+    handlers.on_body = [weak](const std::string& bytes) {
+        if (const auto open = weak.lock(); open && !is_order(open->step)) {
+            open->body.append(bytes, 0, max_report_bytes + 1 - open->body.size());
+        }
+    };
     handlers.on_end = [this, weak](exchange_end how, const reason& /*why*/) {
         if (const auto open = weak.lock()) {
             on_end(open, how);
@@ -201,7 +209,7 @@
     const auto& runner = each.step.order.to;
     const bool complete = how == exchange_end::complete;
     if (complete && each.status == http_status::ok) {
-        hooks_.on_probe_answered(runner);
+        hooks_.on_probe_answered(runner, read_report(each));
     }
     else if (complete && each.status == http_status::misdirected_request) {
         hooks_.on_probe_failed(runner, probe_failure::other_runner);
@@ -213,6 +221,20 @@
     }
 }
 
+std::optional<probe_report> runner_orders::read_report(const call& each) const
+{
+    reason why{"read report", {}, "it is too long"};
+    auto out =
+        each.body.size() > max_report_bytes ? std::nullopt : platform_.read_report(each.body, why);
+    if (!out) {
+        log_line("report_unreadable")
+            .with("runner", each.step.order.to.str())
+            .with("reason", why.str())
+            .write();
+    }
+    return out;
+}
+
 void runner_orders::cancel_all()
 {
     const auto calls = std::exchange(calls_, {});
--- a/src/control_daemon/runner_orders.h
+++ b/src/control_daemon/runner_orders.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 
@@ -31,7 +32,9 @@
         /// Called once the connection is open, since this daemon's lease may have ended meanwhile.
         std::function<bool()> may_send;
         std::function<void(const group_order&, order_result)> on_order_end;
-        std::function<void(const runner_id&)> on_probe_answered;
+        /// `report`: the content of the answer; empty if it is unreadable.
+        std::function<void(const runner_id&, const std::optional<probe_report>& report)>
+            on_probe_answered;
         std::function<void(const runner_id&, probe_failure)> on_probe_failed;
         /// Returns the latest known start time of a runner; 0 if unknown.
         std::function<incarnation(const runner_id&)> incarnation_of;
@@ -65,6 +68,7 @@
     void on_end(const call_ptr& each, exchange_end how);
     void report_order(const call& each, exchange_end how);
     void report_probe(const call& each, exchange_end how);
+    [[nodiscard]] std::optional<probe_report> read_report(const call& each) const;
     void close(const call_ptr& each);
 
     const platform_adapter& platform_;
--- a/src/fleet/epoch_fencing.cpp
+++ b/src/fleet/epoch_fencing.cpp
@@ -27,6 +27,9 @@
     if (join.orders > 0 && !is_due(now, join)) {
         return join.taken;
     }
+    if (!outbox_.prepare_join(now, group, head)) {
+        return false;
+    }
     if (join.orders > 0) {
         group.assignment = epochs_.next();
         group.ordered.clear();
@@ -39,7 +42,8 @@
 
 void epoch_fencing::order_member(instant now, planned_group& group, const runner_id& member)
 {
-    if (outbox_.order(now, group, order_kind::join, member) &&
+    if (outbox_.prepare_join(now, group, member) &&
+        outbox_.order(now, group, order_kind::join, member) &&
         !group.ordered.insert(member).second) {
         group.may_rejoin.insert(member);
     }
@@ -68,7 +72,8 @@
     if (join.to != incarnation_of(member)) {
         join = {};
     }
-    if (join.orders == 0 || is_due(now, join)) {
+    const bool due = join.orders == 0 || is_due(now, join);
+    if (due && outbox_.prepare_join(now, group, member)) {
         join.assignment = epochs_.next();
         send(now, group, member, join);
     }
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -168,10 +168,14 @@
     }
 }
 
-void fleet_leader::on_probe_answered(instant now, const runner_id& runner)
+void fleet_leader::on_probe_answered(instant now, const runner_id& runner,
+                                     const std::optional<probe_report>& report)
 {
     registry_.note_alive(now, runner);
     planner_.on_alive(runner);
+    if (report) {
+        planner_.on_report(now, runner, *report);
+    }
 }
 
 void fleet_leader::on_probe_failed(const runner_id& runner, bool refused)
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -29,7 +29,7 @@
     epochs_.begin_term(term);
     settled_at_ = now + options_.settle;
     plan_.clear();
-    outbox_.begin_term(term);
+    outbox_.begin_term(term, !state_.registrations().empty());
     detector_.begin_term();
     staging_.clear();
     conversions_.clear();
@@ -55,6 +55,7 @@
 
 void group_planner::on_order_result(instant now, const group_order& order, order_result result)
 {
+    outbox_.on_order_result(now, order, result);
     if (order.kind == order_kind::stage) {
         staging_.on_order_result(now, order.to, order.model, result);
         return;
@@ -72,6 +73,11 @@
     detector_.on_alive(runner);
 }
 
+void group_planner::on_report(instant now, const runner_id& runner, const probe_report& report)
+{
+    outbox_.on_report(now, runner, report);
+}
+
 void group_planner::on_new_incarnation(const runner_id& runner)
 {
     plan_.clear_loaded(runner);
@@ -121,7 +127,7 @@
         in = take_snapshot(now);
     }
     for (const auto& order : staging_.plan(now, in, loads_)) {
-        outbox_.stage(order.runner, order.model);
+        outbox_.stage(now, order.runner, order.model);
     }
 }
 
--- a/src/fleet/planner_outbox.cpp
+++ b/src/fleet/planner_outbox.cpp
@@ -26,18 +26,30 @@
 } // namespace
 
 planner_outbox::planner_outbox(planner_options options, const runner_registry& registry)
-    : options_{options}, registry_{registry}
+    : options_{options}, registry_{registry}, conditions_{registry}
 {
 }
 
-void planner_outbox::begin_term(std::uint64_t term)
+void planner_outbox::begin_term(std::uint64_t term, bool follows_leader)
 {
+    conditions_.begin_term(follows_leader);
     latest_fence_ = term << fence_shift;
     fences_.clear();
     ordered_at_.clear();
     probed_at_.clear();
 }
 
+bool planner_outbox::prepare_join(instant now, const planned_group& group, const runner_id& to)
+{
+    if (!conditions_.needs_condition(to) || conditions_.condition_for(group, to)) {
+        return true;
+    }
+    if (conditions_.is_report_due(now, to)) {
+        probe(now, to);
+    }
+    return false;
+}
+
 bool planner_outbox::order(instant now, const planned_group& group, order_kind kind,
                            const runner_id& to)
 {
@@ -53,22 +65,26 @@
     if (kind == order_kind::join) {
         next.model = group.model;
         next.members = group.members;
+        if (conditions_.needs_condition(to)) {
+            next.condition = conditions_.condition_for(group, to);
+        }
     }
-    add_order(std::move(next));
+    add_order(now, std::move(next));
     return true;
 }
 
-void planner_outbox::stage(const runner_id& to, const model_id& model)
+void planner_outbox::stage(instant now, const runner_id& to, const model_id& model)
 {
     group_order next;
     next.kind = order_kind::stage;
     next.to = to;
     next.model = model;
-    add_order(std::move(next));
+    add_order(now, std::move(next));
 }
 
-void planner_outbox::add_order(group_order order)
+void planner_outbox::add_order(instant now, group_order order)
 {
+    conditions_.on_ordered(now, order);
     if (const auto* record = registry_.find(order.to); record != nullptr) {
         order.address = record->latest.address;
     }
@@ -79,6 +95,18 @@
     steps_.push_back(std::move(step));
 }
 
+void planner_outbox::on_order_result(instant now, const group_order& order, order_result result)
+{
+    if (is_of_this_term(order)) {
+        conditions_.on_order_result(now, order, result);
+    }
+}
+
+void planner_outbox::on_report(instant now, const runner_id& runner, const probe_report& report)
+{
+    conditions_.on_report(now, runner, report);
+}
+
 bool planner_outbox::is_latest(const group_order& order) const
 {
     const auto found = fences_.find(order.to);
--- a/tests/fleet/planner_world.cpp
+++ b/tests/fleet/planner_world.cpp
@@ -10,6 +10,8 @@
 constexpr duration step_interval = milliseconds{20};
 constexpr duration heartbeat_interval = milliseconds{1200};
 constexpr duration drain_time = seconds{1};
+/// Age of the state that a report shows.
+constexpr duration report_lag = milliseconds{200};
 /// Most requests that entry daemons have in flight at a group, which has 26 slots.
 constexpr int max_in_flight = 29;
 
@@ -98,7 +100,7 @@
     find(runner)->next_heartbeat = now_;
 }
 
-void planner_world::restart(const runner_id& runner)
+void planner_world::restart(const runner_id& runner, duration heartbeat_delay)
 {
     auto& it = *find(runner);
     announcement next = it.announced;
@@ -112,7 +114,7 @@
     it = {};
     it.ready_epochs = std::move(ready_epochs);
     it.announced = std::move(next);
-    it.next_heartbeat = now_;
+    it.next_heartbeat = now_ + heartbeat_delay;
 }
 
 void planner_world::run(duration time)
@@ -123,6 +125,14 @@
     }
 }
 
+void planner_world::step_runners_for(duration time)
+{
+    for (const auto end = now_ + time; now_ < end;) {
+        now_ += step_interval;
+        step_runners();
+    }
+}
+
 void planner_world::suspend_control(duration time)
 {
     constexpr duration lease = milliseconds{500};
@@ -155,6 +165,7 @@
 void planner_world::step_runners()
 {
     for (auto& [id, runner] : runners_) {
+        note_state(runner);
         auto& membership = runner.announced.membership;
         if (!runner.alive || !membership) {
             continue;
@@ -182,6 +193,16 @@
     }
 }
 
+void planner_world::note_state(fake_runner& runner) const
+{
+    runner.reports.emplace_back(now_,
+                                probe_report{runner.announced.born, order_count{runner.orders},
+                                             runner.announced.membership});
+    while (runner.reports.size() > 1 && now_ - runner.reports[1].first >= report_lag) {
+        runner.reports.pop_front();
+    }
+}
+
 void planner_world::set_unreachable(const runner_id& runner, bool unreachable)
 {
     set_partitioned(runner, unreachable);
@@ -209,6 +230,11 @@
     late_orders_.push_back({now_ + delay, latest_joins_.at(runner)});
 }
 
+bool planner_world::repeat_join(const runner_id& runner)
+{
+    return carry_out(latest_joins_.at(runner)) == order_result::taken;
+}
+
 void planner_world::hold_back_heartbeat(const runner_id& runner)
 {
     auto& announced = runners_.at(runner).announced;
--- a/tests/fleet/planner_world.h
+++ b/tests/fleet/planner_world.h
@@ -2,11 +2,13 @@
 
 #include "cedarpoint/fleet/fleet_leader.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cedarpoint::testing_support {
@@ -25,6 +27,9 @@
     bool opening = false;
     std::uint64_t highest_epoch = 0;
     std::uint64_t highest_fence = 0;
+    std::uint64_t orders = 0; ///< begun by its present incarnation
+    /// Its states since the one that a report sent now shows, the oldest first.
+    std::deque<std::pair<instant, probe_report>> reports;
     std::map<std::uint64_t, bool> ready_epochs; ///< epochs in which it was ready
 };
 
@@ -42,6 +47,8 @@
         /// Runners refuse an order whose fence is below one that they have seen. Not all engines
         /// check this.
         bool check_fences = true;
+        /// Runners refuse an order whose condition does not hold. Not all engines check this.
+        bool check_conditions = false;
         /// The configuration; that of `two_model_document` if empty.
         std::string document;
     };
@@ -51,6 +58,8 @@
     void add_runners(const std::string& domain, int count);
     /// Advances the simulated time by `time` in steps of 20 ms.
     void run(duration time);
+    /// Advances the simulated time of the runners alone.
+    void step_runners_for(duration time);
     /// Replaces the leader by a new one, which starts from the log.
     void change_leader();
     /// Suspends all control daemons for `time`. Runners continue, and their heartbeats are
@@ -74,9 +83,12 @@
     void deliver_all_held_back();
     /// Delivers a duplicate of the latest order to join that the runner accepted, after `delay`.
     void repeat_join(const runner_id& runner, duration delay);
+    /// Carries out a duplicate of that order now. Returns true if the runner has taken it.
+    bool repeat_join(const runner_id& runner);
     void drain(const runner_id& runner);
-    /// Starts the runner again under its id, with no state of its earlier incarnation.
-    void restart(const runner_id& runner);
+    /// Starts the runner again under its id, with no state of its earlier incarnation. Its first
+    /// heartbeat arrives after `heartbeat_delay`.
+    void restart(const runner_id& runner, duration heartbeat_delay = {});
     /// Sets the fraction of orders that get no answer and are carried out seconds later.
     void set_late_order_fraction(double fraction) { options_.late_order_fraction = fraction; }
     /// If set, an order for which it returns true gets no answer, and is held until
@@ -118,10 +130,13 @@
 
     void step();
     void step_runners();
+    /// Records the runner's state for its reports.
+    void note_state(fake_runner& runner) const;
     void send_heartbeats();
     void send_report();
     void execute(const planner_step& step);
     order_result carry_out(const group_order& order);
+    order_result take(fake_runner& runner, const group_order& order);
     order_result join(fake_runner& runner, const group_order& order);
     /// Loads that begin before this time take a tenth of their time.
     [[nodiscard]] static instant first_request_time();
--- a/tests/fleet/planner_world_orders.cpp
+++ b/tests/fleet/planner_world_orders.cpp
@@ -32,7 +32,8 @@
     const bool reached = runner != nullptr && runner->alive && !runner->partitioned;
     if (step.kind == planner_step::kind_t::probe) {
         if (reached) {
-            leader_->on_probe_answered(now_, step.order.to);
+            note_state(*runner);
+            leader_->on_probe_answered(now_, step.order.to, runner->reports.front().second);
         }
         else {
             leader_->on_probe_failed(step.order.to, false);
@@ -68,32 +69,43 @@
         return order_result::fenced;
     }
     runner->highest_fence = std::max(runner->highest_fence, order.fence);
+    if (options_.check_conditions && order.condition && order.condition->value != runner->orders) {
+        return order_result::unfit;
+    }
+    return take(*runner, order);
+}
+
+order_result planner_world::take(fake_runner& runner, const group_order& order)
+{
     if (order.kind == order_kind::stage) {
-        runner->announced.staged = {order.model};
+        ++runner.orders;
+        runner.announced.staged = {order.model};
         return order_result::taken;
     }
     if (order.kind == order_kind::join) {
-        return join(*runner, order);
+        return join(runner, order);
     }
-    auto& membership = runner->announced.membership;
+    auto& membership = runner.announced.membership;
     const bool is_member = membership && membership->group == order.group &&
                            membership->assignment == order.assignment;
     if (!is_member) {
         return order_result::unfit;
     }
-    runner->next_heartbeat = now_;
+    runner.next_heartbeat = now_;
     if (order.kind == order_kind::leave) {
+        ++runner.orders;
         membership.reset();
-        runner->announced.models.clear();
-        runner->opening = false;
+        runner.announced.models.clear();
+        runner.opening = false;
         return order_result::taken;
     }
     if (membership->phase != member_phase::ready) {
         return membership->phase == member_phase::open ? order_result::taken : order_result::unfit;
     }
-    check_open(*runner, order);
-    runner->opening = true;
-    runner->open_at = now_ + milliseconds{300};
+    check_open(runner, order);
+    ++runner.orders;
+    runner.opening = true;
+    runner.open_at = now_ + milliseconds{300};
     return order_result::taken;
 }
 
@@ -108,6 +120,7 @@
         return order_result::taken;
     }
     check_join(order);
+    ++runner.orders;
     latest_joins_[order.to] = order;
     member_lists_[member_list_key(order.group, order.assignment.value)] = order.members;
     runner.highest_epoch = order.assignment.value;
--- a/tests/fleet/platform_runner.cpp
+++ b/tests/fleet/platform_runner.cpp
@@ -97,6 +97,8 @@
     }
     group_.clear();
     state_.clear();
+    orders_ = 0;
+    highest_epoch_ = 0;
     sequence_ = 0;
     ++start_ms_;
     ++crashes_;
@@ -144,18 +146,30 @@
              {"domain", "z-d0"},
              {"staged", {"small"}},
              {"models", json::array({{{"name", "small"}, {"version", 1}}})}};
+    add_state(out);
+    return out.dump();
+}
+
+std::string platform_runner::report_text() const
+{
+    json out{{"sequence", orders_}};
+    add_state(out);
+    return out.dump();
+}
+
+void platform_runner::add_state(json& out) const
+{
     if (start_ms_ > 0) {
         out["born"] = start_ms_;
     }
     if (!group_.empty()) {
         out["group"] = {{"name", group_}, {"epoch", epoch_}, {"rank", rank_}, {"state", state_}};
     }
-    return out.dump();
 }
 
 void platform_runner::announce()
 {
-    if (announcing_ || is_silent_) {
+    if (announcing_ || is_silent_ || heartbeats_stopped_) {
         return;
     }
     announcing_ = true;
@@ -202,11 +216,13 @@
         return;
     }
     if (request.target == "/cedarpoint/report") {
-        reply->send({200, {}}, "{}");
+        reply->send({200, {}}, report_text());
         return;
     }
     if (request.target == "/cedarpoint/order") {
-        on_order(request, reply);
+        if (!hold_order || !hold_order(request.body)) {
+            reply->send({carry_out(request.body), {}}, "");
+        }
         return;
     }
     accounts.emplace_back(request.fields.get("X-Cedarpoint-Tenant"));
@@ -332,40 +348,7 @@
 
 void platform_runner::set_heartbeats_stopped(bool stopped)
 {
-    if (stopped) {
-        timer_.stop();
-    }
-    else {
-        timer_.start(runner_heartbeat);
-    }
-}
-
-void platform_runner::on_order(const http_request& request,
-                               const std::shared_ptr<http_reply>& reply)
-{
-    const auto order = json::parse(request.body);
-    const auto op = order.at("op").get<std::string>();
-    int status = 202;
-    if (op == "join") {
-        group_ = order.at("group").get<std::string>();
-        epoch_ = order.at("epoch").get<std::uint64_t>();
-        const auto members = order.at("members").get<std::vector<std::string>>();
-        rank_ = static_cast<std::size_t>(std::find(members.begin(), members.end(), id_) -
-                                         members.begin());
-        state_ = "ready";
-    }
-    else if (op != "stage" && (order.at("group") != group_ || order.at("epoch") != epoch_)) {
-        status = 409;
-    }
-    else if (op == "open") {
-        state_ = "open";
-    }
-    else if (op == "leave") {
-        group_.clear();
-        state_.clear();
-    }
-    reply->send({status, {}}, "");
-    announce();
+    heartbeats_stopped_ = stopped;
 }
 
 } // namespace cedarpoint::testing_support
--- a/tests/fleet/platform_runner.h
+++ b/tests/fleet/platform_runner.h
@@ -8,6 +8,8 @@
 
 #include <QTimer>
 
+#include <nlohmann/json.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -68,6 +70,15 @@
     std::size_t answer_bytes = 0;        ///< added to each plain answer
     bool comments_before_events = false; ///< a slow stream sends a comment, its events later
     int slots = 4;                       ///< reported in its heartbeats
+    milliseconds join_time{0};           ///< from an order to join until it is ready
+    milliseconds open_time{0};           ///< from an order to open until it is open
+    /// Called with the body of each order. If it returns true, the order gets no answer; the test
+    /// may carry it out later.
+    std::function<bool(const std::string&)> hold_order;
+    /// Called with the name of the group before it joins.
+    std::function<void(const std::string&)> on_joining;
+    /// Carries out an order and returns the status of the answer.
+    int carry_out(const std::string& body);
     /// Streams that it runs at a time; more are refused as not executed.
     std::size_t max_streams = std::numeric_limits<std::size_t>::max();
     std::string crash_trigger; ///< a request with this text in its body crashes the runner
@@ -108,7 +119,11 @@
 
 private:
     void on_request(const http_request& request, const std::shared_ptr<http_reply>& reply);
-    void on_order(const http_request& request, const std::shared_ptr<http_reply>& reply);
+    /// Return the status of the answer to an order.
+    int join(const nlohmann::json& order);
+    int change_state(const nlohmann::json& order);
+    /// Sets the state to `now`, and to `then` after `time` unless the group has changed.
+    void change_state_after(milliseconds time, const std::string& now, const std::string& then);
     void stream(const http_request& request, const std::shared_ptr<http_reply>& reply);
     void send_plain(const std::shared_ptr<http_reply>& reply, http_head head,
                     const std::string& body) const;
@@ -128,6 +143,9 @@
     /// Accepts connections at the address and aborts each one that sends a request.
     void keep_port_open();
     [[nodiscard]] std::string announcement_text();
+    [[nodiscard]] std::string report_text() const;
+    /// Adds what its heartbeats and reports have in common.
+    void add_state(nlohmann::json& out) const;
 
     std::string id_;
     int crashes_ = 0;
@@ -144,14 +162,17 @@
     runner_pool pool_;
     QTimer timer_;
     bool announcing_ = false;
+    bool heartbeats_stopped_ = false;
     bool draining_ = false;
     bool drain_acknowledged_ = false;
     std::uint64_t start_ms_;
     std::uint64_t sequence_;
     int served_ = 0;
     std::vector<std::shared_ptr<http_reply>> open_streams_;
+    std::uint64_t orders_ = 0; ///< begun by this incarnation
     std::string group_;
     std::uint64_t epoch_ = 0;
+    std::uint64_t highest_epoch_ = 0; ///< of the joins that this incarnation has begun
     std::size_t rank_ = 0;
     std::string state_;
 };
--- a/tests/fleet/runner_orders_test.cpp
+++ b/tests/fleet/runner_orders_test.cpp
@@ -21,7 +21,10 @@
         runner_orders::hooks hooks;
         hooks.may_send = [this] { return leads; };
         hooks.on_order_end = [this](const group_order&, order_result) { ++ended; };
-        hooks.on_probe_answered = [](const runner_id&) {};
+        hooks.on_probe_answered = [this](const runner_id&,
+                                         const std::optional<probe_report>& report) {
+            reports.push_back(report);
+        };
         hooks.on_probe_failed = [](const runner_id&, probe_failure) {};
         hooks.incarnation_of = [this](const runner_id&) { return its_incarnation; };
         hooks.on_leaving = [this](const runner_id&, incarnation departed_incarnation) {
@@ -30,10 +33,12 @@
         orders = std::make_unique<runner_orders>(installed_platform(), std::move(hooks));
     }
 
-    void give_order()
+    void give_order() { execute(planner_step::kind_t::order); }
+    void probe() { execute(planner_step::kind_t::probe); }
+    void execute(planner_step::kind_t kind)
     {
         planner_step step;
-        step.kind = planner_step::kind_t::order;
+        step.kind = kind;
         step.order.kind = order_kind::leave;
         step.order.to = runner_id{"i-1"};
         step.order.address = runner.address();
@@ -46,10 +51,12 @@
     incarnation its_incarnation{1000};
     std::vector<incarnation> leaving; ///< incarnations that announced that they leave
     http_head answer{200, {}};
+    std::string body; ///< of each answer
+    std::vector<std::optional<probe_report>> reports;
     http_listener runner{caller_limits{},
                          [this](const http_request&, const std::shared_ptr<http_reply>& reply) {
                              ++received;
-                             reply->send(http_head{answer}, "");
+                             reply->send(http_head{answer}, body);
                          }};
     std::unique_ptr<runner_orders> orders;
 };
@@ -104,5 +111,32 @@
     EXPECT_EQ(leaving.size(), 1U) << "another runner has its address";
 }
 
+// Guards against a report that is cut short or out of range and is read as a state of the runner.
+TEST_F(orders_to_a_runner, tell_what_it_reports_unless_that_is_unreadable)
+{
+    body = R"({"sequence":7,"born":1000,"group":{"name":"g","epoch":12,"rank":1,"state":"ready"}})";
+    probe();
+    ASSERT_TRUE(wait_until([&] { return reports.size() == 1; }));
+    ASSERT_TRUE(reports.back());
+    EXPECT_EQ(reports.back()->orders, order_count{7});
+    EXPECT_EQ(reports.back()->born, incarnation{1000});
+    EXPECT_EQ(reports.back()->membership->group, group_id{"g"});
+    const std::vector<std::string> unreadable{"",
+                                              "{}",
+                                              R"({"sequence":-1})",
+                                              R"({"sequence":1.5})",
+                                              R"({"sequence":1e30})",
+                                              R"({"sequence":7,"group":{"name":"g"}})",
+                                              R"({"sequence":7})" +
+                                                  std::string(std::size_t{1} << 20, ' ')};
+    for (const auto& each : unreadable) {
+        body = each;
+        const auto before = reports.size();
+        probe();
+        ASSERT_TRUE(wait_until([&] { return reports.size() > before; }));
+        EXPECT_FALSE(reports.back()) << each.substr(0, 80);
+    }
+}
+
 } // namespace
 } // namespace cedarpoint
