A runner in a group that never opened takes an order to join with a condition

What callers would have seen: after orders without an answer, a group that ended before it was opened left its members unused until the next change of leader, since they still reported to be in it.

Cause: such members are free without an order to leave, but a condition was taken only from a report of no group or of the group to be joined.

Change: a report of a group that this leader has ended before it was opened allows the order too. Its head can't be open.

Measured: a_fleet_with_conditions.uses_the_members_of_a_group_that_was_never_opened fails without the change (no group of that model 12 s later), passes with it.

--- a/include/cedarpoint/fleet/conditional_joins.h
+++ b/include/cedarpoint/fleet/conditional_joins.h
@@ -10,14 +10,15 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace cedarpoint {
 
 /// Makes an order to join conditional on the state that the runner has reported. The order carries
 /// the number of orders that the runner had begun, and the runner refuses it if that number has
 /// changed: if a late copy of an earlier order was carried out since, or if the runner has
-/// restarted. So a runner that has reported to be in no group, or in the group that it is to join,
-/// joins no group while it is in another one.
+/// restarted. So a runner that has reported to be in no group, in the group that it is to join, or
+/// in one that was never opened, joins no group while it is in one that may be open.
 ///
 /// A condition costs a probe, and a wait until the report shows the latest order. It is used only
 /// for runners that may have earlier orders to join outstanding.
@@ -29,6 +30,9 @@
     void begin_term(bool follows_leader);
     void on_ordered(instant now, const group_order& order);
     void on_order_result(instant now, const group_order& order, order_result result);
+    /// Records that this leader has ended a group that was never opened. Its members may report to
+    /// be in it for as long as they join no other one.
+    void on_ended_unopened(const group_id& group) { unopened_.insert(group); }
     void on_report(instant now, const runner_id& runner, const probe_report& report);
 
     /// Returns true if the runner may carry out an earlier order to join.
@@ -48,9 +52,12 @@
     };
 
     static void note_order(instant now, runner_state& state);
+    /// Returns true if the group of a report keeps the runner from an order to join `next`.
+    [[nodiscard]] bool is_in_other_group(const probe_report& report, const group_id& next) const;
 
     const runner_registry& registry_;
     bool follows_leader_ = false;
+    std::set<group_id> unopened_; ///< groups that were ended in this term before they were opened
     std::map<runner_id, runner_state> runners_;
 };
 
--- a/include/cedarpoint/fleet/planner_outbox.h
+++ b/include/cedarpoint/fleet/planner_outbox.h
@@ -41,6 +41,8 @@
     void stage(instant now, const runner_id& to, const model_id& model);
     void on_order_result(instant now, const group_order& order, order_result result);
     void on_report(instant now, const runner_id& runner, const probe_report& report);
+    /// Records that a group was ended that was never opened.
+    void on_ended_unopened(const group_id& group) { conditions_.on_ended_unopened(group); }
     /// Does nothing if the registry does not have the runner.
     void probe(instant now, const runner_id& runner);
     void record(std::string command);
--- a/src/fleet/conditional_joins.cpp
+++ b/src/fleet/conditional_joins.cpp
@@ -19,6 +19,7 @@
 void conditional_joins::begin_term(bool follows_leader)
 {
     follows_leader_ = follows_leader;
+    unopened_.clear();
     runners_.clear();
 }
 
@@ -73,13 +74,18 @@
     const auto& report = *found->second.report;
     const bool is_of_earlier_incarnation =
         report.born != incarnation{} && report.born < record->latest.born;
-    const bool is_in_other_group = report.membership && report.membership->group != group.name;
-    if (is_of_earlier_incarnation || is_in_other_group) {
+    if (is_of_earlier_incarnation || is_in_other_group(report, group.name)) {
         return {};
     }
     return report.orders;
 }
 
+bool conditional_joins::is_in_other_group(const probe_report& report, const group_id& next) const
+{
+    return report.membership && report.membership->group != next &&
+           !unopened_.contains(report.membership->group);
+}
+
 bool conditional_joins::is_report_due(instant now, const runner_id& runner) const
 {
     const auto found = runners_.find(runner);
--- a/src/fleet/group_lifecycle.cpp
+++ b/src/fleet/group_lifecycle.cpp
@@ -118,8 +118,7 @@
         enter(now, group, plan_phase::serving, "the head is open");
         return;
     }
-    // The head is opened only after the group is in the log, so that every later leader knows that
-    // it may be open.
+    // Every later leader knows from the log that the head may be open.
     if (state_.groups().contains(group.name)) {
         outbox_.order(now, group, order_kind::open, group.head());
     }
@@ -313,6 +312,7 @@
         const auto* record = registry_.find(member);
         plan_.free_unopened(group, member, record == nullptr ? incarnation{} : record->latest.born);
     }
+    outbox_.on_ended_unopened(group.name);
     end(group, why);
 }
 
--- a/tests/fleet/conditional_joins_test.cpp
+++ b/tests/fleet/conditional_joins_test.cpp
@@ -97,6 +97,31 @@
     EXPECT_GE(world.serving_groups("small") + world.serving_groups("large"), 2U) << world.plan();
 }
 
+// Guards against a runner that is never used again because it reports to be in a group that ended
+// before it was opened.
+TEST_F(a_fleet_with_conditions, uses_the_members_of_a_group_that_was_never_opened)
+{
+    const runner_id head{"i-001"};
+    world.lose_answers = true;
+    while (world.group_of(head).empty()) {
+        world.run(milliseconds{20});
+    }
+    world.run(milliseconds{600}); // all members have joined, and load their weights
+    const auto ended = world.group_of(head);
+    const auto runners = world.alive_runners();
+    const auto member = std::find_if(runners.begin(), runners.end(), [&](const auto& each) {
+        return each != head && world.group_of(each) == ended;
+    });
+    ASSERT_NE(member, runners.end());
+    world.drain(*member);
+    world.lose_answers = false;
+    world.run(seconds{12});
+    EXPECT_NE(world.group_of(head).str(), ended.str());
+    EXPECT_EQ(world.serving_groups("small"), 1U) << world.plan();
+    EXPECT_EQ(world.serving_groups("large"), 1U) << world.plan();
+    EXPECT_EQ(join_lines(world.violations()), "");
+}
+
 // Guards against conditions that a runner never meets, so that it is never used again.
 TEST_F(a_fleet_with_conditions, forms_its_groups_again_after_each_change_of_leader)
 {
