An order to leave names the epoch under which the runner is in its group

What callers would have seen: a model without a group for as long as the leader stayed. A head that had restarted was put back into the group that it had left by a late order to join under an earlier epoch; each order to leave named the group's latest epoch and was refused, and every new group with that runner ended at once.

Change: they name the epoch that the runner reports for that group, if it reports one.

Measured: a_fleet_without_fences.uses_a_head_again_that_is_back_in_its_group_under_an_ earlier_epoch fails without the change (still in that group after 15 s), passes with it.

--- a/src/fleet/planner_outbox.cpp
+++ b/src/fleet/planner_outbox.cpp
@@ -11,6 +11,17 @@
 /// in one term, and for two million terms below 2^53, up to which a JSON number is exact.
 constexpr unsigned fence_shift = 32;
 
+/// Returns the epoch under which the runner is in the group. A late order to join may have put it
+/// back under an earlier one, and an order to leave under any other epoch has no effect.
+epoch epoch_to_leave(const runner_registry& registry, const planned_group& group,
+                     const runner_id& runner)
+{
+    const auto* record = registry.find(runner);
+    const auto membership = record == nullptr ? std::nullopt : record->latest.membership;
+    return membership && membership->group == group.name ? membership->assignment
+                                                         : group.epoch_of(runner);
+}
+
 /// Returns true if `key` was recorded less than `interval` ago; otherwise records it with `now`.
 template <class Key>
 bool is_too_soon(std::map<Key, instant>& noted, const Key& key, instant now, duration interval)
@@ -53,7 +64,8 @@
 bool planner_outbox::order(instant now, const planned_group& group, order_kind kind,
                            const runner_id& to)
 {
-    const auto assignment = group.epoch_of(to);
+    const auto assignment =
+        kind == order_kind::leave ? epoch_to_leave(registry_, group, to) : group.epoch_of(to);
     if (is_too_soon(ordered_at_, {to, group.name, assignment, kind}, now, options_.order_retry)) {
         return false;
     }
--- a/tests/fleet/late_orders_test.cpp
+++ b/tests/fleet/late_orders_test.cpp
@@ -138,6 +138,25 @@
     EXPECT_EQ(join_lines(world.violations()), "");
 }
 
+// Guards against a head that restarts, is put back into the group that it has left under an earlier
+// epoch, and is never used again because each order to leave names the latest one.
+TEST_F(a_fleet_without_fences, uses_a_head_again_that_is_back_in_its_group_under_an_earlier_epoch)
+{
+    hold_first(first, {order_kind::join});
+    world.run(seconds{12});
+    const auto left = world.group_of(first);
+    const auto members = world.members_of_some_group("small");
+    ASSERT_EQ(world.held().size(), 1U);
+    world.set_partitioned(members[1], true); // so the group does not end
+    drain_one_of(members);
+    world.restart(first);
+    ASSERT_TRUE(carry_out(order_kind::join));
+    ASSERT_EQ(world.group_of(first), left);
+    world.run(seconds{15});
+    EXPECT_NE(world.group_of(first).str(), left.str()) << world.plan();
+    EXPECT_EQ(join_lines(world.violations()), "");
+}
+
 // Guards against a group that waits for ever for a member that takes no order.
 TEST_F(a_fleet_without_fences, forms_its_groups_without_a_runner_that_takes_no_order)
 {
