--- a/include/cedarpoint/fleet/runner_registry.h
+++ b/include/cedarpoint/fleet/runner_registry.h
@@ -32,8 +32,9 @@
     /// Processes a heartbeat. Returns false if it is older than one processed before, or of an
     /// earlier incarnation.
     bool announce(instant now, const announcement& in);
-    /// Records that a runner has answered a probe. The content of the answer is ignored: it is some
-    /// hundred milliseconds old, and heartbeats report each change at once.
+    /// Records that a runner has answered a probe. The content of the answer does not replace the
+    /// latest heartbeat: it is some hundred milliseconds old, and heartbeats report each change at
+    /// once.
     void note_alive(instant now, const runner_id& runner);
     /// Records that another runner answered at the runner's address.
     void note_dead(const runner_id& runner);
