The plan's log line tells idle runners that are withheld from those that lack weights

Cause: the line gave free runners and their weights; whether placement had declined a group of them, or could form none, had to be worked out. Change: it ends with the number of free runners in domains where a group could be formed without the weight store.

--- a/include/cedarpoint/fleet/group_placement.h
+++ b/include/cedarpoint/fleet/group_placement.h
@@ -35,6 +35,10 @@
     /// there is none.
     [[nodiscard]] static std::optional<proposed_group>
     propose(instant now, const placement_snapshot& in, const weight_load_limiter& loads);
+    /// Returns the number of free runners in those fabric domains whose runners could form a group
+    /// without the weight store. Once `propose` returns nothing, these are idle by choice: they
+    /// would lose loaded weights of another model.
+    [[nodiscard]] static std::size_t count_withheld(const placement_snapshot& in);
 
 private:
     [[nodiscard]] static std::optional<proposed_group> propose_in(const placement_snapshot& in,
--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -150,6 +150,23 @@
            });
 }
 
+/// Returns true if the runners of one fabric domain could form a group of some model without the
+/// weight store.
+bool could_form_group(const placement_snapshot& in,
+                      const std::vector<const runner_snapshot*>& runners)
+{
+    const auto* service = in.configuration->find_service(runners.front()->latest->service);
+    return std::any_of(
+        service->engine->models.begin(), service->engine->models.end(),
+        [&](const engine_model& model) {
+            const auto ready =
+                std::count_if(runners.begin(), runners.end(), [&](const runner_snapshot* runner) {
+                    return may_join(*runner, *service, model) && can_join_soon(*runner, model);
+                });
+            return static_cast<std::size_t>(ready) >= model.group_size;
+        });
+}
+
 } // namespace
 
 std::optional<proposed_group> group_placement::propose_in(const placement_snapshot& in,
@@ -199,4 +216,13 @@
     return best;
 }
 
+std::size_t group_placement::count_withheld(const placement_snapshot& in)
+{
+    std::size_t out = 0;
+    for (const auto& [domain, runners] : in.free) {
+        out += could_form_group(in, runners) ? runners.size() : 0;
+    }
+    return out;
+}
+
 } // namespace cedarpoint
--- a/src/fleet/group_planner.cpp
+++ b/src/fleet/group_planner.cpp
@@ -307,8 +307,10 @@
         }
         out += "; ";
     }
-    return out + fmt::format("{} joins loading, {} staging, {} conversions, {} free",
-                             in.joins_loading, staging_.count(), conversions_.count(), free);
+    return out + fmt::format("{} joins loading, {} staging, {} conversions, {} free, "
+                             "{} of them withheld",
+                             in.joins_loading, staging_.count(), conversions_.count(), free,
+                             group_placement::count_withheld(in));
 }
 
 } // namespace cedarpoint
--- a/tests/fleet/placement_test.cpp
+++ b/tests/fleet/placement_test.cpp
@@ -166,6 +166,21 @@
     EXPECT_TRUE(propose()) << "no runner loses loaded weights";
 }
 
+TEST_F(a_fleet_of_runners, tells_runners_that_could_serve_from_those_that_lack_weights)
+{
+    add_serving_groups();
+    maker.add("a", 3, {small});
+    maker.add("b", 2, {small});
+    maker.add("c", 4, {});
+    for (std::size_t n = 0; n < 3; ++n) {
+        maker.set_loaded(n, large);
+    }
+    maker.set_work(small, 3.9);
+    ASSERT_FALSE(propose());
+    EXPECT_EQ(group_placement::count_withheld(maker.snapshot()), 3U)
+        << "two runners are too few, four have no weights";
+}
+
 TEST_F(a_fleet_of_runners, takes_runners_that_have_loaded_nothing_before_those_that_change)
 {
     add_serving_groups();
