Each answer to a configuration is logged: proposed, not proposed, redirected, no leader

Cause: for a change without an acknowledgement the logs told only commits and refusals of its content. Which daemon took it, and whether it was sent on, refused for want of a leader or waits for its commit, could not be told apart. Change: the control daemon writes a line for each of these. Result: no figures; operators send a few changes a second at most, one line each.

--- a/src/control_daemon/control_api.cpp
+++ b/src/control_daemon/control_api.cpp
@@ -68,17 +68,24 @@
         answer(reply, hooks_.is_ready() ? http_status::ok : http_status::service_unavailable);
         return;
     }
-    if (!redirect(request, reply)) {
+    if (!redirect(parsed.call, request, reply)) {
         dispatch(parsed, request, reply);
     }
 }
 
-bool control_api::redirect(const http_request& request, const reply_ptr& reply)
+bool control_api::redirect(control_call kind, const http_request& request, const reply_ptr& reply)
 {
     if (hooks_.leads()) {
         return false;
     }
     const auto leader = hooks_.leader();
+    if (kind == control_call::put_configuration) {
+        log_line("configuration")
+            .with("outcome", leader ? "redirected" : "no leader")
+            .with("leader", leader ? leader->str() : "")
+            .with("held", state_.version())
+            .write();
+    }
     if (!leader) {
         answer(reply, http_status::service_unavailable, R"({"error":"no leader is known"})");
         return true;
@@ -149,6 +156,7 @@
                                         const reply_ptr& reply)
 {
     const auto now = steady_now();
+    const auto held = state_.version();
     const bool proposed = hooks_.propose(
         fleet_state::put_configuration(version, document),
         [this, reply, version, now](const std::optional<std::string>& applied) {
@@ -161,6 +169,7 @@
             }
             answer(reply, status);
         });
+    log_configuration(proposed ? "proposed" : "not proposed", version, held);
     if (!proposed) {
         answer(reply, http_status::service_unavailable);
     }
--- a/src/control_daemon/control_api.h
+++ b/src/control_daemon/control_api.h
@@ -43,7 +43,7 @@
 private:
     /// Returns true if the call was answered with a redirect or an error because this daemon does
     /// not lead.
-    bool redirect(const http_request& request, const reply_ptr& reply);
+    bool redirect(control_call kind, const http_request& request, const reply_ptr& reply);
     void dispatch(const parsed_call& parsed, const http_request& request, const reply_ptr& reply);
     void put_configuration(const http_request& request, const reply_ptr& reply);
     void propose_configuration(std::uint64_t version, const std::string& document,
