Idle runners join for a crowded model although they lose the weights of another one

Cause: a free runner that had loaded one model joined for another only if the other's utilization was twice as high. The rule weighs a serving group against another; of runners that are too few for a group of their own model nothing is lost but weights. Change: what placement leaves over joins for a model at 0.7 of its slots or more that is no less utilized than its own. Result: uses_idle_runners_of_another_model_once_a_model_is_crowded failed before.

--- a/include/cedarpoint/fleet/group_placement.h
+++ b/include/cedarpoint/fleet/group_placement.h
@@ -2,6 +2,7 @@
 
 #include "cedarpoint/core/ids.h"
 #include "cedarpoint/core/time.h"
+#include "cedarpoint/fleet/group_targets.h"
 #include "cedarpoint/fleet/placement_snapshot.h"
 #include "cedarpoint/fleet/weight_load_limiter.h"
 
@@ -28,7 +29,8 @@
 /// Before the first request, groups load weights while they form. Once there is traffic, no group
 /// waits for weights: loading takes 12 s or more and blocks runners that could serve elsewhere.
 /// `weight_staging` copies weights to the hosts of free runners instead. Weights are loaded only in
-/// a domain that prefers the model.
+/// a domain that prefers the model. Runners that are too few for a group of their loaded model join
+/// for a crowded one.
 class group_placement {
 public:
     /// Returns the group with the lowest cost that fits and may load its weights now; empty if
@@ -41,10 +43,12 @@
     [[nodiscard]] static std::size_t count_withheld(const placement_snapshot& in);
 
 private:
-    [[nodiscard]] static std::optional<proposed_group> propose_in(const placement_snapshot& in,
-                                                                  const fabric_domain_id& domain,
-                                                                  const fleet_service& service,
-                                                                  const engine_model& model);
+    [[nodiscard]] static std::optional<proposed_group>
+    find_cheapest(instant now, const placement_snapshot& in, const weight_load_limiter& loads,
+                  model_switch allowed);
+    [[nodiscard]] static std::optional<proposed_group>
+    propose_in(const placement_snapshot& in, const fabric_domain_id& domain,
+               const fleet_service& service, const engine_model& model, model_switch allowed);
 };
 
 } // namespace cedarpoint
--- a/include/cedarpoint/fleet/group_targets.h
+++ b/include/cedarpoint/fleet/group_targets.h
@@ -26,4 +26,16 @@
                                       const engine_model& from, std::size_t from_groups,
                                       const engine_model& to);
 
+/// Which free runners may join for another model than the one that they have loaded.
+enum class model_switch {
+    to_much_busier, ///< those for which `is_worth_switching` holds
+    idle_runners    ///< in addition, those of which no group of their model can be formed
+};
+
+/// Returns true if free runners that have loaded model `from` may join for model `to`. Idle runners
+/// serve nobody meanwhile, so it is enough that `to` is crowded and no less utilized than `from`.
+[[nodiscard]] bool may_switch(const placement_snapshot& in, const fleet_service& service,
+                              const engine_model& from, const engine_model& to,
+                              model_switch allowed);
+
 } // namespace cedarpoint
--- a/src/fleet/group_placement.cpp
+++ b/src/fleet/group_placement.cpp
@@ -138,15 +138,15 @@
 }
 
 /// Once there is traffic, no group waits for weights, and runners switch only to a model with a
-/// much higher utilization.
+/// higher utilization.
 bool is_worth_joining(const placement_snapshot& in, const fleet_service& service,
-                      const engine_model& model, const std::vector<candidate>& members)
+                      const engine_model& model, const std::vector<candidate>& members,
+                      model_switch allowed)
 {
     return members.back().time != model.load_time &&
            std::all_of(members.begin(), members.end(), [&](const candidate& each) {
                return each.loaded == nullptr ||
-                      is_worth_switching(in, service, *each.loaded,
-                                         in.count_with_expected(each.loaded->name), model);
+                      may_switch(in, service, *each.loaded, model, allowed);
            });
 }
 
@@ -172,7 +172,8 @@
 std::optional<proposed_group> group_placement::propose_in(const placement_snapshot& in,
                                                           const fabric_domain_id& domain,
                                                           const fleet_service& service,
-                                                          const engine_model& model)
+                                                          const engine_model& model,
+                                                          model_switch allowed)
 {
     const auto& free = in.free.at(domain);
     auto members = find_candidates(free, service, model);
@@ -180,7 +181,7 @@
         return {};
     }
     members.resize(model.group_size);
-    if (in.has_traffic && !is_worth_joining(in, service, model, members)) {
+    if (in.has_traffic && !is_worth_joining(in, service, model, members, allowed)) {
         return {};
     }
     proposed_group out;
@@ -197,6 +198,16 @@
 
 std::optional<proposed_group> group_placement::propose(instant now, const placement_snapshot& in,
                                                        const weight_load_limiter& loads)
+{
+    // Groups that cost no loaded weights come first: only what they leave over is idle.
+    auto out = find_cheapest(now, in, loads, model_switch::to_much_busier);
+    return out ? out : find_cheapest(now, in, loads, model_switch::idle_runners);
+}
+
+std::optional<proposed_group> group_placement::find_cheapest(instant now,
+                                                             const placement_snapshot& in,
+                                                             const weight_load_limiter& loads,
+                                                             model_switch allowed)
 {
     std::optional<proposed_group> best;
     for (const auto& [domain, runners] : in.free) {
@@ -205,7 +216,7 @@
                 continue;
             }
             for (const auto& model : service.engine->models) {
-                auto next = propose_in(in, domain, service, model);
+                auto next = propose_in(in, domain, service, model, allowed);
                 const bool may_load = next && loads.allows(now, next->loads, in.joins_loading);
                 if (may_load && (!best || next->cost < best->cost)) {
                     best = std::move(next);
--- a/src/fleet/group_targets.cpp
+++ b/src/fleet/group_targets.cpp
@@ -19,6 +19,10 @@
 /// A model takes runners only from a model whose utilization is lower by at least this factor.
 constexpr double min_utilization_ratio = 2;
 
+/// From this utilization on, a model's requests slow each other down, and more groups of it are
+/// worth the weights that idle runners lose.
+constexpr double crowded_utilization = 0.7;
+
 std::size_t count_usable(const placement_snapshot& in, const fleet_service& service)
 {
     return static_cast<std::size_t>(
@@ -62,4 +66,17 @@
                min_utilization_ratio * utilization_with(in, service, from, from_groups);
 }
 
+bool may_switch(const placement_snapshot& in, const fleet_service& service,
+                const engine_model& from, const engine_model& to, model_switch allowed)
+{
+    const auto from_groups = in.count_with_expected(from.name);
+    if (is_worth_switching(in, service, from, from_groups, to)) {
+        return true;
+    }
+    const auto recipient_utilization =
+        utilization_with(in, service, to, in.count_with_expected(to.name));
+    return allowed == model_switch::idle_runners && recipient_utilization >= crowded_utilization &&
+           recipient_utilization >= utilization_with(in, service, from, from_groups);
+}
+
 } // namespace cedarpoint
--- a/tests/fleet/placement_test.cpp
+++ b/tests/fleet/placement_test.cpp
@@ -166,6 +166,42 @@
     EXPECT_TRUE(propose()) << "no runner loses loaded weights";
 }
 
+// Guards against runners that stay idle for the weights that they have loaded while requests are
+// refused.
+TEST_F(a_fleet_of_runners, uses_idle_runners_of_another_model_once_a_model_is_crowded)
+{
+    add_serving_groups();
+    maker.add("a", 3, {small});
+    for (std::size_t n = 0; n < 3; ++n) {
+        maker.set_loaded(n, large);
+    }
+    maker.set_work(large, 6);
+    maker.set_work(small, 6.9);
+    EXPECT_FALSE(propose()) << "0.69 of its slots";
+    maker.set_work(small, 7);
+    EXPECT_TRUE(propose());
+    maker.set_work(large, 7.1);
+    EXPECT_FALSE(propose()) << "the model that they hold is shorter of room";
+}
+
+TEST_F(a_fleet_of_runners, forms_the_groups_that_lose_no_weights_before_idle_runners_switch)
+{
+    add_serving_groups();
+    maker.add("a", 7, {small});
+    for (std::size_t n = 0; n < 7; ++n) {
+        maker.set_loaded(n, large);
+    }
+    maker.set_work(large, 8);
+    maker.set_work(small, 9);
+    auto next = propose();
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->model->name, large);
+    maker.form(*next);
+    next = propose();
+    ASSERT_TRUE(next) << "three runners are left";
+    EXPECT_EQ(next->model->name, small);
+}
+
 TEST_F(a_fleet_of_runners, tells_runners_that_could_serve_from_those_that_lack_weights)
 {
     add_serving_groups();
