No runners are kept for a group that placement will decline

Cause: staging counts a group as complete once its members have or will have its weights, and keeps these runners for it. It did not ask whether placement lets them join: runners that hold another model were kept for a group that was never formed. Change: both decide by the same function, may_switch. Result: keeps_no_runners_for_a_group_that_placement_will_decline failed before.

--- a/include/cedarpoint/fleet/group_targets.h
+++ b/include/cedarpoint/fleet/group_targets.h
@@ -37,5 +37,9 @@
 [[nodiscard]] bool may_switch(const placement_snapshot& in, const fleet_service& service,
                               const engine_model& from, const engine_model& to,
                               model_switch allowed);
+/// Returns true if placement lets an idle runner that has the weights of model `to` on its host
+/// join for it.
+[[nodiscard]] bool may_join_idle(const placement_snapshot& in, const fleet_service& service,
+                                 const runner_snapshot& runner, const engine_model& to);
 
 } // namespace cedarpoint
--- a/src/fleet/group_targets.cpp
+++ b/src/fleet/group_targets.cpp
@@ -79,4 +79,14 @@
            recipient_utilization >= utilization_with(in, service, from, from_groups);
 }
 
+bool may_join_idle(const placement_snapshot& in, const fleet_service& service,
+                   const runner_snapshot& runner, const engine_model& to)
+{
+    const auto* loaded = runner.last_model == nullptr
+                             ? nullptr
+                             : in.configuration->find_model(service.name, *runner.last_model);
+    return !in.has_traffic || loaded == nullptr || loaded->name == to.name ||
+           may_switch(in, service, *loaded, to, model_switch::idle_runners);
+}
+
 } // namespace cedarpoint
--- a/src/fleet/weight_staging.cpp
+++ b/src/fleet/weight_staging.cpp
@@ -63,12 +63,18 @@
            (load_s * static_cast<double>(lacking) + base_load_s);
 }
 
-bool all_can_join_soon(const weight_staging::runner_list& runners, std::size_t first,
-                       const engine_model& model)
+/// Returns true if placement forms no group of the first of `runners`, which will all have the
+/// model's weights: it has decided against it, or would once the weights are there.
+bool is_declined(const placement_snapshot& in, const fleet_service& service,
+                 const engine_model& model, const weight_staging::runner_list& runners,
+                 std::size_t first)
 {
-    return std::all_of(
-        runners.begin(), runners.begin() + static_cast<std::ptrdiff_t>(first),
-        [&](const runner_snapshot* runner) { return can_join_soon(*runner, model); });
+    const auto end = runners.begin() + static_cast<std::ptrdiff_t>(first);
+    return std::all_of(runners.begin(), end,
+                       [&](const auto* runner) { return can_join_soon(*runner, model); }) ||
+           !std::all_of(runners.begin(), end, [&](const auto* runner) {
+               return may_join_idle(in, service, *runner, model);
+           });
 }
 
 } // namespace
@@ -285,6 +291,9 @@
             std::stable_partition(left.begin(), left.end(), [&](const runner_snapshot* runner) {
                 return will_have(*runner, *model);
             });
+        std::stable_partition(left.begin(), ready_end, [&](const runner_snapshot* runner) {
+            return may_join_idle(in, service, *runner, *model);
+        });
         const auto ready = std::min<std::size_t>(static_cast<std::size_t>(ready_end - left.begin()),
                                                  model->group_size);
         completion next;
@@ -298,9 +307,8 @@
             }
             return taken;
         });
-        // A group that lacks no weights is left to placement, which has decided against it for now.
-        const bool declined = next.lacking.empty() && all_can_join_soon(left, ready, *model);
-        if (declined || ready + next.lacking.size() < model->group_size) {
+        if ((next.lacking.empty() && is_declined(in, service, *model, left, ready)) ||
+            ready + next.lacking.size() < model->group_size) {
             continue;
         }
         next.worth = completion_worth(in, service, *model, next.lacking.size()) *
--- a/tests/fleet/placement_test.cpp
+++ b/tests/fleet/placement_test.cpp
@@ -282,6 +282,32 @@
     }
 }
 
+// Guards against runners that are kept for a group that placement declines, and so complete no
+// group of the model that they have loaded.
+TEST_F(a_fleet_of_runners, keeps_no_runners_for_a_group_that_placement_will_decline)
+{
+    add_serving_groups();
+    maker.set_work(small, 6);
+    for (const std::size_t first : {0U, 3U}) {
+        const std::string domain = first == 0 ? "a" : "b";
+        maker.add(domain, 2, {small});
+        maker.add(domain, 1, {});
+        for (auto n = first; n < first + 3; ++n) {
+            maker.set_loaded(n, large);
+        }
+    }
+    ASSERT_EQ(stage().size(), 2U) << "the small model, on the third runner of each domain";
+    maker.add("a", 1, {small});
+    maker.add("b", 1, {small});
+    maker.set_work(large, 9);
+    const auto orders = stage();
+    ASSERT_EQ(orders.size(), 2U);
+    EXPECT_EQ(orders[0].runner, maker.runner(6).id);
+    EXPECT_EQ(orders[1].runner, maker.runner(7).id);
+    EXPECT_EQ(orders[0].model, large);
+    EXPECT_EQ(orders[1].model, large);
+}
+
 TEST_F(a_fleet_of_runners, stages_first_where_the_fewest_weights_are_missing)
 {
     add_serving_groups();
