A line for each slow turn of a control daemon's event loop, with its parts

Cause: logs could not tell a leader without processor time from one that waits for a disk, a vote or a runner. Change: a turn of 100 ms or more is logged (slow_loop), at most one a second, with the time between ticks, in messages, in the replicated log, in planning, in the view and in the summary.

--- a/src/control_daemon/control_daemon.cpp
+++ b/src/control_daemon/control_daemon.cpp
@@ -46,10 +46,13 @@
 
 void control_daemon::tick()
 {
+    loop_.end_part(steady_now(), loop_part::between_ticks);
     mesh_.drain();
+    loop_.end_part(steady_now(), loop_part::messages);
     log_->tick(steady_now());
     // Read the clock again: a slow disk may have blocked the log for longer than a lease.
     const auto now = steady_now();
+    loop_.end_part(now, loop_part::log);
     disk_.note(log_->write_failure());
     metrics_.set_disk_refuses(disk_.refuses());
     if (!check_log()) {
@@ -69,7 +72,26 @@
         next_summary_ = now + summary_interval;
         summarize(now);
     }
+    loop_.end_part(steady_now(), loop_part::summary);
     mesh_.drain();
+    loop_.end_part(steady_now(), loop_part::messages);
+    log_slow_turn(steady_now());
+}
+
+void control_daemon::log_slow_turn(instant now)
+{
+    if (const auto turn = loop_.end_turn(now)) {
+        log_line("slow_loop")
+            .with("ms", to_ms(turn->total))
+            .with("between_ticks_ms", to_ms(turn->of(loop_part::between_ticks)))
+            .with("messages_ms", to_ms(turn->of(loop_part::messages)))
+            .with("log_ms", to_ms(turn->of(loop_part::log)))
+            .with("plan_ms", to_ms(turn->of(loop_part::plan)))
+            .with("view_ms", to_ms(turn->of(loop_part::view)))
+            .with("summary_ms", to_ms(turn->of(loop_part::summary)))
+            .with("leading", leads(now))
+            .write();
+    }
 }
 
 bool control_daemon::check_log()
@@ -117,10 +139,12 @@
         execute(now, step);
     }
     drop_lost_followers(now);
+    loop_.end_part(steady_now(), loop_part::plan);
     // A write of a step may have taken longer than the lease.
     if (now >= next_refresh_ && leads(now)) {
         push_view(now);
     }
+    loop_.end_part(steady_now(), loop_part::view);
 }
 
 void control_daemon::execute(instant now, const planner_step& step)
--- a/src/control_daemon/control_daemon.h
+++ b/src/control_daemon/control_daemon.h
@@ -7,6 +7,7 @@
 #include "control_daemon/control_metrics.h"
 #include "control_daemon/election_logger.h"
 #include "control_daemon/log_membership.h"
+#include "control_daemon/loop_monitor.h"
 #include "control_daemon/runner_orders.h"
 #include "io/disk_watch.h"
 #include "io/http_listener.h"
@@ -60,6 +61,8 @@
     void push_view(instant now);
     /// Logs a summary of the plan and updates the metrics on it.
     void summarize(instant now);
+    /// Ends a turn of the event loop and logs it if it took long.
+    void log_slow_turn(instant now);
 
     void receive(const wire::envelope& in);
     void on_follow(instant now, const wire::envelope& in);
@@ -93,6 +96,7 @@
     std::uint64_t led_term_ = 0; ///< the latest term in which this process led; 0: none
     disk_watch disk_;
     election_logger elections_;
+    loop_monitor loop_;
     daemon_id known_leader_;
     instant next_refresh_;
     instant next_summary_;
