The leader reads each document of an operator once

Cause: the leader read the whole document of a call to check it, unpacked and read it again once it was committed, and read it once more each time that an operator sent it again. It is JSON of some 260 KB. Change: recent_configurations keeps the latest four configurations that were read from calls, 2 MB of documents at most, by their whole text. What a call may contain is read the same way from the log.

--- a/include/cedarpoint/fleet/fleet_leader.h
+++ b/include/cedarpoint/fleet/fleet_leader.h
@@ -8,6 +8,7 @@
 #include "cedarpoint/fleet/group_planner.h"
 #include "cedarpoint/fleet/health_reports.h"
 #include "cedarpoint/fleet/platform_adapter.h"
+#include "cedarpoint/fleet/recent_configurations.h"
 #include "cedarpoint/fleet/runner_registry.h"
 #include "cedarpoint/fleet/view_builder.h"
 #include "cedarpoint/quarantine/quarantine_controller.h"
@@ -16,7 +17,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -85,8 +88,16 @@
     /// Processes the lifting of a quarantine by an operator, after it is committed to the log.
     void on_quarantine_lifted(instant now, const crash_cause& cause);
 
+    /// Returns the configuration of an operator's call; null, with the reason in `why`, if any part
+    /// of it is invalid. A document that was read lately is not read again.
+    [[nodiscard]] std::shared_ptr<const fleet_configuration>
+    read_configuration(const std::string& document, reason& why);
+
 private:
     void take_configuration();
+    /// Returns the configuration in force; null, with the reason in `why`, if it is unreadable.
+    [[nodiscard]] std::shared_ptr<const fleet_configuration>
+    read_stored_configuration(reason& why) const;
     void take_rate_limits(instant now, const daemon_id& follower, rate_limit_observations in);
     void add_quarantines(instant now, std::vector<planner_step>& steps);
     void take_crashes(instant now, const daemon_id& follower, crash_histories in);
@@ -108,7 +119,8 @@
     health_reports reports_;
     group_planner planner_;
     view_builder view_builder_;
-    std::optional<fleet_configuration> configuration_;
+    recent_configurations recent_configurations_;
+    std::shared_ptr<const fleet_configuration> configuration_;
     std::uint64_t installed_version_ = 0;  ///< of `configuration_`, as stored
     std::uint64_t unreadable_version_ = 0; ///< of the latest unreadable configuration
     view_source view_;
--- a/src/control_daemon/control_api.cpp
+++ b/src/control_daemon/control_api.cpp
@@ -138,7 +138,7 @@
 void control_api::put_configuration(const http_request& request, const reply_ptr& reply)
 {
     reason why;
-    const auto read = platform_.read_configuration(request.body, why);
+    const auto read = leader_.read_configuration(request.body, why);
     if (!read) {
         log_line("configuration").with("outcome", "invalid").with("reason", why.str()).write();
         answer(reply, http_status::bad_request, R"({"error":"the configuration is not valid"})");
--- a/src/fleet/fleet_leader.cpp
+++ b/src/fleet/fleet_leader.cpp
@@ -71,10 +71,10 @@
         return;
     }
     reason why;
-    if (auto read = platform_.read_stored_configuration(state_.document(), why)) {
+    if (auto read = read_stored_configuration(why)) {
         installed_version_ = version;
         configuration_ = std::move(read);
-        planner_.set_configuration(&*configuration_);
+        planner_.set_configuration(configuration_.get());
     }
     else if (std::exchange(unreadable_version_, version) != version &&
              on_unreadable_configuration) {
@@ -82,6 +82,33 @@
     }
 }
 
+std::shared_ptr<const fleet_configuration>
+fleet_leader::read_configuration(const std::string& document, reason& why)
+{
+    if (auto known = recent_configurations_.find(document)) {
+        return known;
+    }
+    auto read = platform_.read_configuration(document, why);
+    if (!read) {
+        return {};
+    }
+    auto out = std::make_shared<const fleet_configuration>(std::move(*read));
+    recent_configurations_.add(document, out);
+    return out;
+}
+
+std::shared_ptr<const fleet_configuration>
+fleet_leader::read_stored_configuration(reason& why) const
+{
+    const auto document = state_.document();
+    // What a call may contain is read the same way from the log.
+    if (auto known = recent_configurations_.find(document)) {
+        return known;
+    }
+    auto read = platform_.read_stored_configuration(document, why);
+    return read ? std::make_shared<const fleet_configuration>(std::move(*read)) : nullptr;
+}
+
 std::vector<planner_step> fleet_leader::tick(instant now)
 {
     take_configuration();
