loads_excluding copies no report

Cause: the conditional expression chose between a kept report and a temporary one, so the chosen report was copied, for each report of each entry daemon: work on the path that the sums had shortened. Change: a reference to the kept report, or to an empty one. Conclusion: behaviour is the same, only the copy is gone.

--- a/src/fleet/health_reports.cpp
+++ b/src/fleet/health_reports.cpp
@@ -136,8 +136,9 @@
     expire(now);
     const auto found = entries_.find(excluded);
     const bool counted = found != entries_.end() && counted_.contains({found->second.at, excluded});
-    return totals_.loads_without(counted ? found->second.runners
-                                         : observation_totals::observations{});
+    static const observation_totals::observations none;
+    const auto& own = counted ? found->second.runners : none;
+    return totals_.loads_without(own);
 }
 
 std::size_t health_reports::count_followers(instant now) const
