--- a/tests/fleet/placement_test.cpp
+++ b/tests/fleet/placement_test.cpp
@@ -45,6 +45,13 @@
         }
         return out;
     }
+    /// The `count` runners from `first` on have loaded the model.
+    void set_loaded(std::size_t first, std::size_t count, const model_id& model)
+    {
+        for (auto n = first; n < first + count; ++n) {
+            maker.set_loaded(n, model);
+        }
+    }
     /// Adds a serving group of each model in another domain, so that the load of both can be
     /// measured.
     void add_serving_groups()
@@ -148,9 +155,7 @@
 {
     add_serving_groups();
     maker.add("a", 3, {small});
-    for (std::size_t n = 0; n < 3; ++n) {
-        maker.set_loaded(n, large);
-    }
+    set_loaded(0, 3, large);
     maker.set_work(small, 3.9);
     EXPECT_FALSE(propose()) << "0.39 of its slots";
     maker.set_work(small, 4);
@@ -160,9 +165,7 @@
     maker.set_work(large, 2);
     EXPECT_TRUE(propose()) << "0.2 of its slots";
     maker.set_work(small, 0);
-    for (std::size_t n = 0; n < 3; ++n) {
-        maker.set_loaded(n, small);
-    }
+    set_loaded(0, 3, small);
     EXPECT_TRUE(propose()) << "no runner loses loaded weights";
 }
 
@@ -172,9 +175,7 @@
 {
     add_serving_groups();
     maker.add("a", 3, {small});
-    for (std::size_t n = 0; n < 3; ++n) {
-        maker.set_loaded(n, large);
-    }
+    set_loaded(0, 3, large);
     maker.set_work(large, 6);
     maker.set_work(small, 6.9);
     EXPECT_FALSE(propose()) << "0.69 of its slots";
@@ -188,9 +189,7 @@
 {
     add_serving_groups();
     maker.add("a", 7, {small});
-    for (std::size_t n = 0; n < 7; ++n) {
-        maker.set_loaded(n, large);
-    }
+    set_loaded(0, 7, large);
     maker.set_work(large, 8);
     maker.set_work(small, 9);
     auto next = propose();
@@ -208,9 +207,7 @@
     maker.add("a", 3, {small});
     maker.add("b", 2, {small});
     maker.add("c", 4, {});
-    for (std::size_t n = 0; n < 3; ++n) {
-        maker.set_loaded(n, large);
-    }
+    set_loaded(0, 3, large);
     maker.set_work(small, 3.9);
     ASSERT_FALSE(propose());
     EXPECT_EQ(group_placement::count_withheld(maker.snapshot()), 3U)
@@ -260,9 +257,7 @@
         maker.set_staging(n);
     }
     EXPECT_FALSE(propose());
-    for (std::size_t n = 0; n < 3; ++n) {
-        maker.set_loaded(n, small);
-    }
+    set_loaded(0, 3, small);
     EXPECT_TRUE(propose());
 }
 
@@ -292,9 +287,7 @@
         const std::string domain = first == 0 ? "a" : "b";
         maker.add(domain, 2, {small});
         maker.add(domain, 1, {});
-        for (auto n = first; n < first + 3; ++n) {
-            maker.set_loaded(n, large);
-        }
+        set_loaded(first, 3, large);
     }
     ASSERT_EQ(stage().size(), 2U) << "the small model, on the third runner of each domain";
     maker.add("a", 1, {small});
