Trailers of an answer are no part of its head, however the answer arrives

Cause: the library's parser adds trailers to the same fields as the head. The head was copied after all bytes of a read had been parsed.

Change: answers are parsed part by part. A head is checked and copied as soon as it is complete; the body and the trailers are parsed after that.

Evidence: `trailers.are_no_part_of_the_head_wherever_the_answer_is_divided` failed on (X-A had two values), passes. 93 tests of the parser, its two clients and endless answers pass.

--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -220,15 +220,27 @@
     void expect_head()
     {
         parser.emplace();
-        parser->eager(true);
         parser->skip(head_only);
         parser->header_limit(limit32(max_kept));
         // Not `boost::none`: the parser takes any length for too large then if the head arrives
         // alone.
         parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     }
-    /// Drops an interim answer, which a final one follows. A status that is none is a fault.
-    void check_status()
+    /// Parses the next part: lines of a head, some of a body, or trailers. Returns how many bytes
+    /// were used.
+    std::size_t parse_part(std::string_view bytes, boost::beast::error_code& ec)
+    {
+        const bool in_head = !parser->is_header_done();
+        const auto n = parser->put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+        if (in_head) {
+            current += n;
+            check_head();
+        }
+        return n;
+    }
+    /// Accepts a head, or drops an interim answer, which a final one follows. A status that is none
+    /// is a fault.
+    void check_head()
     {
         if (!parser->is_header_done()) {
             return;
@@ -241,13 +253,16 @@
             fault = interim > max_kept ? http_fault::head_too_large : fault;
         }
         else if (status < first_final_status || status > last_status) {
-            parser.emplace(); // no part of the answer is passed on
             fault = http_fault::malformed;
         }
+        else {
+            head = http_head{static_cast<int>(status), copy_fields(parser->get())};
+        }
     }
 
     std::optional<http::response_parser<growing_body>> parser;
     http_fault fault = http_fault::none;
+    std::optional<http_head> head; ///< once it is accepted; the parser adds trailers to its own
     /// Bytes of a head, of the start of a chunk or of trailers, which the parser needs again with
     /// the rest. The parser itself bounds only heads.
     std::string kept;
@@ -271,15 +286,11 @@
     std::size_t used = 0;
     while (used < impl_->kept.size() && !is_done() && impl_->fault == http_fault::none) {
         boost::beast::error_code ec;
-        const auto n = impl_->parser->put(
-            boost::asio::buffer(impl_->kept.data() + used, impl_->kept.size() - used), ec);
-        used += n;
-        impl_->current += n;
-        impl_->check_status();
+        used += impl_->parse_part(std::string_view{impl_->kept}.substr(used), ec);
         if (ec == http::error::need_more) {
             break;
         }
-        if (ec) {
+        if (ec && impl_->fault == http_fault::none) {
             impl_->fault = fault_of(ec);
         }
     }
@@ -288,7 +299,7 @@
         return used > before ? used - before : 0;
     }
     impl_->kept.erase(0, used);
-    if (impl_->kept.size() > impl_->max_kept) {
+    if (impl_->fault == http_fault::none && impl_->kept.size() > impl_->max_kept) {
         impl_->fault = http_fault::head_too_large;
     }
     return bytes.size();
@@ -313,18 +324,17 @@
 
 bool http_response_parser::is_head_done() const
 {
-    return impl_->parser->is_header_done();
+    return impl_->head.has_value();
 }
 
 bool http_response_parser::is_done() const
 {
-    return impl_->parser->is_done();
+    return impl_->fault == http_fault::none && impl_->parser->is_done();
 }
 
-http_head http_response_parser::head() const
+const http_head& http_response_parser::head() const
 {
-    const auto& message = impl_->parser->get();
-    return {static_cast<int>(message.result_int()), copy_fields(message)};
+    return *impl_->head;
 }
 
 std::string http_response_parser::take_body()
--- a/src/io/http_parser.h
+++ b/src/io/http_parser.h
@@ -65,7 +65,8 @@
     [[nodiscard]] http_fault fault() const;
     [[nodiscard]] bool is_head_done() const;
     [[nodiscard]] bool is_done() const;
-    [[nodiscard]] http_head head() const;
+    /// Returns the head, without the trailers. Precondition: `is_head_done()`.
+    [[nodiscard]] const http_head& head() const;
     /// Returns the body bytes parsed since the previous call.
     std::string take_body();
 
