An answer in an unknown transfer coding is no answer

Callers: an answer with a Transfer-Encoding other than just `chunked` reached them as 200: with the sizes of chunks as text once the connection closed (`chunked, gzip`, `identity`, an unknown name, an empty value), with coded bytes (`gzip, chunked`), or, on a kept connection, not before their deadline (504). The field is taken out on the way, so nobody could tell.

Cause: the library's parser looks for `chunked` as the last coding; otherwise it reads the body until the connection closes, or by a Content-Length that follows. It knows no other coding, and it passes over what is not a list.

Change: the head of an answer that may have a body is accepted only if it has no transfer coding or `chunked` once and nothing else (`is_only_chunked`; any case, empty list elements), in HTTP/1.1. Answers to HEAD, 204 and 304 have no body, and may name any coding. No request asks for another coding, so no runner may apply one (RFC 9112, section 7.4).

The names of the forms with spoiled names are unique now.

--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -7,8 +7,10 @@
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
 #include <limits>
 #include <optional>
+#include <vector>
 
 namespace cedarpoint {
 namespace {
@@ -106,6 +108,8 @@
     switch (fault) {
     case http_fault::folded_line:
         return "a line of the answer's head or trailers is folded";
+    case http_fault::unknown_coding:
+        return "the answer's transfer coding is not known";
     case http_fault::head_too_large:
         return "the answer's head is too large";
     default:
@@ -257,7 +261,7 @@
         return n;
     }
     /// Accepts a head, or drops an interim answer, which a final one follows. A status that is none
-    /// is a fault.
+    /// is a fault, and so is a body in an unknown transfer coding.
     void check_head()
     {
         if (!parser->is_header_done()) {
@@ -273,10 +277,28 @@
         else if (status < first_final_status || status > last_status) {
             fault = http_fault::malformed;
         }
+        else if (!head_only && may_have_body(status) && !is_coding_known()) {
+            fault = http_fault::unknown_coding;
+        }
         else {
             head = http_head{static_cast<int>(status), copy_fields(parser->get())};
         }
     }
+    /// Returns whether the body has no transfer coding or one that is removed here.
+    [[nodiscard]] bool is_coding_known() const
+    {
+        const auto& message = parser->get();
+        const auto [first, last] = message.equal_range(http::field::transfer_encoding);
+        if (first == last) {
+            return true;
+        }
+        std::vector<std::string_view> codings;
+        std::transform(first, last, std::back_inserter(codings), [](const auto& it) {
+            return std::string_view{it.value().data(), it.value().size()};
+        });
+        // With HTTP/1.0 the framing is faulty (RFC 9112, section 6.1).
+        return message.version() >= 11 && parser->chunked() && is_only_chunked(codings);
+    }
 
     std::optional<http::response_parser<growing_body>> parser;
     http_fault fault = http_fault::none;
--- a/src/io/http_parser.h
+++ b/src/io/http_parser.h
@@ -14,7 +14,8 @@
 enum class http_fault {
     none,
     malformed,
-    folded_line, ///< a line continues the one before it
+    folded_line,    ///< a line continues the one before it
+    unknown_coding, ///< the body has a transfer coding other than "chunked"
     head_too_large,
     body_too_large,
     cut
--- a/src/io/http_syntax.cpp
+++ b/src/io/http_syntax.cpp
@@ -1,7 +1,13 @@
 #include "io/http_syntax.h"
 
+#include "io/http_message.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+
 namespace cedarpoint {
 
+namespace http = boost::beast::http;
+
 bool has_folded_line(std::string_view lines)
 {
     constexpr std::string_view line_end = "\r\n";
@@ -15,4 +21,22 @@
     return false;
 }
 
+bool is_only_chunked(const std::vector<std::string_view>& values)
+{
+    int count = 0;
+    for (const auto value : values) {
+        const http::opt_token_list codings{{value.data(), value.size()}};
+        if (!http::validate_list(codings)) {
+            return false;
+        }
+        for (const auto it : codings) {
+            if (!equal_ignoring_case({it.data(), it.size()}, "chunked")) {
+                return false;
+            }
+            ++count;
+        }
+    }
+    return count == 1;
+}
+
 } // namespace cedarpoint
--- a/tests/entry/broken_answer_test.cpp
+++ b/tests/entry/broken_answer_test.cpp
@@ -152,13 +152,18 @@
                                                   {"blank", "after the signature", "after the id",
                                                    "length", "coding", "trailer"})),
                          name_of_case);
+INSTANTIATE_TEST_SUITE_P(codings, an_answer_of_a_runner_in_trouble,
+                         testing::ValuesIn(choose(answers_in_unknown_codings(),
+                                                  {"chunks: 'gzip, chunked'", "plain: 'identity'",
+                                                   "chunks: 'chunked, gzip'", "HTTP/1.0"})),
+                         name_of_case);
 INSTANTIATE_TEST_SUITE_P(statuses, an_answer_of_a_runner_in_trouble,
                          testing::ValuesIn(choose(answers_without_a_status(),
                                                   {"status '000'", "unframed"})),
                          name_of_case);
 INSTANTIATE_TEST_SUITE_P(names, an_answer_of_a_runner_in_trouble,
                          testing::ValuesIn(choose(answers_with_a_spoiled_name(),
-                                                  {"'X A'", "length"})),
+                                                  {"name 'X A'", "name of the length"})),
                          name_of_case);
 
 } // namespace
--- a/tests/io/broken_answer_test.cpp
+++ b/tests/io/broken_answer_test.cpp
@@ -118,6 +118,20 @@
     }
 }
 
+// Guards against refusing a head that only tells which coding a body would have had.
+TEST(an_answer_without_a_body, may_have_any_coding)
+{
+    const std::string lines = "Transfer-Encoding: gzip, chunked\r\n\r\n";
+    for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+        divided_answer it;
+        it.put("HTTP/1.1 " + status + "\r\n" + lines);
+        EXPECT_TRUE(it.parser.is_done()) << status;
+    }
+    divided_answer to_head{true};
+    to_head.put("HTTP/1.1 200 OK\r\n" + lines);
+    EXPECT_TRUE(to_head.parser.is_done());
+}
+
 /// A way to read an answer.
 struct answer_reader {
     const char* name;
--- a/tests/support/answer_forms.cpp
+++ b/tests/support/answer_forms.cpp
@@ -56,6 +56,26 @@
     };
 }
 
+std::vector<answer_form> answers_in_unknown_codings()
+{
+    std::vector<answer_form> out;
+    const auto add = [&](const std::string& name, const std::string& lines) {
+        out.push_back({"chunks: " + name, ok + identity + lines + end + chunks});
+        out.push_back({"plain: " + name, ok + identity + lines + end + body});
+    };
+    for (const std::string value :
+         {"", " ", ",", "identity", "gzip", "xchunked", "chunkedx", "chunked, gzip",
+          "chunked, chunked", "gzip, chunked", "identity, chunked", "chunked;q=1", "chunked;",
+          "chunked x", "\"chunked\"", "chunked/1"}) {
+        add(fmt::format("'{}'", value), "Transfer-Encoding: " + value + "\r\n");
+    }
+    add("two lines", "Transfer-Encoding: identity\r\n" + chunked);
+    add("before a length", "Transfer-Encoding: gzip\r\n" + length);
+    add("after a length", length + "Transfer-Encoding: gzip\r\n");
+    out.push_back({"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + identity + chunked + end + chunks});
+    return out;
+}
+
 std::vector<answer_form> answers_without_a_status()
 {
     std::vector<answer_form> out;
@@ -77,23 +97,25 @@
     std::vector<answer_form> out;
     for (const std::string name : {"X A", "X-A ", "X-A\t", "X\tA", "X\x01-A", "X\x7f-A", "X\xe9-A",
                                    "X(A", "X/A", "X@A", "X\"A", ""}) {
-        out.push_back({fmt::format("'{}'", name), with_lines(name + ": a\r\n")});
+        out.push_back({fmt::format("name '{}'", name), with_lines(name + ": a\r\n")});
     }
-    out.push_back({"NUL", with_lines(std::string{"X"} + '\0' + "A: a\r\n")});
+    out.push_back({"NUL in a name", with_lines(std::string{"X"} + '\0' + "A: a\r\n")});
     out.push_back({"no colon", with_lines("X-A\r\n")});
-    out.push_back({"length", ok + identity + "Content-Length : 4\r\n" + end + body});
-    out.push_back({"coding", ok + identity + "Transfer-Encoding : chunked\r\n" + end + chunks});
-    out.push_back({"interim answer", "HTTP/1.1 103 Early Hints\r\nX A: a\r\n\r\n" + sound});
+    out.push_back({"name of the length", ok + identity + "Content-Length : 4\r\n" + end + body});
+    out.push_back(
+        {"name of the coding", ok + identity + "Transfer-Encoding : chunked\r\n" + end + chunks});
     out.push_back(
-        {"trailer", ok + identity + chunked + end + "4\r\nbody\r\n0\r\nX T: t\r\n\r\n", true});
+        {"name in an interim answer", "HTTP/1.1 103 Early Hints\r\nX A: a\r\n\r\n" + sound});
+    out.push_back({"name of a trailer",
+                   ok + identity + chunked + end + "4\r\nbody\r\n0\r\nX T: t\r\n\r\n", true});
     return out;
 }
 
 std::vector<answer_form> broken_answers()
 {
     std::vector<answer_form> out;
-    for (const auto& forms :
-         {folded_answers(), answers_without_a_status(), answers_with_a_spoiled_name()}) {
+    for (const auto& forms : {folded_answers(), answers_in_unknown_codings(),
+                              answers_without_a_status(), answers_with_a_spoiled_name()}) {
         out.insert(out.end(), forms.begin(), forms.end());
     }
     return out;
--- a/tests/support/answer_forms.h
+++ b/tests/support/answer_forms.h
@@ -17,6 +17,8 @@
 
 /// Answers with a line of the head or of the trailers that continues the one before.
 [[nodiscard]] std::vector<answer_form> folded_answers();
+/// Answers whose body has a transfer coding other than just "chunked".
+[[nodiscard]] std::vector<answer_form> answers_in_unknown_codings();
 /// Answers whose status line holds no status of a final answer.
 [[nodiscard]] std::vector<answer_form> answers_without_a_status();
 /// Answers with a line whose field name is no token.
