--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -1,15 +1,26 @@
 #include "cli/operator_client.h"
 
+#include "io/upstream_call.h"
+
 #include <QEventLoop>
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
-#include <QNetworkRequest>
+#include <QUrl>
 
 namespace cedarpoint {
 namespace {
 
 /// A call fails if no byte is transferred for this long.
-constexpr int transfer_timeout_ms = 15'000;
+constexpr milliseconds transfer_timeout{15'000};
+
+/// Returns the target with the characters encoded that a request line can't hold.
+std::string encode_target(const std::string& path)
+{
+    const QUrl url{QString::fromStdString(path)};
+    auto out = url.path(QUrl::FullyEncoded);
+    if (url.hasQuery()) {
+        out += "?" + url.query(QUrl::FullyEncoded);
+    }
+    return out.toStdString();
+}
 
 } // namespace
 
@@ -27,26 +38,33 @@
 std::optional<operator_response> operator_client::call(const char* method, const std::string& path,
                                                        const std::string& body, reason& why) const
 {
-    QNetworkAccessManager manager;
-    QNetworkRequest request{QUrl{QString::fromStdString("http://" + daemon_.str() + path)}};
-    request.setTransferTimeout(transfer_timeout_ms);
-    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    http_request request{method, encode_target(path), {}, body};
+    request.fields.add("Host", daemon_.str());
+    request.fields.add("Content-Type", "application/json");
     // Read from the environment: a command line is visible in the list of processes.
     if (const auto key = qgetenv("CEDARPOINT_OPERATOR_KEY"); !key.isEmpty()) {
-        request.setRawHeader("Authorization", "Bearer " + key);
+        request.fields.add("Authorization", "Bearer " + key.toStdString());
     }
-    auto* reply = manager.sendCustomRequest(request, method, QByteArray::fromStdString(body));
+    int status = 0;
+    std::string text;
+    std::optional<call_end> end;
     QEventLoop loop;
-    QObject::connect(reply, &QNetworkReply::finished, &loop, &QEventLoop::quit);
-    loop.exec();
-    const auto status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    if (status == 0) {
-        why = {std::string{method} + " " + path, daemon_.str(), reply->errorString().toStdString()};
-        reply->deleteLater();
+    upstream_call::handlers handlers;
+    handlers.on_head = [&](const http_head& head) { status = head.status; };
+    handlers.on_body = [&](const std::string& bytes) { text += bytes; };
+    handlers.on_end = [&](call_end how, const reason& cause) {
+        end = how;
+        why = {request.method + " " + path, daemon_.str(), cause.text};
+        loop.quit();
+    };
+    upstream_call call{daemon_, request, {transfer_timeout, transfer_timeout}, std::move(handlers)};
+    call.start();
+    if (!end) {
+        loop.exec();
+    }
+    if (end != call_end::complete) {
         return {};
     }
-    const auto text = reply->readAll().toStdString();
-    reply->deleteLater();
     auto parsed = nlohmann::json::parse(text, nullptr, false);
     if (parsed.is_discarded()) {
         parsed = text;
--- a/src/cli/operator_client.h
+++ b/src/cli/operator_client.h
@@ -17,14 +17,14 @@
 };
 
 /// Blocking HTTP client for a daemon's operator listener. Owns only the address. Needs a
-/// QCoreApplication. Every call must be idempotent, since Qt may send one twice. Authorizes calls
-/// with the key in the environment variable CEDARPOINT_OPERATOR_KEY, if set.
+/// QCoreApplication. Sends each call at most once. Authorizes calls with the key in the environment
+/// variable CEDARPOINT_OPERATOR_KEY, if set.
 class operator_client {
 public:
     explicit operator_client(endpoint daemon) : daemon_{std::move(daemon)} {}
 
-    /// Returns nothing if no response arrived; `why` then gives the reason. A response with an
-    /// error status is returned.
+    /// Returns nothing if no complete, valid response arrived; `why` then gives the reason. A
+    /// response with an error status is returned.
     std::optional<operator_response> get(const std::string& path, reason& why) const;
     std::optional<operator_response> post(const std::string& path, const std::string& body,
                                           reason& why) const;
--- a/tests/daemon/command_line_test.cpp
+++ b/tests/daemon/command_line_test.cpp
@@ -1,6 +1,8 @@
 // Runs the command line as a separate process and checks its documented exit codes.
 
 #include "daemon/site.h"
+#include "support/answer_forms.h"
+#include "support/raw_runner.h"
 
 #include <QProcess>
 #include <QTcpServer>
@@ -127,5 +129,30 @@
     EXPECT_TRUE(wait_until([&] { return fixture.exit_code() == 0; }));
 }
 
+// Guards against an answer that a daemon did not send as it is read: reported as a success, or with
+// a status or a body that is none.
+TEST(the_command_line, takes_no_broken_answer_for_a_daemons)
+{
+    std::string bytes;
+    raw_runner daemon{[&](const std::string&) { return raw_runner::reply{bytes, true}; }};
+    const auto stop = [&](const answer_form& form) {
+        bytes = form.bytes;
+        const auto address = QString::fromStdString(daemon.address().str());
+        return run_command({"stop", "--daemon", address});
+    };
+    for (const auto& form : broken_answers()) {
+        const auto out = stop(form);
+        EXPECT_EQ(out.exit_code, 4) << form.name << "\n" << out.output;
+    }
+    for (const auto& form : unusual_answers()) {
+        const auto out = stop(form);
+        EXPECT_EQ(out.exit_code, 0) << form.name << "\n" << out.output;
+    }
+    for (const auto& form : unframed_answers()) {
+        const auto out = stop(form);
+        EXPECT_EQ(out.exit_code, 0) << form.name << "\n" << out.output;
+    }
+}
+
 } // namespace
 } // namespace cedarpoint
