The tests' raw_runner answers whole requests

Cause: it answered each read, and head and body of a request may arrive in two, so that a test could count an answer twice on a busy machine.

Change: it parses requests and passes them to its script; `answered`, which nobody used, is gone. No check was changed.

--- a/tests/daemon/command_line_test.cpp
+++ b/tests/daemon/command_line_test.cpp
@@ -134,7 +134,7 @@
 TEST(the_command_line, takes_no_broken_answer_for_a_daemons)
 {
     std::string bytes;
-    raw_runner daemon{[&](const std::string&) { return raw_runner::reply{bytes, true}; }};
+    raw_runner daemon{[&](const http_request&) { return raw_runner::reply{bytes, true}; }};
     const auto stop = [&](const answer_form& form) {
         bytes = form.bytes;
         const auto address = QString::fromStdString(daemon.address().str());
--- a/tests/entry/broken_answer_test.cpp
+++ b/tests/entry/broken_answer_test.cpp
@@ -15,7 +15,6 @@
 #include <iterator>
 #include <ostream>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace cedarpoint {
@@ -43,13 +42,6 @@
 /// Half of the time that the callers' requests have.
 constexpr duration soon = milliseconds{4000};
 
-/// Returns the request target in the first line of a request.
-std::string_view target_of(std::string_view request)
-{
-    request.remove_prefix(std::min(request.find(' ') + 1, request.size()));
-    return request.substr(0, request.find(' '));
-}
-
 class an_answer_of_a_runner_in_trouble : public testing::TestWithParam<answer_form> {
 protected:
     an_answer_of_a_runner_in_trouble()
@@ -90,8 +82,8 @@
     int broken = 0; ///< broken answers sent
     const std::string sound = unusual_answers().front().bytes;
     /// Keeps its connections open and answers only "/once/first" as it should.
-    raw_runner runner{[this](const std::string& request) -> raw_runner::reply {
-        if (target_of(request) == "/once/first") {
+    raw_runner runner{[this](const http_request& request) -> raw_runner::reply {
+        if (request.target == "/once/first") {
             return {sound};
         }
         ++broken;
--- a/tests/io/broken_answer_test.cpp
+++ b/tests/io/broken_answer_test.cpp
@@ -1,5 +1,5 @@
-// Answers that break the rules of HTTP/1.1, and unusual ones that do not. All readers are tested:
-// the reused connections of a fleet's daemons and the single calls of `serve`.
+// Answers that break the rules of HTTP/1.1, and unusual ones that do not. Both clients are tested:
+// the reused connections of a fleet's daemons and the single calls of `serve` and the command line.
 
 #include "io/http_parser.h"
 #include "io/runner_connection.h"
@@ -157,7 +157,7 @@
 answer_outcome play(const answer_reader& reader, const raw_runner::reply& reply)
 {
     bool sends_sound_answer = reader.is_reused;
-    raw_runner runner{[&](const std::string&) {
+    raw_runner runner{[&](const http_request&) {
         return std::exchange(sends_sound_answer, false) ? raw_runner::reply{sound} : reply;
     }};
     return reader.read(runner.address());
@@ -204,7 +204,7 @@
 protected:
     static answer_outcome read(const std::string& bytes)
     {
-        raw_runner runner{[&](const std::string&) { return raw_runner::reply{bytes}; }};
+        raw_runner runner{[&](const http_request&) { return raw_runner::reply{bytes}; }};
         runner_connection connection{runner.address()};
         auto request = plain_exchange();
         request.id_header = "X-Cedarpoint-Request-Id";
--- a/tests/support/raw_runner.h
+++ b/tests/support/raw_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cedarpoint/core/endpoint.h"
+#include "io/http_parser.h"
 
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -17,8 +18,7 @@
         std::string bytes;
         bool closes = false; ///< the connection, after the bytes
     };
-    /// Returns the reply to a request, which is given as it was received.
-    using script = std::function<reply(const std::string& request)>;
+    using script = std::function<reply(const http_request& request)>;
 
     explicit raw_runner(script script);
     raw_runner(const raw_runner&) = delete;
@@ -26,14 +26,13 @@
     ~raw_runner() = default;
 
     [[nodiscard]] endpoint address() const { return {"127.0.0.1", server_.serverPort()}; }
-    [[nodiscard]] int answered() const { return answered_; }
 
 private:
-    void answer(QTcpSocket& socket);
+    void accept();
+    void read(QTcpSocket& socket, http_request_parser& parser) const;
 
     script script_;
     QTcpServer server_;
-    int answered_ = 0;
 };
 
 } // namespace cedarpoint::testing_support
